--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -33,7 +33,7 @@
     encode_state,
 )
 from scaleloom_fleet.control.datagrams import DatagramEndpoint
-from scaleloom_fleet.http.clients import Address
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.local_fleet import LOOPBACK
 from scaleloom_wire.control_pb2 import Datagram, SampleReply, SampleRequest
 
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -9,7 +9,8 @@
 import trio
 
 from benchmarks.measures import Measure
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.local_fleet import LOOPBACK, LocalFleet, free_port
 from tests.fixtures.fleets import CUSTOMER_KEY, MODEL, intent_for
 
--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/retry_windows.py
@@ -0,0 +1,87 @@
+"""One retry budget for the whole fleet, split among its routers."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from scaleloom_core.ids import ServiceName
+
+# A router that restarts forgets what it spent, and peers may be unknown.
+SHARE_IN_USE = 0.5
+BUCKETS = 20
+
+
+@dataclass
+class _Bucket:
+    """Requests and repeats counted in one slice of the window."""
+
+    started_s: float
+    requests: int = 0
+    repeats: int = 0
+
+
+@dataclass
+class RetryWindow:
+    """
+    Counts the requests and repeats of one service over a sliding window.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request in the window.
+    extra : float
+        Repeats that the whole fleet may send beyond that.
+    window_s : float
+        The length of the window, in seconds.
+    """
+
+    ratio: float
+    extra: float
+    window_s: float
+    _buckets: deque[_Bucket] = field(default_factory=deque)
+    _requests: int = 0
+    _repeats: int = 0
+
+    def note_request(self, now_s: float) -> None:
+        """Count one new request."""
+        self._current(now_s).requests += 1
+        self._requests += 1
+
+    def try_spend(self, now_s: float, router_count: int) -> bool:
+        """Return whether one repeat may be sent, and count it if so."""
+        bucket = self._current(now_s)
+        earned = self.ratio * self._requests
+        given = self.extra / max(1, router_count)
+        if self._repeats + 1 > SHARE_IN_USE * (earned + given):
+            return False
+        bucket.repeats += 1
+        self._repeats += 1
+        return True
+
+    def _current(self, now_s: float) -> _Bucket:
+        """Return the slice of `now_s`, dropping those that left the window."""
+        while self._buckets and self._buckets[0].started_s <= now_s - self.window_s:
+            old = self._buckets.popleft()
+            self._requests -= old.requests
+            self._repeats -= old.repeats
+        slice_s = self.window_s / BUCKETS
+        if not self._buckets or now_s - self._buckets[-1].started_s >= slice_s:
+            self._buckets.append(_Bucket(now_s))
+        return self._buckets[-1]
+
+
+@dataclass
+class RetryWindows:
+    """The windows of all services, alike in their figures."""
+
+    ratio: float
+    extra: float
+    window_s: float
+    _windows: dict[ServiceName, RetryWindow] = field(default_factory=dict)
+
+    def of(self, service: ServiceName) -> RetryWindow:
+        """Return the window of `service`."""
+        window = self._windows.get(service)
+        if window is None:
+            window = RetryWindow(self.ratio, self.extra, self.window_s)
+            self._windows[service] = window
+        return window
--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/routing.py
@@ -0,0 +1,170 @@
+"""Routes of plain HTTP requests, and the keys that may use them."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from scaleloom_core.hashing import hash_text
+from scaleloom_core.ids import CustomerId, ServiceName
+
+
+class RequestKind(Enum):
+    """What may be done with a request whose outcome is not known."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service's part of a route's requests."""
+
+    service: ServiceName
+    weight: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRoute:
+    """
+    Where the requests of one host and path prefix go.
+
+    Parameters
+    ----------
+    host : str
+        The host, in lower case and without a port.
+    path_prefix : str
+        Begins and ends with a slash.
+    timeout_ms, objective_ms : int
+        The longest time to hold a request, and the time in which an answer
+        is worth the most, in milliseconds.
+    attempt_limit : int
+        The most targets that one request may be sent to.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_ms: int
+    objective_ms: int
+    shares: tuple[ServiceShare, ...]
+    priority: int = 5
+    attempt_limit: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+    is_sticky: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.is_resumable
+        return self.kind is RequestKind.SAFE
+
+    def pick_service(self, request_id: str) -> ServiceName:
+        """Return the service that runs the request, by the shares' weights."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = sum(share.weight for share in self.shares)
+        point = hash_text(request_id) % max(1, total)
+        for share in self.shares:
+            if point < share.weight:
+                return share.service
+            point -= share.weight
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePolicy:
+    """What the configuration says of one service."""
+
+    name: ServiceName
+    health_path: str = "/health"
+    connection_limit: int = 100
+    token_capacity: int | None = None
+
+    @property
+    def is_engine(self) -> bool:
+        """Return whether its targets batch and cache prompts."""
+        return self.token_capacity is not None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15000
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """One customer with its keys."""
+
+    name: CustomerId
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """
+    One whole configuration, never changed after it was built.
+
+    Parameters
+    ----------
+    version : int
+        Rises with each configuration.
+    customers : tuple of Customer or None
+        None if requests carry no keys at all.
+    """
+
+    version: int
+    routes: tuple[HttpRoute, ...]
+    services: tuple[ServicePolicy, ...]
+    limits: RequestLimits = RequestLimits()
+    customers: tuple[Customer, ...] | None = None
+    _routes_by_place: dict[tuple[str, str], HttpRoute] = field(
+        default_factory=dict, repr=False, compare=False
+    )
+    _customers_by_key: dict[str, Customer] = field(
+        default_factory=dict, repr=False, compare=False
+    )
+    _services_by_name: dict[ServiceName, ServicePolicy] = field(
+        default_factory=dict, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Build the tables that requests are looked up in."""
+        for route in self.routes:
+            self._routes_by_place[(route.host.lower(), route.path_prefix)] = route
+        for customer in self.customers or ():
+            self._customers_by_key.update(dict.fromkeys(customer.keys, customer))
+        for service in self.services:
+            self._services_by_name[service.name] = service
+
+    def find_route(self, host: str, path: str) -> HttpRoute | None:
+        """Return the route of `host` with the longest prefix that begins `path`."""
+        end = len(path)
+        while True:
+            end = path.rfind("/", 0, end)
+            if end < 0:
+                return None
+            route = self._routes_by_place.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+
+    def find_customer(self, key: str) -> Customer | None:
+        """Return the customer that holds `key`."""
+        return self._customers_by_key.get(key)
+
+    def find_service(self, name: ServiceName) -> ServicePolicy | None:
+        """Return what is said of the service `name`."""
+        return self._services_by_name.get(name)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether requests must carry a key."""
+        return self.customers is not None
--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -0,0 +1,106 @@
+"""The choice of a target for one request, within the load bound of its service."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.hashing import hash_text
+from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+from scaleloom_core.routing import ServicePolicy
+from scaleloom_core.targets import TargetRecord, TargetView
+
+# Peers' reports are a fraction of a second old, so the bound that a router
+# keeps to is narrower than the one that is promised.
+BOUND_MARGIN = 0.8
+BOUND_HEADROOM = 2
+QUEUE_PER_SLOT = 2.0
+OTHER_DATA_CENTRE_LOAD = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementKey:
+    """What a request should land beside: the prompt part it shares."""
+
+    service: ServiceName
+    shared_part: str | None
+
+
+@dataclass
+class TargetChooser:
+    """
+    Picks targets by the view and the load that it is given.
+
+    Parameters
+    ----------
+    bound_multiple : float
+        The most that a target may hold over its service's mean.
+    """
+
+    view: TargetView
+    load: FleetLoad
+    data_centre: DataCentreName
+    bound_multiple: float
+
+    def choose(
+        self,
+        key: PlacementKey,
+        policy: ServicePolicy,
+        tried: set[TargetId],
+        now_s: float,
+    ) -> TargetRecord | None:
+        """
+        Return the target to send to, or None if every one is full.
+
+        A request that shares a part of its prompt goes to the first target in
+        rendezvous order that is within the bound, so that all routers agree on
+        the home and on where its overflow goes. Any other goes where the least
+        is held, the own data centre first.
+        """
+        usable = self.view.usable(key.service, now_s)
+        open_to_it = [r for r in usable if r.listed.id not in tried]
+        if not open_to_it:
+            return None
+        if policy.is_engine:
+            room = self._bound(usable)
+            fits = lambda r: self.load.held(r.listed.id) < min(room, r.listed.slots)
+        else:
+            fits = self._has_place
+        if key.shared_part is None:
+            return self._least_loaded(open_to_it, fits)
+        name = f"{key.service}/{key.shared_part}"
+        ranked = sorted(
+            open_to_it, key=lambda r: hash_text(name, r.listed.id), reverse=True
+        )
+        return next(filter(fits, ranked), None) or self._least_loaded(
+            open_to_it, self._has_place
+        )
+
+    def has_place(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether some target of `service` could take a request."""
+        return any(map(self._has_place, self.view.usable(service, now_s)))
+
+    def _has_place(self, record: TargetRecord) -> bool:
+        """Return whether `record` could take a request without a long wait."""
+        limit = record.listed.slots * QUEUE_PER_SLOT
+        return self.load.held(record.listed.id) < limit
+
+    def _bound(self, usable: list[TargetRecord]) -> float:
+        """Return how many requests one of `usable` may hold."""
+        total = sum(self.load.held(record.listed.id) for record in usable)
+        mean = total / len(usable)
+        return BOUND_HEADROOM + self.bound_multiple * BOUND_MARGIN * mean
+
+    def _least_loaded(
+        self, records: list[TargetRecord], fits: Callable[[TargetRecord], bool]
+    ) -> TargetRecord | None:
+        """Return the one of `records` that holds the least for its slots."""
+        fitting = list(filter(fits, records))
+        return min(fitting, key=self._cost, default=None)
+
+    def _cost(self, record: TargetRecord) -> tuple[float, int]:
+        """Return how loaded `record` is, with a fixed order among equals."""
+        held = self.load.held(record.listed.id)
+        if record.listed.data_centre != self.data_centre:
+            held += OTHER_DATA_CENTRE_LOAD
+        order = hash_text(self.data_centre, record.listed.id)
+        return held / max(1, record.listed.slots), order
--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -0,0 +1,155 @@
+"""The targets that the platform lists, and what is known of each one's state."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+
+FIRST_ABSENCE_S = 0.5
+LONGEST_ABSENCE_S = 4.0
+FAILURE_WEIGHT = 0.12
+FAILURE_EXCESS = 0.25
+FAILURE_MULTIPLE = 3.0
+FAILURE_SAMPLES = 5
+FAILING_ABSENCE_S = 1.5
+LEAST_USABLE_SHARE = 0.5
+MISPLACED_S = 30.0
+
+
+class ListedState(Enum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """One entry of the platform's list."""
+
+    id: TargetId
+    service: ServiceName
+    host: str
+    port: int
+    data_centre: DataCentreName
+    slots: int
+    state: ListedState = ListedState.READY
+    cold_left_ms: int = 0
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """
+    What this process knows of one target.
+
+    Parameters
+    ----------
+    failure_ratio : float
+        A moving mean of the share of requests that failed there.
+    """
+
+    listed: ListedTarget
+    failure_ratio: float = 0.0
+    samples: int = 0
+    absence_s: float = 0.0
+    away_until_s: float = 0.0
+    failing_until_s: float = 0.0
+
+    def note_answer(self) -> None:
+        """Count an answer that shows the target well."""
+        self.samples += 1
+        self.absence_s = 0.0
+        self.away_until_s = 0.0
+        self.failure_ratio -= self.failure_ratio * FAILURE_WEIGHT
+
+    def note_failure(self) -> None:
+        """Count a request that failed at the target."""
+        self.samples += 1
+        self.failure_ratio += (1.0 - self.failure_ratio) * FAILURE_WEIGHT
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Offer the target nothing for a while, longer each time in a row."""
+        doubled_s = max(FIRST_ABSENCE_S, 2 * self.absence_s)
+        self.absence_s = min(LONGEST_ABSENCE_S, doubled_s)
+        self.away_until_s = now_s + self.absence_s
+
+    def note_misplaced(self, now_s: float) -> None:
+        """Note that another target answers at this one's address."""
+        self.away_until_s = now_s + MISPLACED_S
+
+
+@dataclass
+class TargetView:
+    """
+    Every target that may be offered work, by service.
+
+    Parameters
+    ----------
+    records : dict of TargetId to TargetRecord
+        The targets that are listed.
+    list_position : int
+        How far the list was read; a reading from before it is stale.
+    """
+
+    records: dict[TargetId, TargetRecord] = field(default_factory=dict)
+    by_service: dict[ServiceName, list[TargetRecord]] = field(default_factory=dict)
+    list_position: int = -1
+
+    def apply_list(self, listed: list[ListedTarget], position: int) -> bool:
+        """
+        Take in one whole reading of the list, unless it is an older one.
+
+        Returns
+        -------
+        bool
+            Whether the reading was taken in.
+        """
+        if position < self.list_position:
+            return False
+        self.list_position = position
+        before = self.records
+        self.records = {}
+        for target in listed:
+            record = before.get(target.id) or TargetRecord(target)
+            record.listed = target
+            self.records[target.id] = record
+        self._group()
+        return True
+
+    def _group(self) -> None:
+        """Sort the targets that take new work by service."""
+        self.by_service = {}
+        for record in self.records.values():
+            if record.listed.state is ListedState.READY:
+                group = self.by_service.setdefault(record.listed.service, [])
+                group.append(record)
+
+    def usable(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
+        """
+        Return the targets of `service` to which new work may be sent.
+
+        Targets that fail far more often than the others are left out for a
+        while, but never so many that less than half remain; then all that can
+        be reached are returned.
+        """
+        listed = self.by_service.get(service, [])
+        reachable = [record for record in listed if record.away_until_s <= now_s]
+        if not reachable:
+            return []
+        mean = sum(record.failure_ratio for record in reachable) / len(reachable)
+        well = [r for r in reachable if not _is_failing(r, mean, now_s)]
+        if len(well) < LEAST_USABLE_SHARE * len(reachable):
+            return reachable
+        return well
+
+
+def _is_failing(record: TargetRecord, mean: float, now_s: float) -> bool:
+    """Return whether `record` is left out for its failures at `now_s`."""
+    if record.failing_until_s > now_s:
+        return True
+    bound = max(FAILURE_EXCESS, FAILURE_MULTIPLE * min(mean, FAILURE_EXCESS))
+    if record.samples < FAILURE_SAMPLES or record.failure_ratio < bound:
+        return False
+    record.failing_until_s = now_s + FAILING_ABSENCE_S
+    record.failure_ratio = bound * (1.0 - FAILURE_WEIGHT)
+    return True
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/__init__.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/__init__.py
@@ -1,14 +1,24 @@
 """Settings of the processes, read from INI files and checked before a start."""
 
 from scaleloom_fleet.conf.checks import CheckMessage, check_file
-from scaleloom_fleet.conf.loading import load_router_settings, load_sidecar_settings
-from scaleloom_fleet.conf.schema import RouterSettings, SidecarSettings
+from scaleloom_fleet.conf.loading import (
+    load_gateway_settings,
+    load_router_settings,
+    load_sidecar_settings,
+)
+from scaleloom_fleet.conf.schema import (
+    GatewaySettings,
+    RouterSettings,
+    SidecarSettings,
+)
 
 __all__ = [
     "CheckMessage",
+    "GatewaySettings",
     "RouterSettings",
     "SidecarSettings",
     "check_file",
+    "load_gateway_settings",
     "load_router_settings",
     "load_sidecar_settings",
 ]
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/checks.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/checks.py
@@ -8,9 +8,17 @@
 
 import msgspec
 
-from scaleloom_fleet.conf.schema import RouterSettings, SidecarSettings
-
-ROLE_SETTINGS = {"router": RouterSettings, "sidecar": SidecarSettings}
+from scaleloom_fleet.conf.schema import (
+    GatewaySettings,
+    RouterSettings,
+    SidecarSettings,
+)
+
+ROLE_SETTINGS = {
+    "gateway": GatewaySettings,
+    "router": RouterSettings,
+    "sidecar": SidecarSettings,
+}
 _NUMBER_WITH_UNIT = re.compile(r"^-?[0-9.]+\s*([A-Za-z%]+)$")
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/loading.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/loading.py
@@ -7,12 +7,21 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_fleet.conf.checks import CheckMessage, read_checked
-from scaleloom_fleet.conf.schema import RouterSettings, SidecarSettings
-from scaleloom_fleet.http.clients import Address
+from scaleloom_fleet.conf.schema import (
+    GatewaySettings,
+    RouterSettings,
+    SidecarSettings,
+)
+from scaleloom_fleet.utils.addresses import Address, parse_address
 
 Settings = TypeVar("Settings")
 
 
+def load_gateway_settings(path: Path) -> Result[GatewaySettings, list[CheckMessage]]:
+    """Return the gateway settings at `path`, or everything wrong with them."""
+    return _load(path, "gateway", GatewaySettings)
+
+
 def load_router_settings(path: Path) -> Result[RouterSettings, list[CheckMessage]]:
     """Return the router settings at `path`, or everything wrong with them."""
     return _load(path, "router", RouterSettings)
@@ -33,12 +42,6 @@
     return Success(msgspec.convert(checked.sections, kind))
 
 
-def parse_address(text: str) -> Address:
-    """Return the address that a checked ``host:port`` setting names."""
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
-
-
 def parse_optional_address(text: str | None) -> Address | None:
     """Return the address that a setting names, if it names one."""
     return None if text is None else parse_address(text)
--- a/packages/scaleloom-fleet/scaleloom_fleet/control/datagrams.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/control/datagrams.py
@@ -8,7 +8,7 @@
 import trio
 from google.protobuf.message import DecodeError
 
-from scaleloom_fleet.http.clients import Address
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_wire.control_pb2 import Datagram
 
 RECEIVE_LIMIT_BYTES = 65535
--- a/packages/scaleloom-fleet/scaleloom_fleet/control/rpc.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/control/rpc.py
@@ -8,7 +8,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from scaleloom_fleet.http.clients import Address
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_wire.control_pb2 import (
     FetchReply,
     FetchRequest,
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -0,0 +1,67 @@
+"""The loop that takes connections and their requests."""
+
+import socket
+
+import trio
+
+from scaleloom_fleet.gateway.answering import answer_rejection
+from scaleloom_fleet.gateway.attempts import serve
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.callers import (
+    CallerConnection,
+    CallerGone,
+    RequestRejected,
+)
+
+ACCEPT_BATCH = 64
+
+
+async def accept_forever(
+    state: GatewayState, listener: socket.socket, nursery: trio.Nursery
+) -> None:
+    """Serve every connection that arrives at `listener`."""
+    while True:
+        await trio.lowlevel.wait_readable(listener)
+        for _ in range(ACCEPT_BATCH):
+            connection = sockets.accept_ready(listener)
+            if connection is None:
+                break
+            nursery.start_soon(serve_connection, state, connection)
+
+
+async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
+    """Answer the requests of one connection until either side ends it."""
+    caller = CallerConnection(connection)
+    state.connections.add(caller)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(caller.read_forever)
+            caller.idle_scope = nursery.cancel_scope
+            await _serve_requests(state, caller)
+            nursery.cancel_scope.cancel()
+    finally:
+        state.connections.discard(caller)
+        caller.close()
+
+
+async def _serve_requests(state: GatewayState, caller: CallerConnection) -> None:
+    """Answer requests one after another."""
+    try:
+        while True:
+            request = await caller.read_request(state.caller_limits())
+            await serve(state, caller, request)
+            if not caller.finish():
+                return
+    except CallerGone:
+        return
+    except RequestRejected as rejection:
+        await _reject(caller, rejection.status)
+
+
+async def _reject(caller: CallerConnection, status: int) -> None:
+    """Answer what was no proper request."""
+    try:
+        await answer_rejection(caller, status)
+    except CallerGone:
+        return
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/answering.py
@@ -0,0 +1,80 @@
+"""Answers of the gateway's own: refusals and failures, each with its proof."""
+
+import msgspec
+import trio
+
+from scaleloom_core.errors import ANSWERS, FleetError, Outcome, RetryAdvice
+from scaleloom_fleet.http1.callers import CallerConnection
+from scaleloom_fleet.http1.links import HeaderList
+
+PROBLEM_TYPE = b"application/problem+json"
+DEFAULT_RETRY_AFTER_S = 0.3
+_REASONS = {
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """The body of an error, as problem details."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: str
+
+
+def closing_headers(is_stopping: bool) -> HeaderList:
+    """Return the header that asks a caller to leave a stopping process."""
+    return [(b"Connection", b"close")] if is_stopping else []
+
+
+async def answer_error(
+    connection: CallerConnection, error: FleetError, is_stopping: bool
+) -> None:
+    """Send the answer that the table of errors gives for `error`."""
+    answer = ANSWERS[error.kind]
+    problem = Problem(
+        error.kind.value,
+        answer.title,
+        answer.status,
+        error.detail,
+        error.known_outcome.value,
+    )
+    headers = closing_headers(is_stopping)
+    is_not_run = error.known_outcome is Outcome.NOT_RUN
+    if is_not_run and answer.advice is RetryAdvice.LATER:
+        after_s = error.retry_after_s or DEFAULT_RETRY_AFTER_S
+        headers.append((b"Retry-After", f"{after_s:.2f}".encode()))
+    await answer_status(connection, answer.status, problem, headers)
+
+
+async def answer_status(
+    connection: CallerConnection, status: int, problem: Problem, headers: HeaderList
+) -> None:
+    """Send a whole answer with `problem` as its body."""
+    body = msgspec.json.encode(problem)
+    every = [
+        (b"Content-Type", PROBLEM_TYPE),
+        (b"Content-Length", str(len(body)).encode()),
+        *headers,
+    ]
+    # A caller that takes no bytes must not hold the answer of a lost request.
+    with trio.move_on_after(1.0):
+        await connection.send_answer(status, _REASONS.get(status, b""), every, body)
+
+
+async def answer_rejection(connection: CallerConnection, status: int) -> None:
+    """Answer what was no proper request, and end the connection with it."""
+    problem = Problem("bad_request", "Malformed request", status, "", "not_run")
+    await answer_status(connection, status, problem, [(b"Connection", b"close")])
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -0,0 +1,165 @@
+"""A request's way over one target or several, to its one answer."""
+
+import logging
+
+import trio
+
+from scaleloom_core.errors import ErrorKind, FleetError, Outcome
+from scaleloom_core.targets import TargetRecord
+from scaleloom_fleet.gateway.answering import answer_error
+from scaleloom_fleet.gateway.events import EventSplitter
+from scaleloom_fleet.gateway.exchanges import (
+    PROMISES_NOT_RUN,
+    Verdict,
+    Work,
+    pass_answer,
+    send_to,
+)
+from scaleloom_fleet.gateway.matching import Match, match_request
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.waiting import Waiter
+from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
+
+HOP_LIMIT = 6
+QUEUE_SHARE_OF_OBJECTIVE = 0.22
+_K = ErrorKind
+_logger = logging.getLogger("scaleloom.gateway")
+
+
+async def serve(
+    state: GatewayState, connection: CallerConnection, request: CallerRequest
+) -> None:
+    """
+    Answer one request.
+
+    Raises
+    ------
+    CallerGone
+        If the caller left meanwhile.
+    """
+    matched = match_request(state.routing, request, state.adapter.headers)
+    match: Match | None = matched.value_or(None)
+    if match is None:
+        await answer_error(connection, matched.failure(), state.is_stopping)
+        return
+    work = Work(connection, request, match)
+    if match.route.is_resumable:
+        work.splitter = EventSplitter()
+    state.windows.of(match.service).note_request(trio.current_time())
+    with trio.CancelScope(deadline=match.deadline_s) as scope:
+        connection.watch(scope)
+        error = await _try_targets(state, work)
+    if scope.cancelled_caught:
+        error = _late(work)
+    if error is not None:
+        await _conclude(state, work, error)
+
+
+def _late(work: Work) -> FleetError:
+    """Return the error of a request whose time ran out."""
+    if work.may_have_run:
+        return FleetError(_K.DEADLINE_PASSED, "The time for the answer ran out.")
+    return FleetError(_K.OVERLOADED, "No place became free in time.")
+
+
+async def _conclude(state: GatewayState, work: Work, error: FleetError) -> None:
+    """Give a request that got no success its final answer."""
+    fields = {
+        "request": work.match.request_id,
+        "kind": error.kind.value,
+        "service": work.match.service,
+        "sends": work.sends,
+        "held_ms": int((trio.current_time() - work.match.received_s) * 1000),
+        "tried": sorted(work.tried),
+    }
+    _logger.info("request not served", extra=fields)
+    if work.is_answer_begun:
+        work.connection.reset()
+        return
+    if work.failure is not None and _can_pass_on(work.failure[0].status):
+        await pass_answer(state, work, *work.failure)
+        return
+    await answer_error(work.connection, error, state.is_stopping)
+
+
+def _can_pass_on(status: int) -> bool:
+    """Return whether a target's failure may be passed on as it is."""
+    return status not in PROMISES_NOT_RUN
+
+
+async def _try_targets(state: GatewayState, work: Work) -> FleetError | None:
+    """Try targets until one answers; return the error if none did."""
+    for _ in range(HOP_LIMIT):
+        record = await _admit(state, work)
+        if record is None:
+            return _no_answer(state, work)
+        can_repeat = _may_send_again(work, 1)
+        work.tried.add(record.listed.id)
+        try:
+            verdict = await send_to(state, work, record, can_repeat)
+        finally:
+            state.waiting.release(record, work.match.customer)
+        if verdict is Verdict.ANSWERED:
+            return _client_error(work)
+        if not _goes_on(state, work, verdict):
+            return _no_answer(state, work)
+    return _no_answer(state, work)
+
+
+def _client_error(work: Work) -> FleetError | None:
+    """Return the error to conclude with if the answer was a failure."""
+    if work.is_answer_begun:
+        return None
+    return FleetError(_K.TARGET_FAILED, "The target answered with a failure.")
+
+
+def _may_send_again(work: Work, more: int) -> bool:
+    """Return whether the request may run at another target besides."""
+    route = work.match.route
+    return route.is_repeatable and work.sends + more < route.attempt_limit
+
+
+def _goes_on(state: GatewayState, work: Work, verdict: Verdict) -> bool:
+    """Return whether another target is to be tried after `verdict`."""
+    if verdict is Verdict.NEVER_SENT:
+        return True
+    is_proof = verdict in (Verdict.NOT_RUN, Verdict.MISPLACED)
+    if not is_proof and not _may_send_again(work, 0):
+        return False
+    if is_proof:
+        work.sends -= 1
+    if work.splitter is not None:
+        work.splitter.drop_partial()
+    window = state.windows.of(work.match.service)
+    return window.try_spend(trio.current_time(), state.router_count)
+
+
+def _no_answer(state: GatewayState, work: Work) -> FleetError:
+    """Return the error of a request that no target answered."""
+    if work.may_have_run:
+        return FleetError(_K.TARGET_FAILED, "The target gave no whole answer.")
+    return FleetError(
+        _K.OVERLOADED,
+        "Every target of the service is full or away.",
+        outcome=Outcome.NOT_RUN,
+    )
+
+
+async def _admit(state: GatewayState, work: Work) -> TargetRecord | None:
+    """Return a target with a place for the request, waiting a little for one."""
+    match = work.match
+
+    def choose() -> TargetRecord | None:
+        now_s = trio.current_time()
+        return state.chooser.choose(match.placement, match.policy, work.tried, now_s)
+
+    if state.waiting.is_empty(match.service):
+        record = choose()
+        if record is not None:
+            state.waiting.take(record, match.customer)
+            return record
+    waiter = Waiter(match.priority, match.customer, match.deadline_s, choose)
+    held_s = trio.current_time() - match.received_s
+    limit_s = QUEUE_SHARE_OF_OBJECTIVE * match.route.objective_ms / 1000.0
+    patience_s = max(0.0, limit_s - held_s)
+    return await state.waiting.wait(match.service, waiter, patience_s)
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -0,0 +1,243 @@
+"""One request at one target: sent once, its answer passed on or judged."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from scaleloom_core.ids import TargetId
+from scaleloom_core.routing import RequestKind
+from scaleloom_core.targets import TargetRecord
+from scaleloom_fleet.gateway.answering import closing_headers
+from scaleloom_fleet.gateway.events import EventSplitter
+from scaleloom_fleet.gateway.headers import answer_headers, request_for
+from scaleloom_fleet.gateway.matching import Match
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
+from scaleloom_fleet.http1.links import (
+    AnswerBroken,
+    AnswerHead,
+    Link,
+    read_while_sending,
+)
+from scaleloom_fleet.http1.sockets import ConnectionLost
+
+WHOLE_ANSWER_LIMIT_BYTES = 1 << 20
+MISDIRECTED = 421
+SURPLUS_LIMIT = 3
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+SAFE_PATIENCE = 0.8
+STREAM_PATIENCE = 2.0
+LEAST_PATIENCE_S = 0.4
+EVENT_PATIENCE_S = 1.0
+
+
+class Verdict(Enum):
+    """How a request fared at one target."""
+
+    ANSWERED = "answered"
+    NEVER_SENT = "never_sent"
+    NOT_RUN = "not_run"
+    MISPLACED = "misplaced"
+    FAILED = "failed"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+
+@dataclass
+class Work:
+    """
+    One caller's request on its way.
+
+    Parameters
+    ----------
+    failure : tuple of AnswerHead and bytes, or None
+        A target's own failure, passed on if nothing better comes.
+    """
+
+    connection: CallerConnection
+    request: CallerRequest
+    match: Match
+    splitter: EventSplitter | None = None
+    tried: set[TargetId] = field(default_factory=set)
+    sends: int = 0
+    may_have_run: bool = False
+    is_answer_begun: bool = False
+    failure: tuple[AnswerHead, bytes] | None = None
+
+
+class Misplaced(Exception):
+    """Raised when another target answers at the address."""
+
+
+async def send_to(
+    state: GatewayState, work: Work, record: TargetRecord, can_repeat: bool
+) -> Verdict:
+    """
+    Send `work` to one target and pass its answer on.
+
+    Parameters
+    ----------
+    can_repeat : bool
+        Whether another target may be tried if this one stays silent.
+    """
+    target = record.listed
+    is_repeatable = work.match.route.is_repeatable
+    link = await state.pools.acquire(target, is_repeatable)
+    if link is None:
+        record.note_unreachable(trio.current_time())
+        return Verdict.NEVER_SENT
+    is_whole = False
+    try:
+        verdict = await _exchange(state, work, record, link, can_repeat)
+        is_whole = verdict is not Verdict.SILENT and verdict is not Verdict.BROKEN
+    except (AnswerBroken, ConnectionLost):
+        verdict = Verdict.BROKEN
+    finally:
+        if is_whole:
+            state.pools.put_back(target.id, link)
+        else:
+            link.close()
+    _judge(record, verdict)
+    return verdict
+
+
+def _judge(record: TargetRecord, verdict: Verdict) -> None:
+    """Take what `verdict` tells of the target into its record."""
+    if verdict is Verdict.ANSWERED:
+        record.note_answer()
+    elif verdict is Verdict.MISPLACED:
+        record.note_misplaced(trio.current_time())
+    else:
+        record.note_failure()
+
+
+async def _exchange(
+    state: GatewayState,
+    work: Work,
+    record: TargetRecord,
+    link: Link,
+    can_repeat: bool,
+) -> Verdict:
+    """Send the request over `link` and pass its answer on."""
+    names = state.adapter.headers
+    last_id = work.splitter.last_id if work.splitter else None
+    outgoing = request_for(
+        record.listed, work.match, work.request, names, last_id, trio.current_time()
+    )
+    work.sends += 1
+    work.may_have_run = True
+    link.start(outgoing)
+    with trio.move_on_after(_head_patience_s(work, can_repeat)) as scope:
+        head = await _own_head(link, outgoing, work, names.request_id.lower())
+    if scope.cancelled_caught:
+        return Verdict.SILENT
+    if head.status == MISDIRECTED or head.find(names.not_run.lower()) is not None:
+        work.may_have_run = work.sends > 1 and work.failure is not None
+        await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
+        is_misplaced = head.status == MISDIRECTED
+        return Verdict.MISPLACED if is_misplaced else Verdict.NOT_RUN
+    if not 200 <= head.status < 300:
+        body = await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
+        work.failure = (head, body)
+        return Verdict.FAILED if head.status >= 500 else Verdict.ANSWERED
+    if work.match.route.kind is RequestKind.STREAM:
+        return await _pass_stream(state, work, link, head, can_repeat)
+    return await _pass_whole(state, work, link, head)
+
+
+def _head_patience_s(work: Work, can_repeat: bool) -> float:
+    """Return how long a target may stay silent before another is tried."""
+    if not can_repeat:
+        return float("inf")
+    route = work.match.route
+    share = STREAM_PATIENCE if route.kind is RequestKind.STREAM else SAFE_PATIENCE
+    return max(LEAST_PATIENCE_S, share * route.objective_ms / 1000.0)
+
+
+async def _own_head(link: Link, outgoing, work: Work, id_name: bytes) -> AnswerHead:
+    """Return the head of this request's own answer, passing over surplus ones."""
+    own_id = work.match.request_id.encode("latin-1")
+    head = await read_while_sending(link)
+    for _ in range(SURPLUS_LIMIT):
+        if head.find(id_name) == own_id:
+            return head
+        await link.skip_answer(outgoing)
+        head = await link.read_head()
+    raise AnswerBroken("only answers to other requests came")
+
+
+async def _pass_whole(
+    state: GatewayState, work: Work, link: Link, head: AnswerHead
+) -> Verdict:
+    """Pass on an answer that is short enough to be gathered first."""
+    parts: list[bytes] = []
+    size = 0
+    while (part := await link.read_data()) is not None:
+        parts.append(part)
+        size += len(part)
+        if size > WHOLE_ANSWER_LIMIT_BYTES:
+            return await _pass_long(state, work, link, head, b"".join(parts))
+    await pass_answer(state, work, head, b"".join(parts))
+    return Verdict.ANSWERED
+
+
+async def pass_answer(
+    state: GatewayState, work: Work, head: AnswerHead, body: bytes
+) -> None:
+    """Send a target's whole answer to the caller."""
+    headers = answer_headers(head, keeps_length=False)
+    headers.append((b"Content-Length", str(len(body)).encode()))
+    headers += closing_headers(state.is_stopping)
+    work.is_answer_begun = True
+    await work.connection.send_answer(head.status, head.reason, headers, body)
+
+
+async def _begin_answer(
+    state: GatewayState, work: Work, head: AnswerHead, keeps_length: bool
+) -> None:
+    """Send the head of an answer whose body follows."""
+    headers = answer_headers(head, keeps_length)
+    headers += closing_headers(state.is_stopping)
+    work.is_answer_begun = True
+    await work.connection.send_head(head.status, head.reason, headers)
+
+
+async def _pass_long(
+    state: GatewayState, work: Work, link: Link, head: AnswerHead, gathered: bytes
+) -> Verdict:
+    """Pass on a long answer as it arrives."""
+    await _begin_answer(state, work, head, keeps_length=True)
+    await work.connection.send_data(gathered)
+    while (part := await link.read_data()) is not None:
+        await work.connection.send_data(part)
+    await work.connection.send_end()
+    return Verdict.ANSWERED
+
+
+async def _pass_stream(
+    state: GatewayState, work: Work, link: Link, head: AnswerHead, can_repeat: bool
+) -> Verdict:
+    """Pass a stream's events on as they arrive."""
+    splitter = work.splitter
+    patience_s = _head_patience_s(work, can_repeat)
+    while True:
+        with trio.move_on_after(patience_s) as scope:
+            part = await link.read_data()
+        if scope.cancelled_caught:
+            return Verdict.SILENT
+        if part is None:
+            break
+        ready = part if splitter is None else splitter.take(part)
+        if not ready:
+            continue
+        if not work.is_answer_begun:
+            await _begin_answer(state, work, head, keeps_length=splitter is None)
+        await work.connection.send_data(ready)
+        patience_s = EVENT_PATIENCE_S if can_repeat else float("inf")
+    if splitter is not None and splitter.has_partial:
+        raise AnswerBroken("the last event is not whole")
+    if not work.is_answer_begun:
+        await _begin_answer(state, work, head, keeps_length=False)
+    await work.connection.send_end()
+    return Verdict.ANSWERED
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -0,0 +1,107 @@
+"""What the gateway needs of the platform it runs on, filled by an adapter."""
+
+import importlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Result
+
+from scaleloom_core.ids import TargetId
+from scaleloom_core.routing import RoutingTable
+from scaleloom_core.targets import ListedTarget
+from scaleloom_fleet.http1.links import OutgoingRequest
+
+
+class Topic(Enum):
+    """What the gateway keeps in the platform's store or reads from it."""
+
+    CONFIG = "config"
+    TARGETS = "targets"
+    ROUTERS = "routers"
+
+
+@dataclass(frozen=True)
+class HeaderNames:
+    """
+    How the platform spells the headers that the gateway reads or sets.
+
+    Every name is as it is sent; `deadline` counts milliseconds, `load` is the
+    target's own count, `prompt_parts` names the parts of a prompt in order.
+    """
+
+    request_id: bytes
+    deadline: bytes
+    prompt_parts: bytes
+    last_event_id: bytes
+    customer: bytes
+    expected_target: bytes
+    not_run: bytes
+    priority: bytes
+    retry_after: bytes
+
+
+@dataclass(frozen=True)
+class StoredRecord:
+    """The newest record of one key."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(frozen=True)
+class NewestPage:
+    """
+    A part of the newest records of a topic, by key.
+
+    Parameters
+    ----------
+    end : int
+        The offset after the last record of the topic.
+    """
+
+    records: list[StoredRecord]
+    has_more: bool
+    end: int
+
+
+@dataclass(frozen=True)
+class RecordBatch:
+    """Records from an offset on; a record without a value drops its key."""
+
+    end: int
+    records: list[StoredRecord]
+
+
+@dataclass(frozen=True)
+class PlatformAdapter:
+    """
+    The platform's names, formats and calls; nothing here decides anything.
+
+    Parameters
+    ----------
+    newest_request : callable
+        The call for a topic's newest records after a key.
+    read_request : callable
+        The call for a topic's records from an offset on, waiting for some
+        milliseconds if there are none.
+    append_request : callable
+        The call that appends a value under a key.
+    """
+
+    headers: HeaderNames
+    ready_path: bytes
+    config_key: str
+    newest_request: Callable[[Topic, str | None], OutgoingRequest]
+    read_request: Callable[[Topic, int, int], OutgoingRequest]
+    append_request: Callable[[Topic, str, bytes], OutgoingRequest]
+    decode_newest: Callable[[bytes], Result[NewestPage, str]]
+    decode_batch: Callable[[bytes, int], Result[RecordBatch, str]]
+    decode_routing: Callable[[bytes], Result[RoutingTable, str]]
+    decode_target: Callable[[TargetId, bytes], Result[ListedTarget, str]]
+
+
+def load_adapter(module_name: str) -> PlatformAdapter:
+    """Return the adapter that the module `module_name` offers as ``ADAPTER``."""
+    return importlib.import_module(module_name).ADAPTER
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -0,0 +1,265 @@
+"""What routers tell each other: their load, and what the store told them."""
+
+import logging
+import socket
+
+import msgspec
+import trio
+
+from scaleloom_core.ids import InstanceId
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.store_watch import (
+    StoreWatch,
+    apply_config_document,
+    apply_target_documents,
+)
+from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.sockets import ConnectionLost
+from scaleloom_fleet.utils.addresses import Address, parse_address
+
+REPORT_INTERVAL_S = 0.1
+PEERS_PER_INTERVAL = 8
+SILENT_INTERVAL_S = 1.0
+ROUTERS_INTERVAL_S = 10.0
+RECEIVE_LIMIT_BYTES = 65535
+READ_BATCH = 64
+FETCH_TIMEOUT_S = 0.6
+FETCH_PAUSE_S = 0.3
+SILENCE_MS = 600
+LIST_STALE_S = 1.6
+ROUTER_LIFE_S = 30.0
+_logger = logging.getLogger("scaleloom.peers")
+
+
+class PeerReport(msgspec.Struct, array_like=True, frozen=True):
+    """
+    One router's report, sent in a datagram.
+
+    Parameters
+    ----------
+    sender : str
+        Its control address, as ``host:port``.
+    config_version : int
+        The configuration in force there; -1 if none is.
+    list_position : int
+        How far it has read the list of targets.
+    held : dict of int to int
+        Requests that it holds, by the target's number.
+    """
+
+    sender: str
+    config_version: int
+    list_position: int
+    held: dict[int, int]
+
+
+class PeerDocuments(msgspec.Struct, array_like=True, frozen=True):
+    """What the store told one router, for another that cannot reach it."""
+
+    config: bytes
+    list_position: int
+    targets: dict[str, bytes]
+
+
+class PeerTable:
+    """
+    The other routers, and when each was last heard.
+
+    Parameters
+    ----------
+    own : Address
+        This router's control address, which is no peer.
+    """
+
+    def __init__(self, own: Address) -> None:
+        self._own = own
+        self.heard_s: dict[Address, float] = {}
+
+    def add(self, address: Address) -> None:
+        """Take in a router that may be there."""
+        if address != self._own:
+            self.heard_s.setdefault(address, float("-inf"))
+
+    def note_heard(self, address: Address, now_s: float) -> None:
+        """Note that a router was heard."""
+        if address != self._own:
+            self.heard_s[address] = now_s
+
+    def lively(self, now_s: float) -> list[Address]:
+        """Return the routers that were heard a moment ago."""
+        horizon_s = now_s - 3 * SILENT_INTERVAL_S
+        return [peer for peer, at_s in self.heard_s.items() if at_s > horizon_s]
+
+    def silent(self, now_s: float) -> list[Address]:
+        """Return the other routers."""
+        lively = set(self.lively(now_s))
+        return [peer for peer in self.heard_s if peer not in lively]
+
+
+class PeerExchange:
+    """
+    The datagrams and documents that go between routers.
+
+    Parameters
+    ----------
+    watch : StoreWatch
+        Tells whether the store can be reached from here.
+    """
+
+    def __init__(self, state: GatewayState, watch: StoreWatch) -> None:
+        self._state = state
+        self._watch = watch
+        self._own = state.settings.peer_address
+        self.table = PeerTable(self._own)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._decoder = msgspec.msgpack.Decoder(PeerReport)
+        self._ahead: dict[Address, PeerReport] = {}
+
+    def bind(self) -> socket.socket:
+        """Open the datagram socket and return the listener for documents."""
+        self._socket.bind((self._own.host, self._own.port))
+        for seed in self._state.settings.seed_hosts:
+            self.table.add(Address(seed, self._own.port))
+        return sockets.listen(self._own)
+
+    async def receive_forever(self) -> None:
+        """Take in reports."""
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            for _ in range(READ_BATCH):
+                if not self._receive_one():
+                    break
+
+    def _receive_one(self) -> bool:
+        """Take in one report; return False if there is none."""
+        try:
+            data, _ = self._socket.recvfrom(RECEIVE_LIMIT_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        try:
+            report = self._decoder.decode(data)
+        except msgspec.DecodeError:
+            return True
+        now_s = trio.current_time()
+        address = parse_address(report.sender)
+        self.table.note_heard(address, now_s)
+        self._state.load.note_report(InstanceId(report.sender), report.held, now_s)
+        if self._is_ahead(report, now_s):
+            self._ahead[address] = report
+        return True
+
+    def _is_ahead(self, report: PeerReport, now_s: float) -> bool:
+        """Return whether a peer knows what this router should ask it for."""
+        routing = self._state.routing
+        if report.config_version > (routing.version if routing else -1):
+            return True
+        is_stale = now_s - self._watch.list_read_s > LIST_STALE_S
+        return is_stale and report.list_position > self._state.view.list_position
+
+    async def report_forever(self) -> None:
+        """Tell peers what this router holds, the silent ones less often."""
+        next_silent_s = 0.0
+        while True:
+            now_s = trio.current_time()
+            peers = self.table.lively(now_s)
+            pause_s = REPORT_INTERVAL_S * max(1.0, len(peers) / PEERS_PER_INTERVAL)
+            if now_s >= next_silent_s:
+                peers = peers + self.table.silent(now_s)
+                next_silent_s = now_s + SILENT_INTERVAL_S
+            self._report(peers)
+            self._state.load.forget_silent(now_s)
+            self._state.router_count = 1 + len(self.table.heard_s)
+            await trio.sleep(pause_s)
+
+    def _report(self, peers: list[Address]) -> None:
+        """Send one report to each of `peers`."""
+        state = self._state
+        report = PeerReport(
+            str(self._own),
+            state.routing.version if state.routing else -1,
+            state.view.list_position,
+            state.load.own_report(),
+        )
+        data = msgspec.msgpack.encode(report)
+        for peer in peers:
+            try:
+                self._socket.sendto(data, (peer.host, peer.port))
+            except OSError:
+                continue
+
+    async def fetch_forever(self) -> None:
+        """Ask a peer that is ahead for what the store told it."""
+        while True:
+            await trio.sleep(FETCH_PAUSE_S)
+            now_s = trio.current_time()
+            ahead = [p for p, r in self._ahead.items() if self._is_ahead(r, now_s)]
+            self._ahead.clear()
+            if ahead:
+                await self._fetch(ahead[0])
+
+    async def _fetch(self, peer: Address) -> None:
+        """Take in what `peer` knows."""
+        data = b""
+        with trio.move_on_after(FETCH_TIMEOUT_S):
+            data = await _read_all(peer)
+        try:
+            documents = msgspec.msgpack.decode(data, type=PeerDocuments)
+        except msgspec.DecodeError:
+            return
+        if documents.config:
+            apply_config_document(self._state, documents.config)
+        apply_target_documents(self._state, documents.targets, documents.list_position)
+        _logger.info("documents taken from a peer", extra={"peer": str(peer)})
+
+    async def serve_documents(
+        self, listener: socket.socket, nursery: trio.Nursery
+    ) -> None:
+        """Give peers what the store told this router."""
+        while True:
+            await trio.lowlevel.wait_readable(listener)
+            connection = sockets.accept_ready(listener)
+            if connection is not None:
+                nursery.start_soon(self._give, connection)
+
+    async def _give(self, connection: socket.socket) -> None:
+        """Send what the store told this router over one connection."""
+        state = self._state
+        documents = PeerDocuments(
+            state.config_document, state.view.list_position, state.listed_documents
+        )
+        try:
+            with trio.move_on_after(FETCH_TIMEOUT_S):
+                await sockets.send_all(connection, msgspec.msgpack.encode(documents))
+        except ConnectionLost:
+            pass
+        finally:
+            sockets.close(connection)
+
+    async def introduce(self) -> None:
+        """Tell the store where this router is, and learn where the others are."""
+        value = self._state.settings.instance.data_centre.encode()
+        await self._watch.announce(str(self._own), value)
+        while True:
+            routers = await self._watch.read_routers()
+            for key in routers or ():
+                self.table.add(parse_address(key))
+            await trio.sleep(ROUTERS_INTERVAL_S if routers else SILENT_INTERVAL_S)
+
+
+async def _read_all(peer: Address) -> bytes:
+    """Return everything that `peer` sends over one connection."""
+    connection = await sockets.connect(peer, FETCH_TIMEOUT_S, SILENCE_MS)
+    if connection is None:
+        return b""
+    parts: list[bytes] = []
+    try:
+        while data := await sockets.receive(connection):
+            parts.append(data)
+    except ConnectionLost:
+        return b""
+    finally:
+        sockets.close(connection)
+    return b"".join(parts)
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
@@ -0,0 +1,88 @@
+"""Links to targets, kept open between requests for a short while."""
+
+import trio
+
+from scaleloom_core.ids import TargetId
+from scaleloom_core.targets import ListedTarget
+from scaleloom_fleet.http1.links import Link, open_link
+from scaleloom_fleet.utils.addresses import Address
+
+SWEEP_INTERVAL_S = 0.5
+KEEP_ALIVE_SHARE = 0.6
+
+
+class LinkPools:
+    """
+    The idle links to each target.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        How long a new link may take to come up.
+    silence_ms : int
+        How long sent bytes may stay unacknowledged, in milliseconds.
+    once_idle_limit_s : float
+        The longest idle time of a link that may carry a request that must not
+        be repeated: a link that the target closes at that moment would leave
+        the outcome unknown.
+    """
+
+    def __init__(
+        self, connect_timeout_s: float, silence_ms: int, once_idle_limit_s: float
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._silence_ms = silence_ms
+        self._once_idle_limit_s = once_idle_limit_s
+        self._idle: dict[TargetId, list[Link]] = {}
+
+    async def acquire(self, target: ListedTarget, is_repeatable: bool) -> Link | None:
+        """Return a link to `target`, or None if it cannot be reached."""
+        links = self._idle.get(target.id)
+        now_s = trio.current_time()
+        while links:
+            link = links.pop()
+            if self._is_fresh(link, now_s, is_repeatable) and link.is_quiet():
+                return link
+            link.close()
+        address = Address(target.host, target.port)
+        return await open_link(address, self._connect_timeout_s, self._silence_ms)
+
+    def _is_fresh(self, link: Link, now_s: float, is_repeatable: bool) -> bool:
+        """Return whether `link` was used lately enough to be trusted."""
+        limit_s = link.keep_alive_s * KEEP_ALIVE_SHARE
+        if not is_repeatable:
+            limit_s = min(limit_s, self._once_idle_limit_s)
+        return now_s - link.idle_since_s <= limit_s
+
+    def put_back(self, target: TargetId, link: Link) -> None:
+        """Keep `link` for another request, if it can carry one."""
+        if not link.finish():
+            link.close()
+            return
+        link.idle_since_s = trio.current_time()
+        self._idle.setdefault(target, []).append(link)
+
+    async def sweep_forever(self) -> None:
+        """Close links that were idle too long."""
+        while True:
+            await trio.sleep(SWEEP_INTERVAL_S)
+            self._sweep(trio.current_time())
+
+    def _sweep(self, now_s: float) -> None:
+        """Close every link that is too old to be used."""
+        for target, links in list(self._idle.items()):
+            fresh = [link for link in links if self._is_fresh(link, now_s, True)]
+            for link in links:
+                if link not in fresh:
+                    link.close()
+            if fresh:
+                self._idle[target] = fresh
+            else:
+                del self._idle[target]
+
+    def close(self) -> None:
+        """Close every idle link."""
+        for links in self._idle.values():
+            for link in links:
+                link.close()
+        self._idle.clear()
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -0,0 +1,96 @@
+"""The gateway process: its tasks, and how it stops."""
+
+import logging
+
+import trio
+
+from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.ids import DataCentreName
+from scaleloom_core.retry_windows import RetryWindows
+from scaleloom_core.target_choice import TargetChooser
+from scaleloom_core.targets import TargetView
+from scaleloom_fleet.conf.schema import GatewaySettings
+from scaleloom_fleet.gateway import accepting, readiness
+from scaleloom_fleet.gateway.interfaces import load_adapter
+from scaleloom_fleet.gateway.peers import PeerExchange
+from scaleloom_fleet.gateway.pools import LinkPools
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.store_watch import StoreWatch
+from scaleloom_fleet.gateway.waiting import WaitingRoom
+from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.utils.metrics import Metrics
+from scaleloom_fleet.utils.stopping import wait_signal
+
+IDLE_CHECK_S = 0.1
+_logger = logging.getLogger("scaleloom.gateway")
+
+
+async def run_gateway(settings: GatewaySettings) -> None:
+    """Run a gateway until it is asked to stop."""
+    state = make_state(settings)
+    watch = StoreWatch(state)
+    peers = PeerExchange(state, watch)
+    front = sockets.listen(settings.front_address)
+    ready = sockets.listen(settings.ready_address)
+    documents = peers.bind()
+    _logger.info("started")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(accepting.accept_forever, state, front, nursery)
+        nursery.start_soon(readiness.answer_forever, state, ready, nursery)
+        nursery.start_soon(peers.serve_documents, documents, nursery)
+        for task in (
+            watch.follow_targets,
+            watch.follow_config,
+            peers.receive_forever,
+            peers.report_forever,
+            peers.fetch_forever,
+            peers.introduce,
+            state.pools.sweep_forever,
+            state.waiting.pump_forever,
+        ):
+            nursery.start_soon(task)
+        await wait_signal()
+        await _drain(state)
+        nursery.cancel_scope.cancel()
+    state.pools.close()
+    _logger.info("stopped")
+
+
+def make_state(settings: GatewaySettings) -> GatewayState:
+    """Return the state of a process that has just started."""
+    view = TargetView()
+    load = FleetLoad()
+    data_centre = DataCentreName(settings.instance.data_centre)
+    bound = settings.bounds
+    targets = settings.targets
+    return GatewayState(
+        settings=settings,
+        adapter=load_adapter(settings.platform.adapter),
+        view=view,
+        load=load,
+        chooser=TargetChooser(view, load, data_centre, bound.load_multiple),
+        windows=RetryWindows(
+            bound.retry_ratio, bound.retry_extra, bound.retry_window_s
+        ),
+        waiting=WaitingRoom(load),
+        pools=LinkPools(
+            targets.connect_timeout_s,
+            int(targets.silence_s * 1000),
+            targets.once_idle_limit_s,
+        ),
+        metrics=Metrics(),
+    )
+
+
+async def _drain(state: GatewayState) -> None:
+    """Stop in order: no longer ready, then no idle connection, then none."""
+    state.is_stopping = True
+    _logger.info("stopping", extra={"connections": len(state.connections)})
+    stop = state.settings.stop
+    await trio.sleep(stop.notice_s)
+    with trio.move_on_after(stop.drain_limit_s):
+        while state.connections:
+            for connection in list(state.connections):
+                if connection.is_idle:
+                    connection.leave()
+            await trio.sleep(IDLE_CHECK_S)
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -0,0 +1,77 @@
+"""What the gateway's tasks share."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.retry_windows import RetryWindows
+from scaleloom_core.routing import RequestLimits, RoutingTable
+from scaleloom_core.target_choice import TargetChooser
+from scaleloom_core.targets import TargetView
+from scaleloom_fleet.conf.schema import GatewaySettings
+from scaleloom_fleet.gateway.interfaces import PlatformAdapter
+from scaleloom_fleet.gateway.pools import LinkPools
+from scaleloom_fleet.gateway.waiting import WaitingRoom
+from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
+from scaleloom_fleet.utils.metrics import Metrics
+
+_NO_LIMITS = RequestLimits()
+
+
+@dataclass
+class GatewayState:
+    """
+    The state of one gateway process.
+
+    Parameters
+    ----------
+    routing : RoutingTable or None
+        The newest configuration; None until one is known.
+    config_document : bytes
+        That configuration as the store gave it, for peers that ask.
+    router_count : int
+        How many routers the fleet is known to have, this one included.
+    """
+
+    settings: GatewaySettings
+    adapter: PlatformAdapter
+    view: TargetView
+    load: FleetLoad
+    chooser: TargetChooser
+    windows: RetryWindows
+    waiting: WaitingRoom
+    pools: LinkPools
+    metrics: Metrics
+    routing: RoutingTable | None = None
+    config_document: bytes = b""
+    listed_documents: dict[str, bytes] = field(default_factory=dict)
+    router_count: int = 1
+    is_stopping: bool = False
+    connections: set[CallerConnection] = field(default_factory=set)
+    stopped_accepting: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        has_targets = bool(self.view.records)
+        return self.routing is not None and has_targets and not self.is_stopping
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits that the configuration in force sets."""
+        limits = self.routing.limits if self.routing else _NO_LIMITS
+        return CallerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000.0,
+            idle_timeout_s=limits.idle_timeout_ms / 1000.0,
+            body_timeout_s=self.settings.callers.body_timeout_s,
+        )
+
+    def apply_routing(self, routing: RoutingTable, document: bytes) -> bool:
+        """Take `routing` into force, unless it is not newer; return whether it is."""
+        if self.routing is not None and routing.version <= self.routing.version:
+            return False
+        self.routing = routing
+        self.config_document = document
+        return True
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -0,0 +1,244 @@
+"""The configuration and the list of targets, followed in the platform's store."""
+
+import logging
+from dataclasses import dataclass
+
+import trio
+from returns.result import Failure, Result, Success
+
+from scaleloom_core.ids import TargetId
+from scaleloom_core.targets import ListedTarget
+from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.http1.links import (
+    AnswerBroken,
+    Link,
+    OutgoingRequest,
+    exchange,
+    open_link,
+)
+from scaleloom_fleet.http1.sockets import ConnectionLost
+from scaleloom_fleet.utils.addresses import Address
+
+ANSWER_LIMIT_BYTES = 1 << 26
+PAGE_LIMIT = 1000
+_logger = logging.getLogger("scaleloom.store")
+
+
+@dataclass
+class StoreClient:
+    """
+    One connection to the store, opened anew after each failure.
+
+    Parameters
+    ----------
+    timeout_s : float
+        How long a call may take, in seconds.
+    """
+
+    address: Address
+    timeout_s: float
+    _link: Link | None = None
+
+    async def call(
+        self, request: OutgoingRequest, wait_s: float = 0.0
+    ) -> Result[bytes, str]:
+        """Return the body of a 200, or what came instead; `wait_s` is added."""
+        with trio.move_on_after(self.timeout_s + wait_s):
+            return await self._call(request)
+        self.drop()
+        return Failure("no answer in time")
+
+    async def _call(self, request: OutgoingRequest) -> Result[bytes, str]:
+        """Return the body of a 200, or what came instead."""
+        try:
+            if self._link is None or not self._link.is_quiet():
+                self.drop()
+                silence_ms = int(self.timeout_s * 1000)
+                self._link = await open_link(self.address, self.timeout_s, silence_ms)
+            link = self._link
+            if link is None:
+                return Failure("not reached")
+            head, body = await exchange(link, request, ANSWER_LIMIT_BYTES)
+        except (AnswerBroken, ConnectionLost) as error:
+            self.drop()
+            return Failure(str(error))
+        except trio.Cancelled:
+            self.drop()
+            raise
+        if not link.finish():
+            self.drop()
+        if head.status != 200:
+            return Failure(f"status {head.status}")
+        return Success(body)
+
+    def drop(self) -> None:
+        """Close the connection."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+
+
+class StoreWatch:
+    """
+    Follows the store and applies what it says.
+
+    The list of targets is read at short intervals. The configuration is
+    waited for in one open call, which is dropped whenever a reading of the
+    list fails, since a lost path to the store says nothing.
+
+    Parameters
+    ----------
+    state : GatewayState
+        Told of every change.
+    """
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        settings = state.settings.platform
+        address = state.settings.store_address
+        self._list_client = StoreClient(address, settings.timeout_s)
+        self._config_client = StoreClient(address, settings.timeout_s)
+        self._waiting_scope: trio.CancelScope | None = None
+        self.is_reachable = False
+        self.list_read_s = float("-inf")
+
+    async def follow_targets(self) -> None:
+        """Read the list of targets for as long as the process runs."""
+        interval_s = self._state.settings.platform.list_poll_s
+        retry_s = self._state.settings.platform.retry_s
+        while True:
+            began_s = trio.current_time()
+            is_read = await self._read_targets()
+            self._note_reading(is_read)
+            pause_s = interval_s if is_read else retry_s
+            await trio.sleep_until(began_s + pause_s)
+
+    def _note_reading(self, is_read: bool) -> None:
+        """Note whether the store answered, and log when that changes."""
+        if is_read:
+            self.list_read_s = trio.current_time()
+        elif self._waiting_scope is not None:
+            self._waiting_scope.cancel()
+        if is_read != self.is_reachable:
+            self.is_reachable = is_read
+            _logger.info("store reached" if is_read else "store lost")
+
+    async def _read_targets(self) -> bool:
+        """Read the whole list once; return whether that worked."""
+        reading = await self._read_newest(self._list_client, Topic.TARGETS)
+        page: NewestPage | None = reading.value_or(None)
+        if page is None:
+            return False
+        documents = {record.key: record.value for record in page.records}
+        apply_target_documents(self._state, documents, page.end)
+        return True
+
+    async def _read_newest(
+        self, client: StoreClient, topic: Topic
+    ) -> Result[NewestPage, str]:
+        """Return the newest records of `topic`, all pages as one."""
+        adapter = self._state.adapter
+        records: list[StoredRecord] = []
+        after: str | None = None
+        for _ in range(PAGE_LIMIT):
+            answer = await client.call(adapter.newest_request(topic, after))
+            page = answer.bind(adapter.decode_newest)
+            if isinstance(page, Failure):
+                return page
+            part: NewestPage = page.unwrap()
+            records += part.records
+            if not part.has_more or not part.records:
+                return Success(NewestPage(records, False, part.end))
+            after = part.records[-1].key
+        return Failure("too many pages")
+
+    async def follow_config(self) -> None:
+        """Follow the configuration for as long as the process runs."""
+        retry_s = self._state.settings.platform.retry_s
+        while True:
+            position = await self._read_config()
+            if position is not None:
+                with trio.CancelScope() as self._waiting_scope:
+                    await self._wait_changes(position)
+                self._waiting_scope = None
+            await trio.sleep(retry_s)
+
+    async def _read_config(self) -> int | None:
+        """Read the configuration once and return how far the topic goes."""
+        reading = await self._read_newest(self._config_client, Topic.CONFIG)
+        page: NewestPage | None = reading.value_or(None)
+        if page is None:
+            return None
+        self._apply(page.records)
+        return page.end
+
+    async def _wait_changes(self, position: int) -> None:
+        """Wait for records after `position` until a call fails."""
+        adapter = self._state.adapter
+        wait_s = self._state.settings.platform.config_wait_s
+        while True:
+            request = adapter.read_request(Topic.CONFIG, position, int(wait_s * 1000))
+            answer = await self._config_client.call(request, wait_s)
+            batch = answer.bind(lambda body: adapter.decode_batch(body, position))
+            if isinstance(batch, Failure):
+                return
+            records = batch.unwrap().records
+            self._apply(records)
+            position += len(records)
+
+    def _apply(self, records: list[StoredRecord]) -> None:
+        """Take the newest configuration among `records` into force."""
+        for record in records:
+            if record.key == self._state.adapter.config_key and record.value:
+                apply_config_document(self._state, record.value)
+
+    async def announce(self, key: str, value: bytes) -> None:
+        """Write where this router is, until the store has taken it."""
+        request = self._state.adapter.append_request(Topic.ROUTERS, key, value)
+        client = self._new_client()
+        while isinstance(await client.call(request), Failure):
+            await trio.sleep(self._state.settings.platform.list_poll_s)
+        client.drop()
+
+    async def read_routers(self) -> dict[str, bytes] | None:
+        """Return what routers wrote of themselves, by key."""
+        client = self._new_client()
+        reading = await self._read_newest(client, Topic.ROUTERS)
+        client.drop()
+        page: NewestPage | None = reading.value_or(None)
+        if page is None:
+            return None
+        return {record.key: record.value for record in page.records}
+
+    def _new_client(self) -> StoreClient:
+        """Return a client for a call now and then."""
+        settings = self._state.settings
+        return StoreClient(settings.store_address, settings.platform.timeout_s)
+
+
+def apply_config_document(state: GatewayState, document: bytes) -> None:
+    """Take a configuration into force, or report why it cannot be read."""
+    if document == state.config_document:
+        return
+    decoded = state.adapter.decode_routing(document)
+    if isinstance(decoded, Failure):
+        _logger.error("configuration unreadable", extra={"why": decoded.failure()})
+        return
+    routing = decoded.unwrap()
+    if state.apply_routing(routing, document):
+        _logger.info("configuration in force", extra={"version": routing.version})
+
+
+def apply_target_documents(
+    state: GatewayState, documents: dict[str, bytes], position: int
+) -> None:
+    """Take in a whole reading of the list of targets."""
+    listed: list[ListedTarget] = []
+    for key, document in documents.items():
+        decoded = state.adapter.decode_target(TargetId(key), document)
+        target = decoded.value_or(None)
+        if target is not None:
+            listed.append(target)
+    if state.view.apply_list(listed, position):
+        state.listed_documents = documents
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -9,6 +9,8 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from scaleloom_fleet.utils.addresses import Address
+
 IDLE_CONNECTION_S = 50.0
 NEVER_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN = (
@@ -20,18 +22,6 @@
 HeaderItems = list[tuple[bytes, bytes]]
 
 
-@dataclass(frozen=True)
-class Address:
-    """Where a server listens."""
-
-    host: str
-    port: int
-
-    def url(self, path: str) -> str:
-        """Return the URL of `path` there."""
-        return f"http://{self.host}:{self.port}{path}"
-
-
 class SendState(Enum):
     """Whether a failed request may have reached the server."""
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/main.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/main.py
@@ -10,12 +10,12 @@
 
 from scaleloom_fleet.conf import (
     check_file,
+    load_gateway_settings,
     load_router_settings,
     load_sidecar_settings,
 )
 from scaleloom_fleet.conf.reference import render_reference
 from scaleloom_fleet.utils.logs import set_up_logs
-from scaleloom_fleet.utils.tracing import set_up_tracing
 
 EXIT_BAD_SETTINGS = 78
 COLLECTOR_THRESHOLD = 20_000
@@ -44,6 +44,7 @@
 
     loaded = _load_or_exit(load_router_settings, settings)
     _set_up(loaded)
+    _set_up_tracing(loaded)
     trio.run(run_router, loaded)
 
 
@@ -55,11 +56,23 @@
 
     loaded = _load_or_exit(load_sidecar_settings, settings)
     _set_up(loaded)
+    _set_up_tracing(loaded)
     trio.run(run_sidecar, loaded)
 
 
 @main.command()
-@click.argument("role", type=click.Choice(["router", "sidecar"]))
+@SETTINGS_OPTION
+def gateway(settings: Path) -> None:
+    """Run an entry instance for plain HTTP routes."""
+    from scaleloom_fleet.gateway.process import run_gateway
+
+    loaded = _load_or_exit(load_gateway_settings, settings)
+    _set_up(loaded)
+    trio.run(run_gateway, loaded)
+
+
+@main.command()
+@click.argument("role", type=click.Choice(["gateway", "router", "sidecar"]))
 @SETTINGS_OPTION
 def check(role: str, settings: Path) -> None:
     """Check the settings of ROLE without starting it."""
@@ -69,7 +82,7 @@
 
 
 @main.command()
-@click.argument("role", type=click.Choice(["router", "sidecar"]))
+@click.argument("role", type=click.Choice(["gateway", "router", "sidecar"]))
 def reference(role: str) -> None:
     """Print every setting of ROLE with its effect and default."""
     click.echo(render_reference(role), nl=False)
@@ -94,12 +107,18 @@
 
 
 def _set_up(settings) -> None:
-    """Set up logs and traces."""
+    """Set up logs and the collector."""
     set_up_logs(settings.observe.log_level, settings.instance.name)
-    set_up_tracing(settings.instance.name)
     _calm_collector()
 
 
+def _set_up_tracing(settings) -> None:
+    """Set up traces; the library is loaded only by processes that trace."""
+    from scaleloom_fleet.utils.tracing import set_up_tracing
+
+    set_up_tracing(settings.instance.name)
+
+
 def _calm_collector() -> None:
     """Keep the collector from walking what lives as long as the process."""
     gc.collect()
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/log.py
@@ -8,8 +8,9 @@
 from returns.result import Failure, Result
 
 from scaleloom_core.fold import LogEntry
-from scaleloom_fleet.http.clients import Address, ClientAnswer, HttpClient, SendState
+from scaleloom_fleet.http.clients import ClientAnswer, HttpClient, SendState
 from scaleloom_fleet.platform.fetching import decode_answer
+from scaleloom_fleet.utils.addresses import Address
 
 READ_LIMIT = 1000
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/weight_store.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/weight_store.py
@@ -5,8 +5,9 @@
 import msgspec
 from returns.result import Result
 
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.platform.fetching import fetch_json
+from scaleloom_fleet.utils.addresses import Address
 
 ReadRate = Callable[[], Awaitable[Result[float, str]]]
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/admin.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/admin.py
@@ -12,7 +12,7 @@
 from scaleloom_core.planning import Plan, make_plan
 from scaleloom_core.pools import is_open
 from scaleloom_core.records import Assignment, Target
-from scaleloom_fleet.conf.loading import parse_address, parse_operators
+from scaleloom_fleet.conf.loading import parse_operators
 from scaleloom_fleet.http.asgi import Reply, Request, json_reply
 from scaleloom_fleet.http.problems import problem_reply
 from scaleloom_fleet.platform.weight_store import open_http_weight_store
@@ -20,6 +20,7 @@
 from scaleloom_fleet.router.operators import authenticate_operator
 from scaleloom_fleet.router.state import RouterState
 from scaleloom_fleet.router.target_facts import TargetReport, collect_reports
+from scaleloom_fleet.utils.addresses import parse_address
 from scaleloom_fleet.utils.clock import now_s
 
 ASSUMED_WEIGHT_STORE_BYTES_PER_S = 1e9
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/chat_search.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/chat_search.py
@@ -11,7 +11,7 @@
 from scaleloom_core.placement import Offer, RouteSearch
 from scaleloom_fleet.http import hops
 from scaleloom_fleet.http.asgi import Answered, Reply, Request
-from scaleloom_fleet.http.clients import BROKEN, Address
+from scaleloom_fleet.http.clients import BROKEN
 from scaleloom_fleet.http.problems import problem_reply
 from scaleloom_fleet.router.chat_work import REQUEST_HEADER, ChatWork
 from scaleloom_fleet.router.offers import (
@@ -22,6 +22,7 @@
 )
 from scaleloom_fleet.router.state import RouterState
 from scaleloom_fleet.router.streams import STREAM_TYPE, relay_stream
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_fleet.utils.tracing import hop_span
 from scaleloom_wire.control_pb2 import Datagram, Placed
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/explaining.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/explaining.py
@@ -9,9 +9,9 @@
 from scaleloom_core.pools import find_model
 from scaleloom_core.retries import BreakerState
 from scaleloom_fleet.http.asgi import Reply, Request, json_reply
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.http.problems import problem_reply
 from scaleloom_fleet.router.state import RouterState
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_wire.control_pb2 import ChatReply, ChatRequest, Datagram
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/log_feed.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/log_feed.py
@@ -13,8 +13,8 @@
 from scaleloom_core.records import Snapshot, encode_record
 from scaleloom_fleet.control.config_store import ConfigStore
 from scaleloom_fleet.control.rpc import ControlCaller
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.platform.log import LogReading, LogService
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s
 
 NEVER_S = float("-inf")
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/process.py
@@ -9,7 +9,7 @@
 from scaleloom_core.membership import Membership
 from scaleloom_core.pools import EnginePools, ServiceTargets
 from scaleloom_core.retries import RetryBudget
-from scaleloom_fleet.conf.loading import parse_address, parse_optional_address
+from scaleloom_fleet.conf.loading import parse_optional_address
 from scaleloom_fleet.conf.schema import RouterSettings
 from scaleloom_fleet.control.config_store import ConfigStore
 from scaleloom_fleet.control.datagrams import DatagramEndpoint
@@ -21,7 +21,7 @@
     serve_control,
 )
 from scaleloom_fleet.http.asgi import ANY_METHOD, Reply, Request, Route, json_reply
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.http.problems import make_application
 from scaleloom_fleet.http.serving import serve_http
 from scaleloom_fleet.platform.instance_list import open_http_list
@@ -36,6 +36,7 @@
 from scaleloom_fleet.router.services import handle_request_status, handle_service
 from scaleloom_fleet.router.state import RouterState
 from scaleloom_fleet.router.sync import answer_datagram
+from scaleloom_fleet.utils.addresses import Address, parse_address
 from scaleloom_fleet.utils.metrics import make_metrics
 from scaleloom_fleet.utils.stopping import wait_signal
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/state.py
@@ -13,11 +13,12 @@
 from scaleloom_fleet.conf.schema import RouterSettings
 from scaleloom_fleet.control.config_store import ConfigStore
 from scaleloom_fleet.control.datagrams import DatagramEndpoint
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.http.connected import CallerWatch
 from scaleloom_fleet.platform.log import LogService
 from scaleloom_fleet.router.customers import CustomerIndex
 from scaleloom_fleet.router.log_feed import LogFeed
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_fleet.utils.metrics import Metrics
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/target_facts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/target_facts.py
@@ -8,8 +8,8 @@
 from scaleloom_core.ids import InstanceId, TargetId
 from scaleloom_core.planning import TargetFacts
 from scaleloom_core.records import Target
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.router.state import RouterState
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_wire.control_pb2 import Datagram, SampleReply, SampleRequest
 
 ASK_TIMEOUT_S = 0.3
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/announcing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/announcing.py
@@ -2,9 +2,9 @@
 
 from scaleloom_core.ids import InstanceId
 from scaleloom_core.membership import Member, Role
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.sidecar.sampling import find_peers
 from scaleloom_fleet.sidecar.state import SidecarState
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_wire.control_pb2 import Datagram, Leaving
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/handover.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/handover.py
@@ -23,9 +23,9 @@
 from scaleloom_core.pools import is_open
 from scaleloom_core.records import SlotRelease, encode_record
 from scaleloom_core.refusals import Refusal
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.sidecar.sampling import service_peers
 from scaleloom_fleet.sidecar.state import SidecarState
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_wire.control_pb2 import (
     HandOverReply,
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/process.py
@@ -15,14 +15,14 @@
 from scaleloom_core.owner import KeyOwner
 from scaleloom_core.ownership import Claimant, LeasePolicy
 from scaleloom_core.pools import ServiceTargets
-from scaleloom_fleet.conf.loading import parse_address, parse_optional_address
+from scaleloom_fleet.conf.loading import parse_optional_address
 from scaleloom_fleet.conf.schema import SidecarSettings
 from scaleloom_fleet.control.config_store import ConfigStore
 from scaleloom_fleet.control.datagrams import DatagramEndpoint
 from scaleloom_fleet.control.list_feed import ListFeed
 from scaleloom_fleet.control.rpc import ControlCaller, ControlHandlers, serve_control
 from scaleloom_fleet.http.asgi import ANY_METHOD, Reply, Request, Route, json_reply
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.http.problems import make_application
 from scaleloom_fleet.http.serving import serve_http
 from scaleloom_fleet.platform.engine import open_http_engine
@@ -47,6 +47,7 @@
 from scaleloom_fleet.sidecar.sampling import answer_datagram, run_sampling
 from scaleloom_fleet.sidecar.state import SidecarState
 from scaleloom_fleet.sidecar.sync import run_sync
+from scaleloom_fleet.utils.addresses import Address, parse_address
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_fleet.utils.metrics import make_metrics
 from scaleloom_fleet.utils.stopping import wait_signal
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/sampling.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/sampling.py
@@ -9,8 +9,8 @@
 from scaleloom_core.load import LoadSample
 from scaleloom_core.pools import is_open
 from scaleloom_core.records import Assignment
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.sidecar.state import SidecarState
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_wire.control_pb2 import (
     ChatReply,
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/state.py
@@ -17,11 +17,12 @@
 from scaleloom_fleet.control.rpc import ControlCaller
 from scaleloom_fleet.http import hops
 from scaleloom_fleet.http.asgi import Reply
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.http.connected import CallerWatch
 from scaleloom_fleet.platform.engine import Engine
 from scaleloom_fleet.platform.log import LogService
 from scaleloom_fleet.sidecar.streams import OpenStream
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.metrics import Metrics
 
 NEVER_SETTLED = Offset(-1)
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/sync.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/sync.py
@@ -9,9 +9,9 @@
 from scaleloom_core.membership import Member, Role
 from scaleloom_core.placement import leader
 from scaleloom_fleet.control.config_store import from_wire
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.sidecar.announcing import leave
 from scaleloom_fleet.sidecar.state import SidecarState
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.clock import now_s, wall_s
 from scaleloom_wire.control_pb2 import Datagram, SyncReply, SyncRequest
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/metrics.py
@@ -5,7 +5,7 @@
 import trio
 from statsd import StatsClient
 
-from scaleloom_fleet.http.clients import Address
+from scaleloom_fleet.utils.addresses import Address
 
 FLUSH_INTERVAL_S = 1.0
 
--- a/packages/scaleloom-standins/scaleloom_standins/__main__.py
+++ b/packages/scaleloom-standins/scaleloom_standins/__main__.py
@@ -4,9 +4,9 @@
 import trio
 
 from scaleloom_fleet.http.asgi import Route
-from scaleloom_fleet.http.clients import Address
 from scaleloom_fleet.http.problems import make_application
 from scaleloom_fleet.http.serving import serve_http
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.logs import set_up_logs
 from scaleloom_fleet.utils.stopping import wait_signal
 from scaleloom_fleet.utils.tracing import set_up_tracing
--- a/packages/scaleloom-standins/scaleloom_standins/engine.py
+++ b/packages/scaleloom-standins/scaleloom_standins/engine.py
@@ -8,8 +8,9 @@
 import trio
 
 from scaleloom_core.records import Assignment
-from scaleloom_fleet.http.clients import Address, HttpClient
+from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.platform.engine import EngineLoad, LoadOrder
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.completions import (
     Prompt,
     answer_words,
--- a/packages/scaleloom-standins/scaleloom_standins/local_fleet.py
+++ b/packages/scaleloom-standins/scaleloom_standins/local_fleet.py
@@ -15,7 +15,8 @@
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_core.intents import digest_secret
 from scaleloom_core.membership import Member, MemberState, Role
-from scaleloom_fleet.http.clients import Address, ClientAnswer, HttpClient
+from scaleloom_fleet.http.clients import ClientAnswer, HttpClient
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.faults import Faults
 
 LOOPBACK = "127.0.0.1"
--- a/packages/scaleloom-standins/scaleloom_standins/traffic.py
+++ b/packages/scaleloom-standins/scaleloom_standins/traffic.py
@@ -9,7 +9,8 @@
 import msgspec
 import trio
 
-from scaleloom_fleet.http.clients import BROKEN, NEVER_SENT, Address, HttpClient
+from scaleloom_fleet.http.clients import BROKEN, NEVER_SENT, HttpClient
+from scaleloom_fleet.utils.addresses import Address
 
 CALLER_RETRY_LIMIT = 6
 CALLER_RETRY_S = 0.3
--- a/proofs/cutting_relay.py
+++ b/proofs/cutting_relay.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from scaleloom_fleet.http.clients import Address
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.local_fleet import LOOPBACK, free_port
 
 READ_LIMIT_BYTES = 65536
