End a caller's connection only when no request has arrived on it

Ruled out: the end of the grace period (3.0 s after SIGTERM, 8 s are given).

Change: a stop only asks a connection to leave; it ends at its next wait, if nothing has arrived. The whole stop is bounded by the grace period.

--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,11 @@
 capacity: $(READY)
 	$(PYTHON) -m benchmarks.capacity
 
-$(READY): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(READY): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --requirement requirements.txt
 	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation \
-		$(foreach package,$(PACKAGES),--editable packages/scaleloom-$(package))
+		$(foreach package,$(PACKAGES),--editable packages/scaleloom-$(package)) --editable platform
 	touch $(READY)
 
 clean:
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -61,8 +61,7 @@
         if not open_to_it:
             return None
         if policy.is_engine:
-            room = self._bound(usable)
-            fits = lambda r: self.load.held(r.listed.id) < min(room, r.listed.slots)
+            fits = self._fits_within(self._bound(usable))
         else:
             fits = self._has_place
         if key.shared_part is None:
@@ -79,6 +78,15 @@
         """Return whether some target of `service` could take a request."""
         return any(map(self._has_place, self.view.usable(service, now_s)))
 
+    def _fits_within(self, bound: float) -> Callable[[TargetRecord], bool]:
+        """Return whether a target may take one more within `bound`."""
+
+        def fits(record: TargetRecord) -> bool:
+            limit = min(bound, record.listed.slots)
+            return self.load.held(record.listed.id) < limit
+
+        return fits
+
     def _has_place(self, record: TargetRecord) -> bool:
         """Return whether `record` could take a request without a long wait."""
         limit = record.listed.slots * QUEUE_PER_SLOT
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/schema.py
@@ -308,6 +308,19 @@
     ] = 10.0
 
 
+class GatewayStopSection(msgspec.Struct, frozen=True):
+    """How a gateway stops."""
+
+    notice_s: Annotated[
+        Seconds,
+        Meta(description="Time between failing readiness and ending connections."),
+    ] = 3.0
+    grace_s: Annotated[
+        PositiveSeconds,
+        Meta(description="Time after which a process that was asked to stop is gone."),
+    ] = 8.0
+
+
 class GatewayInstanceSection(msgspec.Struct, frozen=True):
     """Who a gateway is."""
 
@@ -324,7 +337,7 @@
     callers: CallersSection = CallersSection()
     targets: TargetsSection = TargetsSection()
     bounds: FleetBoundsSection = FleetBoundsSection()
-    stop: StopSection = StopSection()
+    stop: GatewayStopSection = GatewayStopSection()
     observe: ObserveSection = ObserveSection()
 
     @property
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -37,7 +37,6 @@
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.read_forever)
-            caller.idle_scope = nursery.cancel_scope
             await _serve_requests(state, caller)
             nursery.cancel_scope.cancel()
     finally:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -1,6 +1,7 @@
 """The gateway process: its tasks, and how it stops."""
 
 import logging
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -22,11 +23,22 @@
 from scaleloom_fleet.utils.stopping import wait_signal
 
 IDLE_CHECK_S = 0.1
+END_MARGIN_S = 0.3
 _logger = logging.getLogger("scaleloom.gateway")
 
 
-async def run_gateway(settings: GatewaySettings) -> None:
-    """Run a gateway until it is asked to stop."""
+async def run_gateway(
+    settings: GatewaySettings,
+    wait_stop: Callable[[], Awaitable[None]] = wait_signal,
+) -> None:
+    """
+    Run a gateway until it is asked to stop.
+
+    Parameters
+    ----------
+    wait_stop : callable
+        Returns when the process is to stop.
+    """
     state = make_state(settings)
     watch = StoreWatch(state)
     peers = PeerExchange(state, watch)
@@ -49,7 +61,7 @@
             state.waiting.pump_forever,
         ):
             nursery.start_soon(task)
-        await wait_signal()
+        await wait_stop()
         await _drain(state)
         nursery.cancel_scope.cancel()
     state.pools.close()
@@ -87,10 +99,9 @@
     state.is_stopping = True
     _logger.info("stopping", extra={"connections": len(state.connections)})
     stop = state.settings.stop
-    await trio.sleep(stop.notice_s)
-    with trio.move_on_after(stop.drain_limit_s):
+    with trio.move_on_after(stop.grace_s - END_MARGIN_S):
+        await trio.sleep(stop.notice_s)
         while state.connections:
             for connection in list(state.connections):
-                if connection.is_idle:
-                    connection.leave()
+                connection.leave()
             await trio.sleep(IDLE_CHECK_S)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -180,7 +180,10 @@
         while True:
             request = adapter.read_request(Topic.CONFIG, position, int(wait_s * 1000))
             answer = await self._config_client.call(request, wait_s)
-            batch = answer.bind(lambda body: adapter.decode_batch(body, position))
+            body = answer.value_or(None)
+            if body is None:
+                return
+            batch = adapter.decode_batch(body, position)
             if isinstance(batch, Failure):
                 return
             records = batch.unwrap().records
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -9,8 +9,6 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from scaleloom_fleet.utils.addresses import Address
-
 IDLE_CONNECTION_S = 50.0
 NEVER_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 BROKEN = (
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -90,7 +90,7 @@
         self._is_ended = False
         self._is_closed = False
         self._working_scope: trio.CancelScope | None = None
-        self.idle_scope: trio.CancelScope | None = None
+        self._is_leaving = False
         self.is_idle = True
         self.is_answer_begun = False
         self.is_answer_whole = False
@@ -114,6 +114,11 @@
         if self._working_scope is not None:
             self._working_scope.cancel()
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes have arrived that nothing has taken yet."""
+        return bool(self._inbox)
+
     def _tell(self) -> None:
         """Wake whoever waits for bytes."""
         self._news.set()
@@ -163,6 +168,8 @@
         """Return once a request begins."""
         with trio.move_on_after(timeout_s):
             while not self._inbox:
+                if self._is_leaving and sockets.is_quiet(self._connection):
+                    raise CallerGone
                 await self._wait_bytes()
         if not self._inbox:
             raise CallerGone
@@ -278,9 +285,14 @@
         return True
 
     def leave(self) -> None:
-        """End a connection that carries no request."""
-        if self.idle_scope is not None:
-            self.idle_scope.cancel()
+        """
+        Ask to end the connection once it carries no request.
+
+        A request that has arrived by then is still answered: ending the
+        connection from outside could hit one that was just passed on.
+        """
+        self._is_leaving = True
+        self._news.set()
 
     def close(self) -> None:
         """Close the connection in order."""
--- /dev/null
+++ b/tests/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter for the users platform."""
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/tests/gateway/test_answers.py
@@ -0,0 +1,206 @@
+"""Tests of what callers get while targets misbehave."""
+
+import trio
+from nose2.tools import params
+
+from tests.fixtures import runners
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    ask_on,
+    eventually,
+    request_bytes,
+    running_site,
+)
+from tests.fixtures.runners import EVENT_COUNT, event
+
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
+
+
+@params("/safe/1", "/once/1?a=%2F&b")
+@runs_in_trio
+async def test_a_request_reaches_one_target_unchanged(path):
+    async with running_site() as site:
+        answer = await site.ask(path, method="POST", body=b"what is asked", X_Own="1")
+        (asked,) = [asked for runner in site.runners for asked in runner.asked]
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert answer.body == b"body of r-1"
+    assert answer.headers["response-seal"].startswith("seal-i-")
+    assert (asked.method, asked.target, asked.body) == ("POST", path, b"what is asked")
+    assert asked.headers["x-own"] == "1"
+    assert asked.headers["tenant"] == "desk"
+    assert "authorization" not in asked.headers
+    assert 0 < int(asked.headers["deadline-ms"]) <= 2000
+
+
+@params("/stream/1", "/stream-once/1")
+@runs_in_trio
+async def test_a_stream_arrives_whole(path):
+    async with running_site() as site:
+        answer = await site.ask(path)
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert answer.body == WHOLE_STREAM
+
+
+@params(
+    ("/nowhere/1", "key-of-desk", 404),
+    ("/safe", "key-of-desk", 404),
+    ("/safe/1", "wrong", 401),
+    ("/safe/1", None, 401),
+)
+@runs_in_trio
+async def test_what_is_not_allowed_is_refused(path, key, status):
+    async with running_site() as site:
+        answer = await site.ask(path, key=key)
+        assert site.run_count() == 0
+    assert answer.status == status
+    assert "response-seal" not in answer.headers
+
+
+# Path, behaviour of every target, the answer's status, how often it may run.
+FAULTS_OF_ALL = [
+    ("/once/1", runners.shed, 503, 0),
+    ("/once/1", runners.fail, 500, 1),
+    ("/once/1", runners.refuse_unproved, 502, 1),
+    ("/once/1", runners.close_unanswered, 502, 1),
+    ("/once/1", runners.cut_body, 502, 1),
+    ("/once/1", runners.send_nonsense, 502, 1),
+    ("/once/1", runners.answer_twice, 200, 1),
+    ("/once/1", runners.answer_other_first, 200, 1),
+    ("/once/1", runners.answer_unframed, 200, 1),
+    ("/once/1", runners.stay_silent, 504, 1),
+    ("/stream-once/1", runners.shed, 503, 0),
+    ("/stream-once/1", runners.close_unanswered, 502, 1),
+    ("/stream-once/1", runners.stay_silent, 504, 1),
+    ("/safe/1", runners.shed, 503, 0),
+    ("/safe/1", runners.fail, 500, 2),
+    ("/safe/1", runners.close_unanswered, 502, 2),
+    ("/safe/1", runners.answer_twice, 200, 1),
+    ("/stream/1", runners.close_unanswered, 502, 2),
+]
+
+
+@params(*FAULTS_OF_ALL)
+@runs_in_trio
+async def test_a_fault_of_every_target(path, behaviour, status, run_limit):
+    async with running_site() as site:
+        for runner in site.runners:
+            runner.behaviour = behaviour
+        answer = await site.ask(path)
+        assert site.run_count() <= run_limit
+    assert answer.status == status
+    assert answer.is_whole
+    if status == 503:
+        assert float(answer.headers["retry-after"]) > 0
+    if status in (502, 503, 504):
+        assert "response-seal" not in answer.headers
+    if status == 200:
+        assert answer.body == b"body of r-1"
+
+
+# Behaviour of one target of two; a repeatable request is served all the same.
+FAULTS_OF_ONE = [
+    runners.shed,
+    runners.fail,
+    runners.refuse_unproved,
+    runners.close_unanswered,
+    runners.cut_body,
+    runners.send_nonsense,
+    runners.answer_other_first,
+    runners.stay_silent,
+]
+
+
+@params(*FAULTS_OF_ONE)
+@runs_in_trio
+async def test_a_repeatable_request_gets_past_one_bad_target(behaviour):
+    async with running_site() as site:
+        site.runners[0].behaviour = behaviour
+        for number in range(6):
+            answer = await site.ask("/safe/1", f"r-{number}")
+            assert (answer.status, answer.is_whole) == (200, True)
+            assert answer.body == f"body of r-{number}".encode()
+
+
+@params(runners.cut_body, runners.stall_stream)
+@runs_in_trio
+async def test_a_resumable_stream_goes_on_at_another_target(behaviour):
+    async with running_site() as site:
+        site.runners[0].behaviour = behaviour
+        for number in range(4):
+            answer = await site.ask("/stream/1", f"r-{number}")
+            assert (answer.is_whole, answer.body) == (True, WHOLE_STREAM)
+        resumed = [asked for asked in site.runners[1].asked]
+    assert any("last-event-id" in asked.headers for asked in resumed)
+
+
+@runs_in_trio
+async def test_a_stream_that_may_not_be_repeated_is_cut_and_looks_cut():
+    async with running_site() as site:
+        for runner in site.runners:
+            runner.behaviour = runners.cut_body
+        answer = await site.ask("/stream-once/1")
+        assert site.run_count() == 1
+    assert (answer.status, answer.is_whole) == (200, False)
+
+
+@params("/safe/1", "/stream-once/1", "/once/1")
+@runs_in_trio
+async def test_a_caller_that_leaves_ends_the_work_at_the_target(path):
+    async with running_site(runner_count=1) as site:
+        (runner,) = site.runners
+        runner.behaviour = runners.stay_silent
+
+        async def has_run() -> bool:
+            return site.run_count() == 1
+
+        async def is_broken_off() -> bool:
+            return runner.broken_off == 1
+
+        port = site.gateways[0].front_port
+        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+            await stream.send_all(request_bytes(path))
+            await eventually(has_run)
+        await eventually(is_broken_off, limit_s=0.4)
+
+
+@runs_in_trio
+async def test_a_connection_carries_many_requests():
+    async with running_site() as site:
+        port = site.gateways[0].front_port
+        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+            for number in range(5):
+                data = request_bytes("/once/1", f"r-{number}")
+                answer = await ask_on(stream, data, "GET")
+                assert answer.body == f"body of r-{number}".encode()
+
+
+@runs_in_trio
+async def test_another_target_at_the_address_runs_nothing():
+    async with running_site(runner_count=1) as site:
+        site.runners[0].id = "i-new"
+        answer = await site.ask("/once/1")
+        assert site.run_count() == 0
+    assert answer.status == 503
+
+
+@runs_in_trio
+async def test_a_target_that_is_gone_costs_nothing_but_a_hop():
+    async with running_site() as site:
+        gone = site.store.topic("keyed.servers")
+        gone.append("i-9", gone.records[0][1].replace(b"127.0.0.1", b"127.0.0.9"))
+        await eventually(lambda: _knows(site, 3))
+        for number in range(6):
+            answer = await site.ask("/once/1", f"r-{number}")
+            assert answer.status == 200
+
+
+async def _knows(site, count: int) -> bool:
+    """Return whether the gateway asked for the list after the last change."""
+    before = len(site.store.calls)
+    await eventually(lambda: _has_asked(site, before + 2))
+    return True
+
+
+async def _has_asked(site, count: int) -> bool:
+    """Return whether the store was asked `count` times."""
+    return len(site.store.calls) >= count
--- /dev/null
+++ b/tests/gateway/test_stopping.py
@@ -0,0 +1,148 @@
+"""Tests of a planned stop: nothing that was read is lost."""
+
+import socket
+
+import msgspec
+import trio
+import trio.testing
+
+from scaleloom_fleet.gateway.accepting import serve_connection
+from scaleloom_fleet.gateway.process import make_state
+from scaleloom_fleet.gateway.store_watch import (
+    apply_config_document,
+    apply_target_documents,
+)
+from tests.fixtures import runners
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    Answer,
+    ask_on,
+    ask_raw,
+    config,
+    entry,
+    eventually,
+    free_port,
+    gateway_settings,
+    request_bytes,
+    running_site,
+)
+from tests.fixtures.http_standin import free_listener, port_of, serve_http
+from tests.fixtures.runners import Runner
+
+
+@runs_in_trio
+async def test_a_stopping_gateway_is_not_ready_and_serves_on():
+    async with running_site() as site:
+        (gateway,) = site.gateways
+        gateway.stop.set()
+
+        async def is_out() -> bool:
+            return not await gateway.is_ready()
+
+        await eventually(is_out, limit_s=0.15)
+        answer = await site.ask("/once/1")
+    assert (answer.status, answer.headers["connection"]) == (200, "close")
+
+
+@runs_in_trio
+async def test_a_stop_ends_by_itself_and_closes_idle_connections():
+    async with running_site() as site:
+        (gateway,) = site.gateways
+        port = gateway.front_port
+        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+            await ask_on(stream, request_bytes("/once/1"), "GET")
+            gateway.stop.set()
+            with trio.fail_after(1.5):
+                assert await stream.receive_some() == b""
+                await gateway.stopped.wait()
+
+
+@runs_in_trio
+async def test_requests_that_arrive_as_connections_end_are_answered_or_unread():
+    """Hit the moment at which idle connections are ended, over and over."""
+    outcomes: list[tuple[Answer, int]] = []
+    async with running_site() as site:
+        (gateway,) = site.gateways
+        port = gateway.front_port
+
+        async def keep_asking(name: str) -> None:
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                for number in range(100_000):
+                    request_id = f"{name}-{number}"
+                    data = request_bytes("/once/1", request_id)
+                    answer = await ask_on(stream, data, "GET")
+                    outcomes.append((answer, site.run_count(request_id)))
+                    if not answer.is_whole or "connection" in answer.headers:
+                        return
+
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                nursery.start_soon(keep_asking, str(number))
+            await trio.lowlevel.checkpoint()
+            gateway.stop.set()
+        await gateway.stopped.wait()
+    lost = [runs for answer, runs in outcomes if not answer.is_whole and runs]
+    assert lost == []
+
+
+@runs_in_trio
+async def test_a_connection_is_not_ended_under_a_request_that_just_arrived():
+    """Ask a connection to leave in the very step in which bytes have arrived."""
+    runner = Runner("i-1")
+    listener = free_listener()
+    runner.port = port_of(listener)
+    state = make_state(gateway_settings("127.0.0.1", 1, free_port()))
+    apply_config_document(state, msgspec.json.encode(config(1)))
+    documents = {runner.id: msgspec.json.encode(entry(runner))}
+    apply_target_documents(state, documents, 1)
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_http, listener, runner.answer)
+        nursery.start_soon(serve_connection, state, ours)
+        await trio.testing.wait_all_tasks_blocked()
+        (caller,) = state.connections
+        theirs.sendall(request_bytes("/once/1"))
+        while not caller.has_unread:
+            await trio.lowlevel.checkpoint()
+        caller.leave()
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
+        answer = await ask_on(stream, b"", "GET")
+        nursery.cancel_scope.cancel()
+    assert runner.runs["r-1"] == 1
+    assert (answer.status, answer.is_whole) == (200, True)
+
+
+@runs_in_trio
+async def test_a_stop_waits_for_an_answer_in_flight():
+    async with running_site(runner_count=1) as site:
+        (gateway,) = site.gateways
+        released = trio.Event()
+
+        async def answer_later(runner, asked) -> bool:
+            await released.wait()
+            return await runners.answer_well(runner, asked)
+
+        site.runners[0].behaviour = answer_later
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            data = request_bytes("/once/1")
+            answers.append(await ask_raw(gateway.front_port, data))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+
+            async def has_arrived() -> bool:
+                return bool(site.runners[0].asked)
+
+            await eventually(has_arrived)
+            gateway.stop.set()
+
+            async def is_out() -> bool:
+                return not await gateway.is_ready()
+
+            await eventually(is_out)
+            released.set()
+        await gateway.stopped.wait()
+    assert (answers[0].status, answers[0].is_whole) == (200, True)
--- /dev/null
+++ b/tests/http1/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP over plain sockets."""
