--- a/packages/scaleloom-core/scaleloom_core/retry_windows.py
+++ b/packages/scaleloom-core/scaleloom_core/retry_windows.py
@@ -78,6 +78,12 @@
     window_s: float
     _windows: dict[ServiceName, RetryWindow] = field(default_factory=dict)
 
+    def configure(self, ratio: float, extra: float, window_s: float) -> None:
+        """Set the figures of every window, keeping what was counted."""
+        self.ratio, self.extra, self.window_s = ratio, extra, window_s
+        for window in self._windows.values():
+            window.ratio, window.extra, window.window_s = ratio, extra, window_s
+
     def of(self, service: ServiceName) -> RetryWindow:
         """Return the window of `service`."""
         window = self._windows.get(service)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -24,7 +24,7 @@
 RECEIVE_LIMIT_BYTES = 65535
 READ_BATCH = 64
 FETCH_TIMEOUT_S = 0.6
-FETCH_PAUSE_S = 0.3
+FETCH_PAUSE_S = 0.15
 SILENCE_MS = 600
 LIST_STALE_S = 1.6
 ROUTER_LIFE_S = 30.0
@@ -115,6 +115,8 @@
         self._socket.setblocking(False)
         self._decoder = msgspec.msgpack.Decoder(PeerReport)
         self._ahead: dict[Address, PeerReport] = {}
+        self._someone_is_ahead = trio.Event()
+        self._next_asked = 0
 
     def bind(self) -> socket.socket:
         """Open the datagram socket and return the listener for documents."""
@@ -149,6 +151,7 @@
         self._state.load.note_report(InstanceId(report.sender), report.held, now_s)
         if self._is_ahead(report, now_s):
             self._ahead[address] = report
+            self._someone_is_ahead.set()
         return True
 
     def _is_ahead(self, report: PeerReport, now_s: float) -> bool:
@@ -193,15 +196,32 @@
     async def fetch_forever(self) -> None:
         """Ask a peer that is ahead for what the store told it."""
         while True:
-            await trio.sleep(FETCH_PAUSE_S)
-            now_s = trio.current_time()
-            ahead = [p for p, r in self._ahead.items() if self._is_ahead(r, now_s)]
-            self._ahead.clear()
-            if ahead:
-                await self._fetch(ahead[0])
+            peer = self._peer_to_ask(trio.current_time())
+            if peer is not None:
+                await self._fetch(peer)
+                await trio.sleep(FETCH_PAUSE_S)
+                continue
+            self._someone_is_ahead = trio.Event()
+            with trio.move_on_after(FETCH_PAUSE_S):
+                await self._someone_is_ahead.wait()
+
+    def _peer_to_ask(self, now_s: float) -> Address | None:
+        """Return a peer that is ahead, or any while nothing at all is known."""
+        for peer, report in list(self._ahead.items()):
+            if self._is_ahead(report, now_s):
+                return peer
+            del self._ahead[peer]
+        if self._state.knows_enough or self._watch.is_reachable:
+            return None
+        peers = self.table.lively(now_s) or list(self.table.heard_s)
+        if not peers:
+            return None
+        self._next_asked += 1
+        return peers[self._next_asked % len(peers)]
 
     async def _fetch(self, peer: Address) -> None:
         """Take in what `peer` knows."""
+        self._ahead.pop(peer, None)
         data = b""
         with trio.move_on_after(FETCH_TIMEOUT_S):
             data = await _read_all(peer)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
@@ -4,6 +4,7 @@
 
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
+from scaleloom_fleet.conf.schema import TargetsSection
 from scaleloom_fleet.http1.links import Link, open_link
 from scaleloom_fleet.utils.addresses import Address
 
@@ -17,23 +18,17 @@
 
     Parameters
     ----------
-    connect_timeout_s : float
-        How long a new link may take to come up.
-    silence_ms : int
-        How long sent bytes may stay unacknowledged, in milliseconds.
-    once_idle_limit_s : float
-        The longest idle time of a link that may carry a request that must not
-        be repeated: a link that the target closes at that moment would leave
-        the outcome unknown.
+    settings : TargetsSection
+        How targets are reached.
     """
 
-    def __init__(
-        self, connect_timeout_s: float, silence_ms: int, once_idle_limit_s: float
-    ) -> None:
-        self._connect_timeout_s = connect_timeout_s
-        self._silence_ms = silence_ms
-        self._once_idle_limit_s = once_idle_limit_s
+    def __init__(self, settings: TargetsSection) -> None:
         self._idle: dict[TargetId, list[Link]] = {}
+        self.configure(settings)
+
+    def configure(self, settings: TargetsSection) -> None:
+        """Take changed settings into force."""
+        self._settings = settings
 
     async def acquire(self, target: ListedTarget, is_repeatable: bool) -> Link | None:
         """Return a link to `target`, or None if it cannot be reached."""
@@ -44,14 +39,16 @@
             if self._is_fresh(link, now_s, is_repeatable) and link.is_quiet():
                 return link
             link.close()
+        settings = self._settings
+        silence_ms = int(settings.silence_s * 1000)
         address = Address(target.host, target.port)
-        return await open_link(address, self._connect_timeout_s, self._silence_ms)
+        return await open_link(address, settings.connect_timeout_s, silence_ms)
 
     def _is_fresh(self, link: Link, now_s: float, is_repeatable: bool) -> bool:
         """Return whether `link` was used lately enough to be trusted."""
         limit_s = link.keep_alive_s * KEEP_ALIVE_SHARE
         if not is_repeatable:
-            limit_s = min(limit_s, self._once_idle_limit_s)
+            limit_s = min(limit_s, self._settings.once_idle_limit_s)
         return now_s - link.idle_since_s <= limit_s
 
     def put_back(self, target: TargetId, link: Link) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import trio
 
@@ -15,6 +16,7 @@
 from scaleloom_fleet.gateway.interfaces import load_adapter
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
+from scaleloom_fleet.gateway.reloading import reload_at_signals
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_watch import StoreWatch
 from scaleloom_fleet.gateway.waiting import WaitingRoom
@@ -30,6 +32,7 @@
 async def run_gateway(
     settings: GatewaySettings,
     wait_stop: Callable[[], Awaitable[None]] = wait_signal,
+    settings_path: Path | None = None,
 ) -> None:
     """
     Run a gateway until it is asked to stop.
@@ -38,6 +41,8 @@
     ----------
     wait_stop : callable
         Returns when the process is to stop.
+    settings_path : Path or None
+        Read again at a hang-up signal.
     """
     state = make_state(settings)
     watch = StoreWatch(state)
@@ -61,6 +66,8 @@
             state.waiting.pump_forever,
         ):
             nursery.start_soon(task)
+        if settings_path is not None:
+            nursery.start_soon(reload_at_signals, state, settings_path)
         await wait_stop()
         await _drain(state)
         nursery.cancel_scope.cancel()
@@ -74,7 +81,6 @@
     load = FleetLoad()
     data_centre = DataCentreName(settings.instance.data_centre)
     bound = settings.bounds
-    targets = settings.targets
     return GatewayState(
         settings=settings,
         adapter=load_adapter(settings.platform.adapter),
@@ -85,11 +91,7 @@
             bound.retry_ratio, bound.retry_extra, bound.retry_window_s
         ),
         waiting=WaitingRoom(load),
-        pools=LinkPools(
-            targets.connect_timeout_s,
-            int(targets.silence_s * 1000),
-            targets.once_idle_limit_s,
-        ),
+        pools=LinkPools(settings.targets),
         metrics=Metrics(),
     )
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -51,11 +51,25 @@
     connections: set[CallerConnection] = field(default_factory=set)
     stopped_accepting: trio.Event = field(default_factory=trio.Event)
 
+    @property
+    def knows_enough(self) -> bool:
+        """Return whether a configuration and some targets are known."""
+        return self.routing is not None and bool(self.view.records)
+
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome."""
-        has_targets = bool(self.view.records)
-        return self.routing is not None and has_targets and not self.is_stopping
+        return self.knows_enough and not self.is_stopping
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Take changed settings into force, but for where the process listens."""
+        self.settings = settings
+        bounds = settings.bounds
+        self.chooser.bound_multiple = bounds.load_multiple
+        self.windows.configure(
+            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
+        )
+        self.pools.configure(settings.targets)
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits that the configuration in force sets."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/main.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/main.py
@@ -65,10 +65,11 @@
 def gateway(settings: Path) -> None:
     """Run an entry instance for plain HTTP routes."""
     from scaleloom_fleet.gateway.process import run_gateway
+    from scaleloom_fleet.utils.stopping import wait_signal
 
     loaded = _load_or_exit(load_gateway_settings, settings)
     _set_up(loaded)
-    trio.run(run_gateway, loaded)
+    trio.run(run_gateway, loaded, wait_signal, settings)
 
 
 @main.command()
