Read the list of targets once for a fleet, not once a router

Change: reports carry what the list says and how old that is; a router reads only when no peer has confirmed its list lately, the first in rank first (ListFreshness). Tests: 28 routers read about as often as one; another reads within 0.15 s of the reader's turn.

--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/list_freshness.py
@@ -0,0 +1,42 @@
+"""Who reads the platform's list of targets, so that a fleet reads it once."""
+
+from dataclasses import dataclass
+
+# Ranks beyond the last step wait no longer, or a large fleet would be slow to
+# replace its readers.
+RANK_STEP_S = 0.15
+LAST_STEP = 3
+NEVER_S = float("-inf")
+
+
+@dataclass
+class ListFreshness:
+    """
+    How old this router's list of targets is, and when it must read it itself.
+
+    A router whose list a peer has confirmed lately need not read. The first in
+    rank reads in turn; when its reports grow old, the next one does.
+
+    Parameters
+    ----------
+    poll_s : float
+        The age at which the list is to be read again, in seconds.
+    confirmed_s : float
+        The moment at which the list is known to have been right, on the
+        runtime's clock.
+    """
+
+    poll_s: float
+    confirmed_s: float = NEVER_S
+
+    def confirm(self, at_s: float) -> None:
+        """Note that the list was right at `at_s`."""
+        self.confirmed_s = max(self.confirmed_s, at_s)
+
+    def age_s(self, now_s: float) -> float:
+        """Return how old the list may be."""
+        return now_s - self.confirmed_s
+
+    def due_s(self, rank: int) -> float:
+        """Return when the router at `rank` among its peers has to read."""
+        return self.confirmed_s + self.poll_s + RANK_STEP_S * min(rank, LAST_STEP)
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import ChatId, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
 from scaleloom_core.placement import PlacementTable, PoolMember
@@ -69,11 +70,14 @@
         The targets that are listed.
     list_position : int
         How far the list was read; a reading from before it is stale.
+    digest : int
+        Stands for the list's content, for peers to compare.
     """
 
     records: dict[TargetId, TargetRecord] = field(default_factory=dict)
     by_service: dict[ServiceName, list[TargetRecord]] = field(default_factory=dict)
     list_position: int = -1
+    digest: int = 0
     _tables: dict[ServiceName, PlacementTable] = field(default_factory=dict)
     _former_tables: dict[ServiceName, PlacementTable] = field(default_factory=dict)
 
@@ -95,6 +99,7 @@
             record = before.get(target.id) or TargetRecord(target)
             record.listed = target
             self.records[target.id] = record
+        self.digest = _digest(listed)
         self._group()
         return True
 
@@ -147,6 +152,15 @@
         return well
 
 
+def _digest(listed: list[ListedTarget]) -> int:
+    """Return a number that stands for what `listed` says."""
+    rows = sorted(
+        f"{t.id} {t.service} {t.host}:{t.port} {t.slots} {t.state.value}"
+        for t in listed
+    )
+    return hash_text(*rows)
+
+
 def _is_failing(record: TargetRecord, mean: float, now_s: float) -> bool:
     """Return whether `record` is left out for its failures at `now_s`."""
     if record.failing_until_s > now_s:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -20,14 +20,13 @@
 REPORT_INTERVAL_S = 0.1
 PEERS_PER_INTERVAL = 8
 SILENT_INTERVAL_S = 1.0
-ROUTERS_INTERVAL_S = 10.0
+ROUTERS_INTERVAL_S = 60.0
 RECEIVE_LIMIT_BYTES = 65535
 READ_BATCH = 64
 FETCH_TIMEOUT_S = 0.6
 FETCH_PAUSE_S = 0.15
 SILENCE_MS = 600
-LIST_STALE_S = 1.6
-ROUTER_LIFE_S = 30.0
+OLDEST_AGE_MS = 3_600_000
 _logger = logging.getLogger("scaleloom.peers")
 
 
@@ -43,6 +42,10 @@
         The configuration in force there; -1 if none is.
     list_position : int
         How far it has read the list of targets.
+    list_digest : int
+        Stands for what the list says.
+    list_age_ms : int
+        How old its list may be, in milliseconds.
     held : dict of int to int
         Requests that it holds, by the target's number.
     """
@@ -50,6 +53,8 @@
     sender: str
     config_version: int
     list_position: int
+    list_digest: int
+    list_age_ms: int
     held: dict[int, int]
 
 
@@ -58,6 +63,7 @@
 
     config: bytes
     list_position: int
+    list_age_ms: int
     targets: dict[str, bytes]
 
 
@@ -90,6 +96,11 @@
         horizon_s = now_s - 3 * SILENT_INTERVAL_S
         return [peer for peer, at_s in self.heard_s.items() if at_s > horizon_s]
 
+    def rank(self, now_s: float) -> int:
+        """Return this router's place among those that are heard."""
+        own = str(self._own)
+        return sum(str(peer) < own for peer in self.lively(now_s))
+
     def silent(self, now_s: float) -> list[Address]:
         """Return the other routers."""
         lively = set(self.lively(now_s))
@@ -149,18 +160,27 @@
         address = parse_address(report.sender)
         self.table.note_heard(address, now_s)
         self._state.load.note_report(InstanceId(report.sender), report.held, now_s)
-        if self._is_ahead(report, now_s):
+        self._note_freshness(report, now_s)
+        if self._is_ahead(report):
             self._ahead[address] = report
             self._someone_is_ahead.set()
         return True
 
-    def _is_ahead(self, report: PeerReport, now_s: float) -> bool:
+    def _note_freshness(self, report: PeerReport, now_s: float) -> None:
+        """Take a peer's list that says the same as a confirmation of this one."""
+        view = self._state.view
+        is_same = report.list_digest == view.digest
+        if is_same and report.list_position >= view.list_position >= 0:
+            self._state.freshness.confirm(now_s - report.list_age_ms / 1000.0)
+
+    def _is_ahead(self, report: PeerReport) -> bool:
         """Return whether a peer knows what this router should ask it for."""
         routing = self._state.routing
         if report.config_version > (routing.version if routing else -1):
             return True
-        is_stale = now_s - self._watch.list_read_s > LIST_STALE_S
-        return is_stale and report.list_position > self._state.view.list_position
+        view = self._state.view
+        is_newer = report.list_position > view.list_position
+        return is_newer and report.list_digest != view.digest
 
     async def report_forever(self) -> None:
         """Tell peers what this router holds, the silent ones less often."""
@@ -175,6 +195,7 @@
             self._report(peers)
             self._state.load.forget_silent(now_s)
             self._state.router_count = 1 + len(self.table.heard_s)
+            self._state.rank = self.table.rank(now_s)
             await trio.sleep(pause_s)
 
     def _report(self, peers: list[Address]) -> None:
@@ -184,6 +205,8 @@
             str(self._own),
             state.routing.version if state.routing else -1,
             state.view.list_position,
+            state.view.digest,
+            self._list_age_ms(),
             state.load.own_report(),
         )
         data = msgspec.msgpack.encode(report)
@@ -193,6 +216,11 @@
             except OSError:
                 continue
 
+    def _list_age_ms(self) -> int:
+        """Return how old this router's list may be, in milliseconds."""
+        age_s = self._state.freshness.age_s(trio.current_time())
+        return int(min(OLDEST_AGE_MS, age_s * 1000))
+
     async def fetch_forever(self) -> None:
         """Ask a peer that is ahead for what the store told it."""
         while True:
@@ -208,7 +236,7 @@
     def _peer_to_ask(self, now_s: float) -> Address | None:
         """Return a peer that is ahead, or any while nothing at all is known."""
         for peer, report in list(self._ahead.items()):
-            if self._is_ahead(report, now_s):
+            if self._is_ahead(report):
                 return peer
             del self._ahead[peer]
         if self._state.knows_enough or self._watch.is_reachable:
@@ -231,7 +259,10 @@
             return
         if documents.config:
             apply_config_document(self._state, documents.config)
-        apply_target_documents(self._state, documents.targets, documents.list_position)
+        confirmed_s = trio.current_time() - documents.list_age_ms / 1000.0
+        apply_target_documents(
+            self._state, documents.targets, documents.list_position, confirmed_s
+        )
         _logger.info("documents taken from a peer", extra={"peer": str(peer)})
 
     async def serve_documents(
@@ -248,7 +279,10 @@
         """Send what the store told this router over one connection."""
         state = self._state
         documents = PeerDocuments(
-            state.config_document, state.view.list_position, state.listed_documents
+            state.config_document,
+            state.view.list_position,
+            self._list_age_ms(),
+            state.listed_documents,
         )
         try:
             with trio.move_on_after(FETCH_TIMEOUT_S):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -8,6 +8,7 @@
 
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.ids import DataCentreName
+from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.targets import TargetView
@@ -92,6 +93,7 @@
         ),
         waiting=WaitingRoom(load),
         pools=LinkPools(settings.targets),
+        freshness=ListFreshness(settings.platform.list_poll_s),
         metrics=Metrics(),
     )
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -5,6 +5,7 @@
 import trio
 
 from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.routing import RequestLimits, RoutingTable
 from scaleloom_core.target_choice import TargetChooser
@@ -32,6 +33,8 @@
         That configuration as the store gave it, for peers that ask.
     router_count : int
         How many routers the fleet is known to have, this one included.
+    rank : int
+        This router's place among those that are heard.
     """
 
     settings: GatewaySettings
@@ -43,10 +46,12 @@
     waiting: WaitingRoom
     pools: LinkPools
     metrics: Metrics
+    freshness: ListFreshness
     routing: RoutingTable | None = None
     config_document: bytes = b""
     listed_documents: dict[str, bytes] = field(default_factory=dict)
     router_count: int = 1
+    rank: int = 0
     is_stopping: bool = False
     connections: set[CallerConnection] = field(default_factory=set)
     stopped_accepting: trio.Event = field(default_factory=trio.Event)
@@ -70,6 +75,7 @@
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
         )
         self.pools.configure(settings.targets)
+        self.freshness.poll_s = settings.platform.list_poll_s
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits that the configuration in force sets."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -83,9 +83,9 @@
     """
     Follows the store and applies what it says.
 
-    The list of targets is read at short intervals. The configuration is
-    waited for in one open call, which is dropped whenever a reading of the
-    list fails, since a lost path to the store says nothing.
+    The list of targets is read when no peer has confirmed it lately. The
+    configuration is waited for in one open call, which is dropped whenever a
+    reading of the list fails, since a lost path to the store says nothing.
 
     Parameters
     ----------
@@ -101,38 +101,38 @@
         self._config_client = StoreClient(address, settings.timeout_s)
         self._waiting_scope: trio.CancelScope | None = None
         self.is_reachable = False
-        self.list_read_s = float("-inf")
 
     async def follow_targets(self) -> None:
-        """Read the list of targets for as long as the process runs."""
-        interval_s = self._state.settings.platform.list_poll_s
-        retry_s = self._state.settings.platform.retry_s
+        """Keep the list of targets fresh for as long as the process runs."""
+        state = self._state
         while True:
-            began_s = trio.current_time()
+            now_s = trio.current_time()
+            due_s = state.freshness.due_s(state.rank)
+            if now_s < due_s:
+                await trio.sleep_until(due_s)
+                continue
             is_read = await self._read_targets()
             self._note_reading(is_read)
-            pause_s = interval_s if is_read else retry_s
-            await trio.sleep_until(began_s + pause_s)
+            if not is_read:
+                await trio.sleep_until(now_s + state.settings.platform.retry_s)
 
     def _note_reading(self, is_read: bool) -> None:
         """Note whether the store answered, and log when that changes."""
-        if is_read:
-            self.list_read_s = trio.current_time()
-        elif self._waiting_scope is not None:
+        if not is_read and self._waiting_scope is not None:
             self._waiting_scope.cancel()
         if is_read != self.is_reachable:
             self.is_reachable = is_read
             _logger.info("store reached" if is_read else "store lost")
 
     async def _read_targets(self) -> bool:
-        """Read the whole list once; return whether that worked."""
+        """Read the whole list once; return whether it is as new as what is known."""
+        asked_s = trio.current_time()
         reading = await self._read_newest(self._list_client, Topic.TARGETS)
         page: NewestPage | None = reading.value_or(None)
         if page is None:
             return False
         documents = {record.key: record.value for record in page.records}
-        apply_target_documents(self._state, documents, page.end)
-        return True
+        return apply_target_documents(self._state, documents, page.end, asked_s)
 
     async def _read_newest(
         self, client: StoreClient, topic: Topic
@@ -234,14 +234,29 @@
 
 
 def apply_target_documents(
-    state: GatewayState, documents: dict[str, bytes], position: int
-) -> None:
-    """Take in a whole reading of the list of targets."""
+    state: GatewayState, documents: dict[str, bytes], position: int, at_s: float
+) -> bool:
+    """
+    Take in a whole reading of the list of targets.
+
+    Parameters
+    ----------
+    at_s : float
+        When the reading was right, on the runtime's clock.
+
+    Returns
+    -------
+    bool
+        Whether it is as new as what was known.
+    """
     listed: list[ListedTarget] = []
     for key, document in documents.items():
         decoded = state.adapter.decode_target(TargetId(key), document)
         target = decoded.value_or(None)
         if target is not None:
             listed.append(target)
-    if state.view.apply_list(listed, position):
-        state.listed_documents = documents
+    if not state.view.apply_list(listed, position):
+        return False
+    state.listed_documents = documents
+    state.freshness.confirm(at_s)
+    return True
--- /dev/null
+++ b/tests/core/test_list_freshness.py
@@ -0,0 +1,44 @@
+"""Tests of how a fleet shares the reading of one list."""
+
+from scaleloom_core.list_freshness import LAST_STEP, RANK_STEP_S, ListFreshness
+
+POLL_S = 0.7
+STEP_S = 0.05
+
+
+def _play(router_count: int, seconds: float, dead_from_s: float | None = None):
+    """Return who read when, with reports every `STEP_S` between all routers."""
+    routers = [ListFreshness(POLL_S, confirmed_s=0.0) for _ in range(router_count)]
+    readings: list[tuple[float, int]] = []
+    for step in range(int(seconds / STEP_S)):
+        now_s = step * STEP_S
+        for rank, router in enumerate(routers):
+            is_dead = dead_from_s is not None and rank == 0 and now_s >= dead_from_s
+            if is_dead or now_s < router.due_s(rank):
+                continue
+            readings.append((now_s, rank))
+            router.confirm(now_s)
+        freshest_s = max(router.confirmed_s for router in routers)
+        for router in routers:
+            router.confirm(freshest_s)
+    return readings
+
+
+def test_a_fleet_reads_about_as_often_as_one_router():
+    alone, fleet = _play(1, 20.0), _play(28, 20.0)
+    assert len(fleet) <= len(alone) + 2
+    assert {rank for _, rank in fleet} == {0}
+
+
+def test_another_reads_soon_after_the_reader_fell_silent():
+    readings = _play(4, 20.0, dead_from_s=10.0)
+    last_s = max(at_s for at_s, rank in readings if rank == 0)
+    next_s = min(at_s for at_s, rank in readings if at_s > last_s)
+    assert next_s - last_s <= POLL_S + RANK_STEP_S + 2 * STEP_S
+
+
+def test_no_rank_waits_longer_than_the_last_step():
+    freshness = ListFreshness(POLL_S, confirmed_s=3.0)
+    assert freshness.due_s(420) == 3.0 + POLL_S + LAST_STEP * RANK_STEP_S
+    freshness.confirm(2.0)
+    assert freshness.age_s(4.0) == 1.0
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -94,7 +94,7 @@
     state = make_state(gateway_settings("127.0.0.1", 1, free_port()))
     apply_config_document(state, msgspec.json.encode(config(1)))
     documents = {runner.id: msgspec.json.encode(entry(runner))}
-    apply_target_documents(state, documents, 1)
+    apply_target_documents(state, documents, 1, 0.0)
     ours, theirs = socket.socketpair()
     ours.setblocking(False)
     async with trio.open_nursery() as nursery:
