Refuse what may outlast a planned stop once idle connections are ended

Change: from notice_s on (now 2.7 s) a request whose deadline lies beyond the end of the process is refused as not run, with when to come back; a short one is still served. The test failed before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/schema.py
@@ -314,7 +314,7 @@
     notice_s: Annotated[
         Seconds,
         Meta(description="Time between failing readiness and ending connections."),
-    ] = 3.0
+    ] = 2.7
     grace_s: Annotated[
         PositiveSeconds,
         Meta(description="Time after which a process that was asked to stop is gone."),
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -21,8 +21,12 @@
 from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
 
 HOP_LIMIT = 6
+STOPPING_RETRY_AFTER_S = 0.05
 QUEUE_SHARE_OF_OBJECTIVE = 0.22
 _K = ErrorKind
+_STOPPING = FleetError(
+    _K.NOT_READY, "This router is stopping.", retry_after_s=STOPPING_RETRY_AFTER_S
+)
 _logger = logging.getLogger("scaleloom.gateway")
 
 
@@ -42,6 +46,9 @@
     if match is None:
         await answer_error(connection, matched.failure(), state.is_stopping)
         return
+    if match.deadline_s > state.last_answer_s:
+        await answer_error(connection, _STOPPING, state.is_stopping)
+        return
     work = Work(connection, request, match)
     if match.route.is_resumable:
         work.splitter = EventSplitter()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -103,8 +103,10 @@
     state.is_stopping = True
     _logger.info("stopping", extra={"connections": len(state.connections)})
     stop = state.settings.stop
-    with trio.move_on_after(stop.grace_s - END_MARGIN_S):
+    stopped_s = trio.current_time() + stop.grace_s - END_MARGIN_S
+    with trio.move_on_at(stopped_s):
         await trio.sleep(stop.notice_s)
+        state.last_answer_s = stopped_s
         while state.connections:
             for connection in list(state.connections):
                 connection.leave()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -33,6 +33,8 @@
         That configuration as the store gave it, for peers that ask.
     router_count : int
         How many routers the fleet is known to have, this one included.
+    last_answer_s : float
+        When a stopping process ends; a request that may take longer is not begun.
     rank : int
         This router's place among those that are heard.
     """
@@ -53,6 +55,7 @@
     router_count: int = 1
     rank: int = 0
     is_stopping: bool = False
+    last_answer_s: float = float("inf")
     connections: set[CallerConnection] = field(default_factory=set)
     stopped_accepting: trio.Event = field(default_factory=trio.Event)
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from scaleloom_fleet.conf.schema import GatewayStopSection
 from scaleloom_fleet.gateway.accepting import serve_connection
 from scaleloom_fleet.gateway.process import make_state
 from scaleloom_fleet.gateway.store_watch import (
@@ -146,3 +147,48 @@
             released.set()
         await gateway.stopped.wait()
     assert (answers[0].status, answers[0].is_whole) == (200, True)
+
+
+@runs_in_trio
+async def test_a_late_request_is_refused_if_it_may_outlast_the_stop():
+    """Send on a connection that was busy when idle ones were ended."""
+    stop = GatewayStopSection(notice_s=0.1, grace_s=1.5)
+    async with running_site(runner_count=1, stop=stop) as site:
+        (gateway,) = site.gateways
+        (runner,) = site.runners
+        released = trio.Event()
+
+        async def answer_later(runner, asked) -> bool:
+            await released.wait()
+            return await runners.answer_well(runner, asked)
+
+        runner.behaviour = answer_later
+        answers: list[Answer] = []
+
+        async def ask(path: str, request_id: str, deadline_ms: str) -> None:
+            data = request_bytes(path, request_id)
+            data = data.replace(b"Deadline-Ms: 2000", b"Deadline-Ms: %s" % deadline_ms)
+            answers.append(await gateway.ask(data))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "/once/1", "held", b"2000")
+
+            async def has_arrived() -> bool:
+                return bool(runner.asked)
+
+            await eventually(has_arrived)
+            gateway.stop.set()
+
+            async def late_ones_are_refused() -> bool:
+                answer = await gateway.ask(request_bytes("/safe/1", "late"))
+                is_refused = answer.status == 503
+                return is_refused and float(answer.headers["retry-after"]) < 0.5
+
+            runner.behaviour = runners.answer_well
+            await eventually(late_ones_are_refused, limit_s=0.8)
+            ran_before = runner.runs["late"]
+            await ask("/safe/1", "late", b"2000")
+            assert runner.runs["late"] == ran_before
+            await ask("/safe/1", "short", b"100")
+            released.set()
+    assert [answer.status for answer in answers] == [503, 200, 200]
