Go on reading when a surplus answer came alone

Behind a surplus answer the new protocol state was fed what was left over; if nothing was, that told it that the connection had ended.

Ruled out: the connect timeout (the answer said that the request had been sent), ports taken twice.

Change: only bytes are fed. Two tests in test_links failed before: the own answer behind a surplus one, in any pieces and late.

Measured: tests.http1 2 errors before, none after.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -185,7 +185,9 @@
             h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
         self._serialise(request)
-        self._feed(surplus)
+        # No bytes at all would tell the protocol that the connection ended.
+        if surplus:
+            self._feed(surplus)
 
     async def _next_event(self) -> object:
         """Return the protocol's next event."""
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -87,7 +87,7 @@
             runner.behaviour = behaviour
         answer = await site.ask(path)
         assert site.run_count() <= run_limit
-    assert answer.status == status
+    assert answer.status == status, answer
     assert answer.is_whole
     if status == 503:
         assert float(answer.headers["retry-after"]) > 0
--- /dev/null
+++ b/tests/http1/test_links.py
@@ -0,0 +1,137 @@
+"""Tests of connections to servers: each answer goes to its own request."""
+
+import socket
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from scaleloom_fleet.http1.links import (
+    AnswerBroken,
+    Link,
+    OutgoingRequest,
+    exchange,
+    read_while_sending,
+)
+from tests.fixtures.fleets import runs_in_trio
+
+REQUEST = OutgoingRequest(b"GET", b"/a/", [(b"Host", b"x")])
+OTHER = b"HTTP/1.1 200 OK\r\nName: other\r\nContent-Length: 3\r\n\r\nnot"
+OWN = b"HTTP/1.1 200 OK\r\nName: own\r\nTransfer-Encoding: chunked\r\n\r\n"
+OWN += b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+
+
+def _pair() -> tuple[Link, socket.socket]:
+    """Return a link and the server's end of its connection."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    return Link(ours), theirs
+
+
+async def _read_past_other(link: Link) -> bytes:
+    """Return the body of the second answer that comes."""
+    await link.read_head()
+    await link.skip_answer(REQUEST)
+    head = await link.read_head()
+    assert head.find(b"name") == b"own"
+    return await link.read_body(100)
+
+
+@runs_in_trio
+async def test_an_own_answer_is_found_behind_a_surplus_one_whenever_it_comes():
+    link, theirs = _pair()
+    link.start(REQUEST)
+    theirs.sendall(OTHER)
+    bodies: list[bytes] = []
+
+    async def read() -> None:
+        bodies.append(await _read_past_other(link))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read)
+        await trio.testing.wait_all_tasks_blocked()
+        theirs.sendall(OWN)
+    assert bodies == [b"abc"]
+    assert link.finish()
+    link.close()
+    theirs.close()
+
+
+@given(st.lists(st.integers(0, len(OTHER + OWN)), max_size=6))
+@settings(max_examples=40, deadline=None)
+def test_an_own_answer_is_found_behind_a_surplus_one_in_any_pieces(cuts):
+    data = OTHER + OWN
+    edges = [0, *sorted(cuts), len(data)]
+
+    async def play() -> bytes:
+        link, theirs = _pair()
+        link.start(REQUEST)
+        bodies: list[bytes] = []
+
+        async def read() -> None:
+            bodies.append(await _read_past_other(link))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            for start, end in zip(edges, edges[1:], strict=False):
+                theirs.sendall(data[start:end])
+                await trio.testing.wait_all_tasks_blocked()
+        link.close()
+        theirs.close()
+        return bodies[0]
+
+    assert trio.run(play) == b"abc"
+
+
+@runs_in_trio
+async def test_bytes_behind_a_whole_answer_end_the_connection():
+    link, theirs = _pair()
+    theirs.sendall(OWN + b"HTTP/1.1 200 OK\r\n")
+    _, body = await exchange(link, REQUEST, 100)
+    assert body == b"abc"
+    assert not link.finish()
+    link.close()
+    theirs.close()
+
+
+@runs_in_trio
+async def test_bytes_that_come_while_idle_are_noticed():
+    link, theirs = _pair()
+    theirs.sendall(OWN)
+    await exchange(link, REQUEST, 100)
+    assert link.finish()
+    assert link.is_quiet()
+    theirs.sendall(OTHER)
+    assert not link.is_quiet()
+    link.close()
+    theirs.close()
+
+
+@runs_in_trio
+async def test_an_answer_before_the_body_is_sent_is_read_and_the_link_is_not_reused():
+    link, theirs = _pair()
+    body = b"a" * (1 << 22)
+    link.start(OutgoingRequest(b"POST", b"/a/", [(b"Host", b"x")], body))
+    assert link.has_unsent
+    theirs.sendall(b"HTTP/1.1 413 No\r\nContent-Length: 2\r\n\r\nno")
+    head = await read_while_sending(link)
+    assert (head.status, await link.read_body(100)) == (413, b"no")
+    assert not link.finish()
+    link.close()
+    theirs.close()
+
+
+@runs_in_trio
+async def test_an_answer_that_ends_early_is_broken():
+    link, theirs = _pair()
+    link.start(REQUEST)
+    theirs.sendall(OWN[:-4])
+    theirs.close()
+    await link.read_head()
+    try:
+        await link.read_body(100)
+    except AnswerBroken:
+        link.close()
+        return
+    raise AssertionError("a cut answer looked whole")
