Send a gateway's counters, gauges and times to statsd

Cause: the gateway kept metrics that nothing filled or sent.

Change: requests, served, attempts, refusals and failures by kind, whole times; open connections, requests in flight and waiting, routers, targets, age of the list and version of the configuration as gauges. Off where no address is set.

Measured: test_metrics reads them from a socket.

--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/schema.py
@@ -360,6 +360,12 @@
         """Return where the store listens."""
         return parse_address(self.platform.store)
 
+    @property
+    def statsd_address(self) -> Address | None:
+        """Return where metrics are sent, if anywhere."""
+        listed = self.observe.statsd_address
+        return parse_address(listed) if listed else None
+
     @property
     def seed_hosts(self) -> list[str]:
         """Return the hosts of the gateways that the settings name."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -43,11 +43,12 @@
     """
     matched = match_request(state.routing, request, state.adapter.headers)
     match: Match | None = matched.value_or(None)
+    state.metrics.count("requests")
     if match is None:
-        await answer_error(connection, matched.failure(), state.is_stopping)
+        await _refuse(state, connection, matched.failure())
         return
     if match.deadline_s > state.last_answer_s:
-        await answer_error(connection, _STOPPING, state.is_stopping)
+        await _refuse(state, connection, _STOPPING)
         return
     work = Work(connection, request, match)
     if match.route.is_resumable:
@@ -58,8 +59,19 @@
         error = await _try_targets(state, work)
     if scope.cancelled_caught:
         error = _late(work)
-    if error is not None:
-        await _conclude(state, work, error)
+    state.metrics.timing("request", trio.current_time() - match.received_s)
+    if error is None:
+        state.metrics.count("served")
+        return
+    await _conclude(state, work, error)
+
+
+async def _refuse(
+    state: GatewayState, connection: CallerConnection, error: FleetError
+) -> None:
+    """Refuse a request before a target was chosen."""
+    state.metrics.count(f"refusals.{error.kind.value}")
+    await answer_error(connection, error, state.is_stopping)
 
 
 def _late(work: Work) -> FleetError:
@@ -80,6 +92,7 @@
         "tried": sorted(work.tried),
     }
     _logger.info("request not served", extra=fields)
+    state.metrics.count(f"failures.{error.kind.value}")
     if work.is_answer_begun:
         work.connection.reset()
         return
@@ -102,6 +115,7 @@
             return _no_answer(state, work)
         can_repeat = _may_send_again(work, 1)
         work.tried.add(record.listed.id)
+        state.metrics.count("attempts")
         try:
             verdict = await send_to(state, work, record, can_repeat)
         finally:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -22,11 +22,12 @@
 from scaleloom_fleet.gateway.store_watch import StoreWatch
 from scaleloom_fleet.gateway.waiting import WaitingRoom
 from scaleloom_fleet.http1 import sockets
-from scaleloom_fleet.utils.metrics import Metrics
+from scaleloom_fleet.utils.metrics import FLUSH_INTERVAL_S, make_metrics
 from scaleloom_fleet.utils.stopping import wait_signal
 
 IDLE_CHECK_S = 0.1
 END_MARGIN_S = 0.3
+LONGEST_AGE_S = 3600.0
 _logger = logging.getLogger("scaleloom.gateway")
 
 
@@ -67,6 +68,8 @@
             state.waiting.pump_forever,
         ):
             nursery.start_soon(task)
+        if settings.statsd_address is not None:
+            nursery.start_soon(_report_metrics, state)
         if settings_path is not None:
             nursery.start_soon(reload_at_signals, state, settings_path)
         await wait_stop()
@@ -94,10 +97,27 @@
         waiting=WaitingRoom(load),
         pools=LinkPools(settings.targets),
         freshness=ListFreshness(settings.platform.list_poll_s),
-        metrics=Metrics(),
+        metrics=make_metrics(settings.statsd_address, settings.instance.name),
     )
 
 
+async def _report_metrics(state: GatewayState) -> None:
+    """Send counters and gauges to the statsd server once a second."""
+    while True:
+        await trio.sleep(FLUSH_INTERVAL_S)
+        now_s = trio.current_time()
+        metrics = state.metrics
+        metrics.gauge("connections", len(state.connections))
+        metrics.gauge("in_flight", sum(state.load.own.values()))
+        metrics.gauge("waiting", state.waiting.size)
+        metrics.gauge("routers", state.router_count)
+        metrics.gauge("targets", len(state.view.records))
+        metrics.gauge("list_age_s", min(LONGEST_AGE_S, state.freshness.age_s(now_s)))
+        if state.routing is not None:
+            metrics.gauge("configuration", state.routing.version)
+        metrics.flush()
+
+
 async def _drain(state: GatewayState) -> None:
     """Stop in order: no longer ready, then no idle connection, then none."""
     state.is_stopping = True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/waiting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/waiting.py
@@ -46,6 +46,11 @@
         """Return whether nothing waits for a target of `service`."""
         return not self._waiters.get(service)
 
+    @property
+    def size(self) -> int:
+        """Return how many requests wait."""
+        return sum(map(len, self._waiters.values()))
+
     def take(self, target: TargetRecord, customer: CustomerId | None) -> None:
         """Count a place that a request of `customer` takes."""
         self.load.take(target.listed.id)
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,33 @@
+"""Tests of the metrics that a gateway sends."""
+
+import trio
+
+from scaleloom_fleet.conf.schema import ObserveSection
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import running_site
+
+
+async def _first_datagrams(receiver, wanted: set[str]) -> dict[str, str]:
+    """Return the values of `wanted` metrics from what arrives."""
+    found: dict[str, str] = {}
+    with trio.fail_after(5.0):
+        while not wanted <= found.keys():
+            data, _ = await receiver.recvfrom(65535)
+            rows = [row.split(":", 1) for row in data.decode().splitlines()]
+            found.update({name.rpartition("g-1.")[2]: value for name, value in rows})
+    return found
+
+
+@runs_in_trio
+async def test_counters_and_gauges_reach_the_statsd_server():
+    with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as receiver:
+        await receiver.bind(("127.0.0.1", 0))
+        port = receiver.getsockname()[1]
+        observe = ObserveSection(statsd_address=f"127.0.0.1:{port}")
+        async with running_site(observe=observe) as site:
+            await site.ask("/safe/1")
+            await site.ask("/nowhere/")
+            wanted = {"requests", "served", "refusals.not_found", "targets"}
+            found = await _first_datagrams(receiver, wanted)
+    assert found["requests"].startswith("2|c")
+    assert found["targets"].startswith("2|g")
