--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -34,7 +34,7 @@
 )
 from scaleloom_fleet.control.datagrams import DatagramEndpoint
 from scaleloom_fleet.utils.addresses import Address
-from scaleloom_standins.local_fleet import LOOPBACK
+from scaleloom_standins.ports import LOOPBACK
 from scaleloom_wire.control_pb2 import Datagram, SampleReply, SampleRequest
 
 MICROSECONDS_PER_S = 1e6
--- a/benchmarks/choosers.py
+++ b/benchmarks/choosers.py
@@ -5,7 +5,8 @@
 
 from returns.result import Failure
 
-from benchmarks.pool_model import Chooser, Member, Pool, Turn
+from benchmarks.fake_engine import Turn
+from benchmarks.pool_model import Chooser, Member, Pool
 from scaleloom_core.errors import ErrorKind
 from scaleloom_core.placement import RouteSearch, Standing
 
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -11,7 +11,8 @@
 from benchmarks.measures import Measure
 from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.utils.addresses import Address
-from scaleloom_standins.local_fleet import LOOPBACK, LocalFleet, free_port
+from scaleloom_standins.local_fleet import LocalFleet
+from scaleloom_standins.ports import LOOPBACK, free_port
 from tests.fixtures.fleets import CUSTOMER_KEY, MODEL, intent_for
 
 ROUNDS = 6
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -4,7 +4,8 @@
 import random
 from dataclasses import dataclass
 
-from benchmarks.pool_model import Pool, Turn
+from benchmarks.fake_engine import Turn
+from benchmarks.pool_model import Pool
 from scaleloom_core.ids import ChatId, CustomerId
 
 CUSTOMER_COUNT = 10
--- a/packages/scaleloom-standins/scaleloom_standins/local_fleet.py
+++ b/packages/scaleloom-standins/scaleloom_standins/local_fleet.py
@@ -1,9 +1,7 @@
 """A whole fleet as separate processes on loopback, for demo, tests and proofs."""
 
 import configparser
-import random
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field, replace
@@ -18,8 +16,8 @@
 from scaleloom_fleet.http.clients import ClientAnswer, HttpClient
 from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.faults import Faults
+from scaleloom_standins.ports import LOOPBACK, free_port
 
-LOOPBACK = "127.0.0.1"
 FLEET_SECRET = "loopback-fleet"
 OPERATOR_TOKEN = "operator-token"
 OPERATOR_NAME = "ana"
@@ -27,14 +25,9 @@
 START_LIMIT_S = 20.0
 POLL_S = 0.05
 STOP_LIMIT_S = 30.0
-FIRST_PORT = 10240
-FIRST_EPHEMERAL_PORT = 32768
 JSON_HEADERS = {"content-type": "application/json"}
 Options = dict[str, dict[str, object]]
 
-_random = random.SystemRandom()
-_taken_ports: set[int] = set()
-
 
 @dataclass
 class Process:
@@ -379,28 +372,3 @@
 def _text(address: Address) -> str:
     """Return `address` as settings write it."""
     return f"{address.host}:{address.port}"
-
-
-def free_port() -> int:
-    """
-    Return a port that nothing on loopback uses now.
-
-    It lies below the range from which the kernel takes the ports of outgoing
-    connections, so that none of those takes it before its process does.
-    """
-    while True:
-        port = _random.randrange(FIRST_PORT, FIRST_EPHEMERAL_PORT)
-        if port not in _taken_ports and _is_free(port):
-            _taken_ports.add(port)
-            return port
-
-
-def _is_free(port: int) -> bool:
-    """Return whether both a TCP and a UDP socket can be bound to `port`."""
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                return False
-    return True
--- a/proofs/at_most_once.py
+++ b/proofs/at_most_once.py
@@ -2,7 +2,8 @@
 
 from collections import Counter
 
-from proofs.once_model import FaultRates, OnceTrial, Switches
+from proofs.once_model import OnceTrial
+from proofs.once_parts import FaultRates, Switches
 from proofs.results import Judge, ProofResult
 
 PROMISE = "at most once; not run is true"
--- a/proofs/cutting_relay.py
+++ b/proofs/cutting_relay.py
@@ -3,7 +3,7 @@
 import trio
 
 from scaleloom_fleet.utils.addresses import Address
-from scaleloom_standins.local_fleet import LOOPBACK, free_port
+from scaleloom_standins.ports import LOOPBACK, free_port
 
 READ_LIMIT_BYTES = 65536
 
--- a/proofs/once_model.py
+++ b/proofs/once_model.py
@@ -13,6 +13,13 @@
 
 from returns.result import Failure
 
+from proofs.once_parts import (
+    Attempt,
+    FaultRates,
+    NotRunClaim,
+    SidecarModel,
+    Switches,
+)
 from proofs.results import Judge
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.fold import NO_EPOCH, Fold, LogEntry
@@ -45,58 +52,6 @@
 ONCE_POLICY = OncePolicy(skew_bound_s=SKEW_BOUND_S)
 
 
-@dataclass(frozen=True)
-class Switches:
-    """Mechanisms that a trial switches off, to show that they matter."""
-
-    waits_out_lease: bool = True
-    refuses_older_keys: bool = True
-    checks_lease_at_dispatch: bool = True
-    keeps_refusals_true: bool = True
-
-
-@dataclass(frozen=True)
-class FaultRates:
-    """How often each fault happens, in events a second over the fleet."""
-
-    freezes: float = 0.0
-    kills: float = 0.0
-    false_takeovers: float = 0.0
-    handovers: float = 0.0
-    outages: float = 0.0
-    lost_answers: float = 0.0
-    slow_network: bool = False
-
-
-@dataclass
-class _Sidecar:
-    """One sidecar: the core, its reading of the log, and its troubles."""
-
-    name: str
-    owner: KeyOwner
-    fold: Fold
-    wall_offset_s: float
-    frozen_until_s: float = 0.0
-    is_alive: bool = True
-
-
-@dataclass
-class _Attempt:
-    """One submission of a key by a caller."""
-
-    key: OnceKey
-    submitted_at_s: float
-    received_wall_s: float
-
-
-@dataclass
-class _Claim:
-    """A caller was told that nothing ran."""
-
-    key: OnceKey
-    told_at_s: float
-
-
 @dataclass
 class OnceTrial:
     """
@@ -118,10 +73,10 @@
     now_s: float = 0.0
     log: list[bytes] = field(default_factory=list)
     is_log_down: bool = False
-    runs: dict[OnceKey, list[_Attempt]] = field(
+    runs: dict[OnceKey, list[Attempt]] = field(
         default_factory=lambda: defaultdict(list)
     )
-    claims: list[_Claim] = field(default_factory=list)
+    claims: list[NotRunClaim] = field(default_factory=list)
     ends: Counter = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
@@ -143,12 +98,12 @@
             judge.check(self._is_true(claim), f"seed {self.seed}: false not run")
         return self.ends
 
-    def _is_true(self, claim: _Claim) -> bool:
+    def _is_true(self, claim: NotRunClaim) -> bool:
         """Return whether only attempts made after the claim ever ran."""
         attempts = self.runs.get(claim.key, [])
         return all(item.submitted_at_s > claim.told_at_s for item in attempts)
 
-    def _make_sidecar(self, name: str) -> _Sidecar:
+    def _make_sidecar(self, name: str) -> SidecarModel:
         """Return a sidecar in a new incarnation."""
         incarnation = Incarnation(f"{name}-{self._random.random()}")
         owner = KeyOwner(
@@ -157,7 +112,7 @@
         if not self.switches.keeps_refusals_true:
             owner._refusals.blocks = lambda key, received_wall_s: False
         offset_s = self._random.uniform(-SKEW_BOUND_S / 2, SKEW_BOUND_S / 2)
-        return _Sidecar(name, owner, Fold(), offset_s)
+        return SidecarModel(name, owner, Fold(), offset_s)
 
     def _at(self, delay_s: float, action: Callable[[], None]) -> None:
         """Let `action` happen `delay_s` from now."""
@@ -188,11 +143,11 @@
         self._often(self.rates.handovers, self._hand_over)
         self._often(self.rates.outages, self._outage)
 
-    def _any(self) -> _Sidecar:
+    def _any(self) -> SidecarModel:
         """Return one sidecar."""
         return self._sidecars[self._random.choice(SIDECARS)]
 
-    def _when_awake(self, sidecar: _Sidecar, action: Callable[[], None]) -> None:
+    def _when_awake(self, sidecar: SidecarModel, action: Callable[[], None]) -> None:
         """Let a sidecar act now, or as soon as it thaws, unless it was killed."""
         if not sidecar.is_alive:
             return
@@ -202,7 +157,7 @@
         else:
             action()
 
-    def _wall_s(self, sidecar: _Sidecar) -> float:
+    def _wall_s(self, sidecar: SidecarModel) -> float:
         """Return a sidecar's wall clock."""
         return WALL_ORIGIN_S + self.now_s + sidecar.wall_offset_s
 
@@ -232,7 +187,7 @@
         if sidecar.is_alive and sidecar.frozen_until_s <= self.now_s:
             begin()
 
-    def _observe(self, sidecar: _Sidecar) -> None:
+    def _observe(self, sidecar: SidecarModel) -> None:
         """Tell a sidecar's owner whom the log names."""
         owners = sidecar.fold.owners_of(SERVICE)
         sidecar.owner.observe(owners, self.now_s, self._wall_s(sidecar))
@@ -248,7 +203,7 @@
         if not self.is_log_down:
             self.log.append(payload)
 
-    def _claim(self, sidecar: _Sidecar, slots: list[int]) -> None:
+    def _claim(self, sidecar: SidecarModel, slots: list[int]) -> None:
         """Append a claim of `slots` on the epochs that the sidecar knows."""
         owners = sidecar.fold.owners_of(SERVICE)
         expected = tuple(
@@ -362,7 +317,7 @@
     def _submit(self, key: OnceKey) -> None:
         """Send a key through some router, whose view may be wrong."""
         offset_s = self._random.uniform(-SKEW_BOUND_S / 2, SKEW_BOUND_S / 2)
-        attempt = _Attempt(key, self.now_s, WALL_ORIGIN_S + self.now_s + offset_s)
+        attempt = Attempt(key, self.now_s, WALL_ORIGIN_S + self.now_s + offset_s)
         sidecar = self._route(key)
         longest_s = 12.0 if self.rates.slow_network else 0.1
         self._at(
@@ -370,14 +325,14 @@
             lambda: self._when_awake(sidecar, lambda: self._arrive(sidecar, attempt)),
         )
 
-    def _route(self, key: OnceKey) -> _Sidecar:
+    def _route(self, key: OnceKey) -> SidecarModel:
         """Return the owner as some sidecar sees it, or any sidecar."""
         owner = self._any().fold.owners_of(SERVICE).get(key.slot)
         if owner is None or self._random.random() < 0.1:
             return self._any()
         return self._sidecars[owner.target]
 
-    def _arrive(self, sidecar: _Sidecar, attempt: _Attempt) -> None:
+    def _arrive(self, sidecar: SidecarModel, attempt: Attempt) -> None:
         """Let a sidecar decide about an attempt."""
         begun = sidecar.owner.begin(
             attempt.key, "d", attempt.received_wall_s, self.now_s, self._wall_s(sidecar)
@@ -399,7 +354,7 @@
             ),
         )
 
-    def _refuse(self, sidecar: _Sidecar, attempt: _Attempt) -> None:
+    def _refuse(self, sidecar: SidecarModel, attempt: Attempt) -> None:
         """Let admission control refuse an attempt for load."""
         error = FleetError(ErrorKind.OVERLOADED, "full")
         kept = sidecar.owner.refuse_run(
@@ -411,13 +366,15 @@
         )
         self._tell(attempt, kept)
 
-    def _tell(self, attempt: _Attempt, error: FleetError) -> None:
+    def _tell(self, attempt: Attempt, error: FleetError) -> None:
         """Tell a caller of a refusal."""
         self.ends[error.known_outcome.value] += 1
         if error.known_outcome is Outcome.NOT_RUN:
-            self.claims.append(_Claim(attempt.key, self.now_s))
+            self.claims.append(NotRunClaim(attempt.key, self.now_s))
 
-    def _check_dispatch(self, sidecar: _Sidecar, attempt: _Attempt, epoch: int) -> None:
+    def _check_dispatch(
+        self, sidecar: SidecarModel, attempt: Attempt, epoch: int
+    ) -> None:
         """Check the lease, then send, perhaps with a freeze in between."""
         may = sidecar.owner.may_dispatch(attempt.key, epoch, self.now_s)
         if not may and self.switches.checks_lease_at_dispatch:
@@ -429,7 +386,7 @@
             lambda: self._when_awake(sidecar, lambda: self._send(sidecar, attempt)),
         )
 
-    def _send(self, sidecar: _Sidecar, attempt: _Attempt) -> None:
+    def _send(self, sidecar: SidecarModel, attempt: Attempt) -> None:
         """Let the target run it; its answer may be lost."""
         self.runs[attempt.key].append(attempt)
         if self._random.random() < self.rates.lost_answers:
--- a/proofs/overload.py
+++ b/proofs/overload.py
@@ -3,7 +3,8 @@
 from dataclasses import replace
 
 from benchmarks.choosers import choose_scaleloom
-from benchmarks.pool_model import Chooser, Member, Outcome, Pool, Turn
+from benchmarks.fake_engine import Turn
+from benchmarks.pool_model import Chooser, Member, Outcome, Pool
 from benchmarks.workloads import DESK, SURGING_CUSTOMER, Callers, Surge
 from proofs.results import Judge, ProofResult
 from scaleloom_core.admission import AdmissionPolicy
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -13,6 +13,7 @@
     apply_config_document,
     apply_target_documents,
 )
+from scaleloom_standins.ports import free_port
 from tests.fixtures import runners
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import (
@@ -22,7 +23,6 @@
     config,
     entry,
     eventually,
-    free_port,
     gateway_settings,
     request_bytes,
     running_site,
--- a/tests/standins/test_local_fleet.py
+++ b/tests/standins/test_local_fleet.py
@@ -1,6 +1,6 @@
 """Tests of the trial fleet's own plumbing."""
 
-from scaleloom_standins.local_fleet import FIRST_EPHEMERAL_PORT, free_port
+from scaleloom_standins.ports import FIRST_EPHEMERAL_PORT, free_port
 
 
 def test_ports_are_never_given_twice_nor_taken_from_outgoing_connections():
