--- a/packages/scaleloom-cli/scaleloom_cli/main.py
+++ b/packages/scaleloom-cli/scaleloom_cli/main.py
@@ -11,6 +11,7 @@
 
 from scaleloom_cli.api import AdminApi
 from scaleloom_cli.reports import describe_explanation, describe_plan, describe_status
+from scaleloom_cli.stories import story_of
 from scaleloom_core.intents import parse_intent
 from scaleloom_core.planning import Plan
 from scaleloom_fleet.conf import check_file
@@ -41,11 +42,24 @@
     context.obj = AdminApi(router, token)
 
 
+@main.command()
+@click.argument("request")
+@click.argument("files", nargs=-1, required=True, type=FILE_ARGUMENT)
+def trace(request: str, files: tuple[Path, ...]) -> None:
+    """Tell the story of REQUEST from the log FILES of several processes."""
+    lines = story_of(request, files)
+    for line in lines:
+        click.echo(line)
+    if not lines:
+        click.echo(f"No line names {request}.", err=True)
+        sys.exit(EXIT_REFUSED)
+
+
 @main.command()
 @click.argument("file", type=FILE_ARGUMENT)
 @click.option(
     "--role",
-    type=click.Choice(["router", "sidecar", "intent"]),
+    type=click.Choice(["gateway", "router", "sidecar", "intent"]),
     required=True,
     help="What the file is for.",
 )
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -32,6 +32,23 @@
     assert (result.exit_code, "cannot be reached" in result.output) == (1, True)
 
 
+def test_a_story_is_told_in_order_from_several_files():
+    first = '  0.5 front-1 {"time": "2", "instance": "a", "message": "not served", '
+    first += '"request": "r-1", "kind": "overloaded"}\nnoise\n{"time": "1"}\n'
+    second = '{"time": "1", "instance": "b", "message": "cut", "request_id": "r-1"}\n'
+    second += '{"time": "0", "instance": "b", "request": "r-2"}\n{"time": '
+    with tempfile.TemporaryDirectory() as directory:
+        files = [Path(directory) / name for name in ("a.log", "b.log")]
+        for file, text in zip(files, (first, second), strict=True):
+            file.write_text(text, encoding="utf-8")
+        result = _run("trace", "r-1", *map(str, files))
+        assert result.output.splitlines() == [
+            "1  b  cut",
+            "2  a  not served  kind=overloaded",
+        ]
+        assert _run("trace", "r-9", str(files[0])).exit_code == 1
+
+
 @runs_in_trio
 async def test_an_intent_is_planned_confirmed_and_followed():
     async with small_fleet(2, 0, 1) as fleet:
