Tell peers which target holds a shared prompt part

Cause: a part's home moves with each join and leave; a router that had not sent the part itself lately knew only one former home, and named sources that held nothing.

Change: reports carry the parts that a router sent to a target and had not told of in 10 s; the last holder that anyone told of is the source of a copy.

--- a/packages/scaleloom-core/scaleloom_core/prefix_holders.py
+++ b/packages/scaleloom-core/scaleloom_core/prefix_holders.py
@@ -2,21 +2,35 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import NewType
 
-from scaleloom_core.ids import TargetId
+import xxhash
+
+from scaleloom_core.fleet_load import TargetKey
 
 HOLDER_LIFE_S = 30.0
+# A peer is told again before it would forget.
+TOLD_AGAIN_S = 10.0
 PART_LIMIT = 20_000
 HOLDERS_PER_PART = 4
+NEWS_LIMIT = 256
+
+PartKey = NewType("PartKey", int)
+Holding = tuple[PartKey, TargetKey]
+
+
+def part_key(part: str) -> PartKey:
+    """Return the 32-bit number that stands for a prompt part in reports."""
+    return PartKey(xxhash.xxh32_intdigest(part.encode()))
 
 
 @dataclass
 class PrefixHolders:
     """
-    The targets to which this router sent each prompt part, the last ones only.
+    The targets to which each prompt part was sent, the last ones only.
 
-    It knows nothing of what other routers sent, and a target may have dropped
-    the part since; both cost a copy that moves nothing.
+    A router notes what it sends itself and what its peers report. A target may
+    have dropped a part since; that costs a copy that moves nothing.
 
     Parameters
     ----------
@@ -28,11 +42,13 @@
 
     life_s: float = HOLDER_LIFE_S
     part_limit: int = PART_LIMIT
-    _used_s: OrderedDict[str, dict[TargetId, float]] = field(
+    _used_s: OrderedDict[PartKey, dict[TargetKey, float]] = field(
         default_factory=OrderedDict
     )
+    _told_s: dict[Holding, float] = field(default_factory=dict)
+    _news: list[Holding] = field(default_factory=list)
 
-    def note(self, part: str, target: TargetId, now_s: float) -> None:
+    def note(self, part: PartKey, target: TargetKey, now_s: float) -> None:
         """Remember that `target` read or used `part`."""
         used_s = self._used_s.setdefault(part, {})
         used_s[target] = now_s
@@ -42,12 +58,29 @@
         if len(self._used_s) > self.part_limit:
             self._used_s.popitem(last=False)
 
-    def holds(self, part: str, target: TargetId, now_s: float) -> bool:
+    def note_own(self, part: PartKey, target: TargetKey, now_s: float) -> None:
+        """Remember a part that this router sent itself, as news for its peers."""
+        self.note(part, target, now_s)
+        holding = (part, target)
+        if now_s - self._told_s.get(holding, float("-inf")) < TOLD_AGAIN_S:
+            return
+        if len(self._told_s) > self.part_limit:
+            self._told_s.clear()
+        self._told_s[holding] = now_s
+        if len(self._news) < NEWS_LIMIT:
+            self._news.append(holding)
+
+    def take_news(self) -> list[Holding]:
+        """Return what peers have not been told yet."""
+        news, self._news = self._news, []
+        return news
+
+    def holds(self, part: PartKey, target: TargetKey, now_s: float) -> bool:
         """Return whether `target` should still keep `part`."""
         used_s = self._used_s.get(part, {}).get(target)
         return used_s is not None and now_s - used_s <= self.life_s
 
-    def latest(self, part: str, now_s: float) -> list[TargetId]:
+    def latest(self, part: PartKey, now_s: float) -> list[TargetKey]:
         """Return the targets that should keep `part`, the last used first."""
         used_s = self._used_s.get(part, {})
         fresh = [target for target in used_s if now_s - used_s[target] <= self.life_s]
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.fleet_load import FleetLoad, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
 from scaleloom_core.listed import ListedTarget
-from scaleloom_core.prefix_holders import PrefixHolders
+from scaleloom_core.prefix_holders import PrefixHolders, part_key
 from scaleloom_core.routing import ServicePolicy
 from scaleloom_core.targets import TargetRecord, TargetView
 
@@ -82,16 +82,20 @@
         """
         Return whose cache `chosen` should copy the shared part from, if any.
 
-        It is the target to which this router sent the part last, or else the
+        It is the target to which a router sent the part last, or else the
         part's home, or its home before the targets changed. A copy costs a
         small part of what reading the prompt again does, and nothing if the
         source no longer keeps the part.
         """
         part = key.shared_part
-        if part is None or self.holders.holds(part, chosen, now_s):
+        if part is None:
             return None
+        number = part_key(part)
+        if self.holders.holds(number, target_key(chosen), now_s):
+            return None
+        holders = self.holders.latest(number, now_s)
         likely = [
-            *self.holders.latest(part, now_s),
+            *filter(None, map(self.view.find_key, holders)),
             *self.view.candidates(key.service, part)[:1],
             self.view.former_home(key.service, part),
         ]
@@ -102,6 +106,12 @@
             return record.listed
         return None
 
+    def note_sent(self, key: PlacementKey, target: TargetId, now_s: float) -> None:
+        """Remember that `target` will hold the request's shared part."""
+        if key.shared_part is not None:
+            number = part_key(key.shared_part)
+            self.holders.note_own(number, target_key(target), now_s)
+
     def has_place(self, service: ServiceName, now_s: float) -> bool:
         """Return whether some target of `service` could take a request."""
         return any(map(self._has_place, self.view.usable(service, now_s)))
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from scaleloom_core.fleet_load import TargetKey, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import ChatId, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
@@ -78,6 +79,7 @@
     by_service: dict[ServiceName, list[TargetRecord]] = field(default_factory=dict)
     list_position: int = -1
     digest: int = 0
+    _ids_by_key: dict[TargetKey, TargetId] = field(default_factory=dict)
     _tables: dict[ServiceName, PlacementTable] = field(default_factory=dict)
     _former_tables: dict[ServiceName, PlacementTable] = field(default_factory=dict)
 
@@ -100,6 +102,7 @@
             record.listed = target
             self.records[target.id] = record
         self.digest = _digest(listed)
+        self._ids_by_key = {target_key(target): target for target in self.records}
         self._group()
         return True
 
@@ -123,6 +126,10 @@
             self._former_tables[service] = table
         self._tables[service] = PlacementTable(members)
 
+    def find_key(self, key: TargetKey) -> TargetId | None:
+        """Return the listed target that `key` stands for."""
+        return self._ids_by_key.get(key)
+
     def candidates(self, service: ServiceName, part: str) -> tuple[TargetId, ...]:
         """Return where a prompt part of `service` belongs, its home first."""
         table = self._tables.get(service)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -157,7 +157,7 @@
     if not work.match.policy.is_engine or key.shared_part is None:
         return None
     source = state.chooser.cache_source(key, target, now_s)
-    state.chooser.holders.note(key.shared_part, target, now_s)
+    state.chooser.note_sent(key, target, now_s)
     return source
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -48,6 +48,8 @@
         How old its list may be, in milliseconds.
     held : dict of int to int
         Requests that it holds, by the target's number.
+    holdings : list of tuple of int
+        Prompt parts that it sent to targets lately, by their numbers.
     """
 
     sender: str
@@ -56,6 +58,7 @@
     list_digest: int
     list_age_ms: int
     held: dict[int, int]
+    holdings: list[tuple[int, int]] = []
 
 
 class PeerDocuments(msgspec.Struct, array_like=True, frozen=True):
@@ -160,6 +163,9 @@
         address = parse_address(report.sender)
         self.table.note_heard(address, now_s)
         self._state.load.note_report(InstanceId(report.sender), report.held, now_s)
+        holders = self._state.chooser.holders
+        for part, target in report.holdings:
+            holders.note(part, target, now_s)
         self._note_freshness(report, now_s)
         if self._is_ahead(report):
             self._ahead[address] = report
@@ -208,6 +214,7 @@
             state.view.digest,
             self._list_age_ms(),
             state.load.own_report(),
+            state.chooser.holders.take_news(),
         )
         data = msgspec.msgpack.encode(report)
         for peer in peers:
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -5,7 +5,7 @@
 from scaleloom_core.fleet_load import PEER_REPORT_LIFE_S, FleetLoad, target_key
 from scaleloom_core.ids import DataCentreName, InstanceId, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
-from scaleloom_core.prefix_holders import PrefixHolders
+from scaleloom_core.prefix_holders import PrefixHolders, part_key
 from scaleloom_core.routing import ServicePolicy
 from scaleloom_core.target_choice import PlacementKey, TargetChooser
 from scaleloom_core.targets import (
@@ -173,7 +173,7 @@
     chooser = _chooser(_view(6))
     home = chooser.choose(_key(), ENGINE, set(), 0.0).listed.id
     other = chooser.choose(_key(), ENGINE, {home}, 0.0).listed.id
-    chooser.holders.note("p", other, 5.0)
+    chooser.note_sent(_key(), other, 5.0)
     assert chooser.cache_source(_key(), other, 6.0) is None
     assert chooser.cache_source(_key(), home, 6.0).id == other
 
@@ -192,12 +192,43 @@
     assert chooser.cache_source(_key(), new_home, 0.0) is None
 
 
+def test_a_peer_that_was_told_names_the_holder_as_the_source():
+    first, second = _chooser(_view(6)), _chooser(_view(6))
+    home, other, third = _ranking(first)
+    first.note_sent(_key(), other, 5.0)
+    for part, target in first.holders.take_news():
+        second.holders.note(part, target, 5.1)
+    assert second.cache_source(_key(), third, 6.0).id == other
+    assert second.cache_source(_key(), home, 6.0).id == other
+    assert first.holders.take_news() == []
+
+
+def test_peers_are_told_again_before_they_forget_and_not_each_time():
+    chooser = _chooser(_view(6))
+    told_s = []
+    for second in range(25):
+        chooser.note_sent(_key(), TargetId("i-1"), float(second))
+        if chooser.holders.take_news():
+            told_s.append(second)
+    assert told_s == [0, 10, 20]
+
+
+def _ranking(chooser: TargetChooser) -> list[TargetId]:
+    """Return the three first choices for the part."""
+    tried: list[TargetId] = []
+    for _ in range(3):
+        record = chooser.choose(_key(), ENGINE, set(tried), 0.0)
+        tried.append(record.listed.id)
+    return tried
+
+
 def test_holders_are_forgotten_with_time_and_number():
     holders = PrefixHolders(life_s=10.0, part_limit=2)
-    for second, part in enumerate(("a", "b", "c")):
-        holders.note(part, TargetId("i-1"), float(second))
-    assert not holders.holds("a", TargetId("i-1"), 3.0)
-    assert holders.holds("c", TargetId("i-1"), 12.0)
-    assert not holders.holds("c", TargetId("i-1"), 12.1)
-    holders.note("c", TargetId("i-2"), 5.0)
-    assert holders.latest("c", 6.0) == ["i-2", "i-1"]
+    a, c = part_key("a"), part_key("c")
+    for second, part in enumerate((a, part_key("b"), c)):
+        holders.note(part, 1, float(second))
+    assert not holders.holds(a, 1, 3.0)
+    assert holders.holds(c, 1, 12.0)
+    assert not holders.holds(c, 1, 12.1)
+    holders.note(c, 2, 5.0)
+    assert holders.latest(c, 6.0) == [2, 1]
