Keep a fault of our own within one request

Any error in one request, and a datagram with a sender that is no address, ended all.

Change: ages are bounded in one place; an unexpected error answers its request with 500 and is logged; a report is taken in only if its sender is an address. Nine tests, four of which failed before.

--- a/packages/scaleloom-core/scaleloom_core/list_freshness.py
+++ b/packages/scaleloom-core/scaleloom_core/list_freshness.py
@@ -7,6 +7,7 @@
 RANK_STEP_S = 0.15
 LAST_STEP = 3
 NEVER_S = float("-inf")
+OLDEST_AGE_MS = 3_600_000
 
 
 @dataclass
@@ -37,6 +38,10 @@
         """Return how old the list may be."""
         return now_s - self.confirmed_s
 
+    def age_ms(self, now_s: float) -> int:
+        """Return how old the list may be, in whole milliseconds, within a bound."""
+        return int(min(OLDEST_AGE_MS, self.age_s(now_s) * 1000))
+
     def due_s(self, rank: int) -> float:
         """Return when the router at `rank` among its peers has to read."""
         return self.confirmed_s + self.poll_s + RANK_STEP_S * min(rank, LAST_STEP)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -1,20 +1,24 @@
 """The loop that takes connections and their requests."""
 
+import logging
 import socket
 
 import trio
 
-from scaleloom_fleet.gateway.answering import answer_rejection
+from scaleloom_core.errors import ErrorKind, FleetError
+from scaleloom_fleet.gateway.answering import answer_error, answer_rejection
 from scaleloom_fleet.gateway.attempts import serve
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
     CallerGone,
+    CallerRequest,
     RequestRejected,
 )
 
 ACCEPT_BATCH = 64
+_logger = logging.getLogger("scaleloom.gateway")
 
 
 async def accept_forever(
@@ -49,7 +53,7 @@
     try:
         while True:
             request = await caller.read_request(state.caller_limits())
-            await serve(state, caller, request)
+            await _serve_one(state, caller, request)
             if not caller.finish():
                 return
     except CallerGone:
@@ -58,6 +62,23 @@
         await _reject(caller, rejection.status)
 
 
+async def _serve_one(
+    state: GatewayState, caller: CallerConnection, request: CallerRequest
+) -> None:
+    """Answer one request; a fault of our own ends it, and nothing else."""
+    try:
+        await serve(state, caller, request)
+    except CallerGone:
+        raise
+    except Exception:
+        _logger.exception("request failed unexpectedly")
+        if caller.is_answer_begun:
+            caller.reset()
+            raise CallerGone from None
+        error = FleetError(ErrorKind.INTERNAL, "An error of the router's own.")
+        await answer_error(caller, error, state.is_stopping)
+
+
 async def _reject(caller: CallerConnection, status: int) -> None:
     """Answer what was no proper request."""
     try:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -91,7 +91,7 @@
         "held_ms": int((trio.current_time() - work.match.received_s) * 1000),
         "tried": sorted(work.tried),
         "version": state.routing.version if state.routing else None,
-        "list_age_ms": int(state.freshness.age_s(trio.current_time()) * 1000),
+        "list_age_ms": state.freshness.age_ms(trio.current_time()),
         "routers": state.router_count,
         "held_there": sum(state.load.held(target) for target in work.tried),
     }
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -26,7 +26,6 @@
 FETCH_TIMEOUT_S = 0.6
 FETCH_PAUSE_S = 0.15
 SILENCE_MS = 600
-OLDEST_AGE_MS = 3_600_000
 _logger = logging.getLogger("scaleloom.peers")
 
 
@@ -157,10 +156,10 @@
             return True
         try:
             report = self._decoder.decode(data)
-        except msgspec.DecodeError:
+            address = parse_address(report.sender)
+        except (msgspec.DecodeError, ValueError):
             return True
         now_s = trio.current_time()
-        address = parse_address(report.sender)
         self.table.note_heard(address, now_s)
         self._state.load.note_report(InstanceId(report.sender), report.held, now_s)
         holders = self._state.chooser.holders
@@ -225,8 +224,7 @@
 
     def _list_age_ms(self) -> int:
         """Return how old this router's list may be, in milliseconds."""
-        age_s = self._state.freshness.age_s(trio.current_time())
-        return int(min(OLDEST_AGE_MS, age_s * 1000))
+        return self._state.freshness.age_ms(trio.current_time())
 
     async def fetch_forever(self) -> None:
         """Ask a peer that is ahead for what the store told it."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -27,7 +27,6 @@
 
 IDLE_CHECK_S = 0.1
 END_MARGIN_S = 0.3
-LONGEST_AGE_S = 3600.0
 _logger = logging.getLogger("scaleloom.gateway")
 
 
@@ -112,7 +111,7 @@
         metrics.gauge("waiting", state.waiting.size)
         metrics.gauge("routers", state.router_count)
         metrics.gauge("targets", len(state.view.records))
-        metrics.gauge("list_age_s", min(LONGEST_AGE_S, state.freshness.age_s(now_s)))
+        metrics.gauge("list_age_ms", state.freshness.age_ms(now_s))
         if state.routing is not None:
             metrics.gauge("configuration", state.routing.version)
         metrics.flush()
--- /dev/null
+++ b/tests/gateway/test_own_faults.py
@@ -0,0 +1,83 @@
+"""Tests that what goes wrong with one request or datagram stays with it."""
+
+import socket
+
+import msgspec
+from nose2.tools import params
+
+from scaleloom_fleet.gateway import accepting
+from scaleloom_fleet.gateway.peers import PeerReport
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
+    TARGETS_TOPIC,
+    config,
+    eventually,
+    request_bytes,
+    running_site,
+)
+from tests.fixtures.platform_store import StoreFault
+
+
+@runs_in_trio
+async def test_a_fault_of_our_own_ends_one_request_only():
+    async def fail(*_) -> None:
+        raise RuntimeError("a fault that nobody thought of")
+
+    async with running_site() as site:
+        served, accepting.serve = accepting.serve, fail
+        try:
+            answer = await site.ask("/safe/1")
+        finally:
+            accepting.serve = served
+        assert (answer.status, answer.is_whole) == (500, True)
+        assert (await site.ask("/safe/1")).status == 200
+
+
+@runs_in_trio
+async def test_a_gateway_that_knows_a_configuration_and_no_list_lives_on():
+    async with running_site() as site:
+        alone = await site.start_deaf_gateway(StoreFault.NONE, [])
+        alone_store = site.other_stores[-1]
+        alone_store.put(CONFIG_TOPIC, "config", config(1))
+        alone_store.down_topics.add(TARGETS_TOPIC)
+
+        async def refuses_for_want_of_targets() -> bool:
+            answer = await alone.ask(request_bytes("/safe/1"))
+            return answer.status == 503 and b"overloaded" in answer.body
+
+        await eventually(refuses_for_want_of_targets)
+        assert await refuses_for_want_of_targets()
+
+
+def _report(**fields) -> bytes:
+    """Return a report with `fields`."""
+    given = {
+        "sender": "127.0.0.9:1",
+        "config_version": -1,
+        "list_position": -1,
+        "list_digest": 0,
+        "list_age_ms": 0,
+        "held": {},
+        **fields,
+    }
+    return msgspec.msgpack.encode(PeerReport(**given))
+
+
+@params(
+    b"",
+    b"\x00" * 40,
+    b"\xc1",
+    _report(sender="nowhere"),
+    _report(sender="127.0.0.9:port"),
+    _report(config_version=9, list_position=99),
+    _report()[:-3],
+)
+@runs_in_trio
+async def test_a_datagram_that_makes_no_sense_changes_nothing(data):
+    async with running_site() as site:
+        address = site.gateways[0].settings.peer_address
+        with socket.socket(type=socket.SOCK_DGRAM) as sender:
+            sender.sendto(data, (address.host, address.port))
+        for number in range(3):
+            assert (await site.ask("/safe/1", f"r-{number}")).status == 200
