Tell callers that left from requests that were late

Change: a caller that left is counted as such; nothing is answered or logged as late. A test failed before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -18,7 +18,7 @@
 from scaleloom_fleet.gateway.matching import Match, match_request
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.waiting import Waiter
-from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
+from scaleloom_fleet.http1.callers import CallerConnection, CallerGone, CallerRequest
 
 HOP_LIMIT = 6
 STOPPING_RETRY_AFTER_S = 0.05
@@ -57,6 +57,9 @@
     with trio.CancelScope(deadline=match.deadline_s) as scope:
         connection.watch(scope)
         error = await _try_targets(state, work)
+    if connection.has_left:
+        state.metrics.count("left")
+        raise CallerGone
     if scope.cancelled_caught:
         error = _late(work)
     state.metrics.timing("request", trio.current_time() - match.received_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -255,6 +255,11 @@
         except (ConnectionLost, trio.ClosedResourceError) as error:
             raise CallerGone from error
 
+    @property
+    def has_left(self) -> bool:
+        """Return whether the caller has ended the connection."""
+        return self._is_ended
+
     def watch(self, scope: trio.CancelScope) -> None:
         """Cancel `scope` as soon as the caller leaves."""
         self._working_scope = scope
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -11,6 +11,7 @@
     request_bytes,
     running_site,
 )
+from tests.fixtures.logs import ListHandler
 from tests.fixtures.runners import EVENT_COUNT, event
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
@@ -163,6 +164,28 @@
         await eventually(is_broken_off, limit_s=0.4)
 
 
+@runs_in_trio
+async def test_a_caller_that_left_is_not_logged_as_late():
+    with ListHandler.listening("scaleloom.gateway") as messages:
+        async with running_site(runner_count=1) as site:
+            (runner,) = site.runners
+            runner.behaviour = runners.stay_silent
+
+            async def has_run() -> bool:
+                return site.run_count() == 1
+
+            async def is_broken_off() -> bool:
+                return runner.broken_off == 1
+
+            port = site.gateways[0].front_port
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                await stream.send_all(request_bytes("/once/1"))
+                await eventually(has_run)
+            await eventually(is_broken_off)
+            await site.ask("/nowhere/1")
+    assert "request not served" not in messages
+
+
 @runs_in_trio
 async def test_a_connection_carries_many_requests():
     async with running_site() as site:
