Say "not run" only if no try before may have run

Cause: a refusal after a proof forgot an earlier try that had broken off: a repeatable request that may have run once was answered 503 as not run.

Change: a proof takes back only its own try. The promise test judges every kind now (it was laxer than the promise); it and a new test failed before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -18,6 +18,7 @@
 )
 
 ACCEPT_BATCH = 64
+ACCEPT_PAUSE_S = 0.02
 _logger = logging.getLogger("scaleloom.gateway")
 
 
@@ -27,11 +28,16 @@
     """Serve every connection that arrives at `listener`."""
     while True:
         await trio.lowlevel.wait_readable(listener)
-        for _ in range(ACCEPT_BATCH):
+        accepted = 0
+        while accepted < ACCEPT_BATCH:
             connection = sockets.accept_ready(listener)
             if connection is None:
                 break
+            accepted += 1
             nursery.start_soon(serve_connection, state, connection)
+        if not accepted:
+            # Out of descriptors: the connection stays ready and would spin.
+            await trio.sleep(ACCEPT_PAUSE_S)
 
 
 async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -129,6 +129,7 @@
         record.listed, work.match, work.request, names, last_id, source, now_s
     )
     work.sends += 1
+    may_have_run_before = work.may_have_run
     work.may_have_run = True
     link.start(outgoing)
     with trio.move_on_after(_head_patience_s(work, can_repeat)) as scope:
@@ -136,7 +137,7 @@
     if scope.cancelled_caught:
         return Verdict.SILENT
     if head.status == MISDIRECTED or head.find(names.not_run.lower()) is not None:
-        work.may_have_run = work.sends > 1 and work.failure is not None
+        work.may_have_run = may_have_run_before
         await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
         is_misplaced = head.status == MISDIRECTED
         return Verdict.MISPLACED if is_misplaced else Verdict.NOT_RUN
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -122,6 +122,21 @@
             assert answer.body == f"body of r-{number}".encode()
 
 
+@runs_in_trio
+async def test_a_refusal_after_a_broken_try_does_not_say_not_run():
+    async with running_site() as site:
+
+        async def break_first(runner, asked) -> bool:
+            behaviour = runners.shed if site.run_count() else runners.close_unanswered
+            return await behaviour(runner, asked)
+
+        for runner in site.runners:
+            runner.behaviour = break_first
+        answer = await site.ask("/safe/1")
+        assert site.run_count() == 1
+    assert answer.status == 502
+
+
 @params(runners.cut_body, runners.stall_stream)
 @runs_in_trio
 async def test_a_resumable_stream_goes_on_at_another_target(behaviour):
--- a/tests/gateway/test_promises.py
+++ b/tests/gateway/test_promises.py
@@ -47,7 +47,7 @@
         answer = self.answer
         if not is_repeatable and self.runs > 1:
             return "ran twice"
-        if not is_repeatable and answer.status in PROMISES and self.runs:
+        if answer.status in PROMISES and self.runs:
             return "a false promise that it has not run"
         if answer.status == 200 and answer.is_whole and answer.body != self.due_body():
             return "another body"
