Hook the step in which bytes arrive instead of waiting for it in a test

Cause: the runner of the tests hung twice. A dump of the hung process showed a test that polled for bytes which the waiting task could take first, and no limit on a test's time.

Ruled out: the product's own loops (all tasks of the gateway were idle).

--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -13,6 +13,7 @@
     apply_config_document,
     apply_target_documents,
 )
+from scaleloom_fleet.http1.callers import CallerConnection
 from scaleloom_standins.ports import free_port
 from tests.fixtures import runners
 from tests.fixtures.fleets import runs_in_trio
@@ -86,6 +87,18 @@
     assert lost == []
 
 
+def _leave_as_bytes_arrive(caller: CallerConnection) -> None:
+    """Ask `caller` to leave before the task that waits for its bytes runs."""
+    tell = caller._tell
+
+    def tell_and_leave() -> None:
+        tell()
+        if caller.has_unread:
+            caller.leave()
+
+    caller._tell = tell_and_leave
+
+
 @runs_in_trio
 async def test_a_connection_is_not_ended_under_a_request_that_just_arrived():
     """Ask a connection to leave in the very step in which bytes have arrived."""
@@ -103,10 +116,8 @@
         nursery.start_soon(serve_connection, state, ours)
         await trio.testing.wait_all_tasks_blocked()
         (caller,) = state.connections
+        _leave_as_bytes_arrive(caller)
         theirs.sendall(request_bytes("/once/1"))
-        while not caller.has_unread:
-            await trio.lowlevel.checkpoint()
-        caller.leave()
         stream = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
         answer = await ask_on(stream, b"", "GET")
         nursery.cancel_scope.cancel()
