--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -82,22 +82,23 @@
         """
         Return whose cache `chosen` should copy the shared part from, if any.
 
-        It is another target to which a router sent the part, the last one first,
-        or else the part's home, or its home before the targets changed. A copy
-        costs a small part of what reading the prompt again does, and nothing if
-        the source no longer keeps the part or `chosen` still does. So a target
-        that should hold the part is told of another one that does as well: it
-        may have dropped the part, or still be waiting for its own copy.
+        It is the target to which a router sent the part last, or else the
+        part's home, or its home before the targets changed. A copy costs a
+        small part of what reading the prompt again does, and nothing if the
+        source no longer keeps the part.
         """
         part = key.shared_part
         if part is None:
             return None
         number = part_key(part)
+        if self.holders.holds(number, target_key(chosen), now_s):
+            return None
         holders = self.holders.latest(number, now_s)
-        likely = list(filter(None, map(self.view.find_key, holders)))
-        if not self.holders.holds(number, target_key(chosen), now_s):
-            likely += self.view.candidates(key.service, part)[:1]
-            likely.append(self.view.former_home(key.service, part))
+        likely = [
+            *filter(None, map(self.view.find_key, holders)),
+            *self.view.candidates(key.service, part)[:1],
+            self.view.former_home(key.service, part),
+        ]
         for target in likely:
             record = self.view.records.get(target)
             if target == chosen or record is None or record.away_until_s > now_s:
