Keep copies of the store's documents in three other parts of the store

Change: the first router in rank writes the configuration and the list, compressed and when they change, to three partitions of a topic of the fleet's own. A router that neither the store nor a peer told enough reads them, all at once, and goes on asking the store.

--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -0,0 +1,132 @@
+"""Copies of the store's documents, kept in topics of the fleet's own."""
+
+import logging
+import random
+import zlib
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.store_watch import (
+    StoreWatch,
+    apply_config_document,
+    apply_target_documents,
+)
+
+WRITE_INTERVAL_S = 0.5
+WRITE_RETRY_S = 3.0
+FIRST_READING_S = 0.15
+READ_RETRY_S = 0.5
+CONFIG_KEY = "config"
+TARGETS_KEY = "targets"
+COPY_LIMIT_BYTES = 200_000
+NEVER_S = float("-inf")
+_logger = logging.getLogger("scaleloom.copies")
+
+
+class TargetsCopy(msgspec.Struct, array_like=True, frozen=True):
+    """The list of targets, and how far the platform's topic had been read."""
+
+    position: int
+    documents: dict[str, bytes]
+
+
+@dataclass(slots=True)
+class WrittenCopy:
+    """What one topic holds, as far as this router wrote it itself."""
+
+    config_version: int = -1
+    list_digest: int | None = None
+    retry_at_s: float = NEVER_S
+
+
+class DocumentCopies:
+    """
+    Writes copies of what the store says, and reads them when all else fails.
+
+    A part of the store can be down while the rest works, and the whole fleet
+    can lose power meanwhile. Then no peer knows the documents, and the topic
+    that holds them does not answer; a topic with a copy may.
+
+    Parameters
+    ----------
+    watch : StoreWatch
+        Reaches the store.
+    """
+
+    def __init__(self, state: GatewayState, watch: StoreWatch) -> None:
+        self._state = state
+        self._watch = watch
+        self._written = {topic: WrittenCopy() for topic in COPY_TOPICS}
+
+    async def write_forever(self) -> None:
+        """Keep the copies up to date while this router is the first in rank."""
+        while True:
+            await trio.sleep(WRITE_INTERVAL_S)
+            if self._state.rank == 0 and self._watch.is_reachable:
+                for topic, written in self._written.items():
+                    await self._write_changed(topic, written)
+
+    async def _write_changed(self, topic: Topic, written: WrittenCopy) -> None:
+        """Write to `topic` what changed since it was last written."""
+        state = self._state
+        now_s = trio.current_time()
+        if state.routing is None or now_s < written.retry_at_s:
+            return
+        version, digest = state.routing.version, state.view.digest
+        is_whole = True
+        if version != written.config_version:
+            is_whole = await self._write(topic, CONFIG_KEY, state.config_document)
+            written.config_version = version if is_whole else -1
+        if is_whole and digest != written.list_digest:
+            copy = TargetsCopy(state.view.list_position, state.listed_documents)
+            is_whole = await self._write(
+                topic, TARGETS_KEY, msgspec.msgpack.encode(copy)
+            )
+            written.list_digest = digest if is_whole else None
+        if not is_whole:
+            written.retry_at_s = now_s + WRITE_RETRY_S
+
+    async def _write(self, topic: Topic, key: str, document: bytes) -> bool:
+        """Write `document`; return whether nothing more is to be done for it."""
+        value = zlib.compress(document)
+        if len(value) > COPY_LIMIT_BYTES:
+            fields = {"key": key, "bytes": len(value)}
+            _logger.warning("document too large to be copied", extra=fields)
+            return True
+        return await self._watch.append(topic, key, value)
+
+    async def read_until_known(self) -> None:
+        """Read the copies if neither the store nor a peer told enough."""
+        await trio.sleep(FIRST_READING_S)
+        while not self._state.knows_enough:
+            async with trio.open_nursery() as nursery:
+                for topic in random.sample(COPY_TOPICS, len(COPY_TOPICS)):
+                    nursery.start_soon(self._read, topic, nursery.cancel_scope)
+            if not self._state.knows_enough:
+                await trio.sleep(READ_RETRY_S)
+
+    async def _read(self, topic: Topic, scope: trio.CancelScope) -> None:
+        """Take in one topic's copies, and end `scope` if that is enough."""
+        for record in await self._watch.read_records(topic):
+            _logger.info("copy read", extra={"key": record.key})
+            self._apply(record)
+        if self._state.knows_enough:
+            scope.cancel()
+
+    def _apply(self, record: StoredRecord) -> None:
+        """Take one copy into force, or report why it cannot be read."""
+        try:
+            document = zlib.decompress(record.value)
+            if record.key == CONFIG_KEY:
+                apply_config_document(self._state, document)
+            elif record.key == TARGETS_KEY:
+                copy = msgspec.msgpack.decode(document, type=TargetsCopy)
+                apply_target_documents(
+                    self._state, copy.documents, copy.position, NEVER_S
+                )
+        except (zlib.error, msgspec.DecodeError) as error:
+            _logger.error("copy unreadable", extra={"why": str(error)})
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -19,6 +19,13 @@
     CONFIG = "config"
     TARGETS = "targets"
     ROUTERS = "routers"
+    FIRST_COPY = "first_copy"
+    SECOND_COPY = "second_copy"
+    THIRD_COPY = "third_copy"
+
+
+# Each lies in another part of the store, which may be up when others are down.
+COPY_TOPICS = (Topic.FIRST_COPY, Topic.SECOND_COPY, Topic.THIRD_COPY)
 
 
 @dataclass(frozen=True)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -8,6 +8,7 @@
 
 from scaleloom_core.catching_up import CatchUp, Knowledge
 from scaleloom_core.ids import InstanceId
+from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.peer_documents import (
     DocumentServer,
     fetch_documents,
@@ -182,7 +183,7 @@
         value = self._state.settings.instance.data_centre.encode()
         await self._watch.announce(str(self._own), value)
         while True:
-            routers = await self._watch.read_routers()
-            for key in routers or ():
-                self.table.add(parse_address(key))
+            routers = await self._watch.read_records(Topic.ROUTERS)
+            for record in routers:
+                self.table.add(parse_address(record.key))
             await trio.sleep(ROUTERS_INTERVAL_S if routers else SILENT_INTERVAL_S)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -14,6 +14,7 @@
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.schema import GatewaySettings
 from scaleloom_fleet.gateway import accepting, readiness
+from scaleloom_fleet.gateway.copies import DocumentCopies
 from scaleloom_fleet.gateway.interfaces import load_adapter
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
@@ -48,6 +49,7 @@
     state = make_state(settings)
     watch = StoreWatch(state)
     peers = PeerExchange(state, watch)
+    copies = DocumentCopies(state, watch)
     front = sockets.listen(settings.front_address)
     ready = sockets.listen(settings.ready_address)
     documents = peers.bind()
@@ -63,6 +65,8 @@
             peers.report_forever,
             peers.fetch_forever,
             peers.introduce,
+            copies.read_until_known,
+            copies.write_forever,
             state.pools.sweep_forever,
             state.waiting.pump_forever,
         ):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -199,23 +199,26 @@
             if record.key == self._state.adapter.config_key and record.value:
                 apply_config_document(self._state, record.value)
 
+    async def append(self, topic: Topic, key: str, value: bytes) -> bool:
+        """Write `value` under `key`; return whether the store said that it did."""
+        request = self._state.adapter.append_request(topic, key, value)
+        client = self._new_client()
+        answer = await client.call(request)
+        client.drop()
+        return not isinstance(answer, Failure)
+
     async def announce(self, key: str, value: bytes) -> None:
         """Write where this router is, until the store has taken it."""
-        request = self._state.adapter.append_request(Topic.ROUTERS, key, value)
-        client = self._new_client()
-        while isinstance(await client.call(request), Failure):
+        while not await self.append(Topic.ROUTERS, key, value):
             await trio.sleep(self._state.settings.platform.list_poll_s)
-        client.drop()
 
-    async def read_routers(self) -> dict[str, bytes] | None:
-        """Return what routers wrote of themselves, by key."""
+    async def read_records(self, topic: Topic) -> list[StoredRecord]:
+        """Return the newest records of `topic`; none if the store did not answer."""
         client = self._new_client()
-        reading = await self._read_newest(client, Topic.ROUTERS)
+        reading = await self._read_newest(client, topic)
         client.drop()
         page: NewestPage | None = reading.value_or(None)
-        if page is None:
-            return None
-        return {record.key: record.value for record in page.records}
+        return page.records if page is not None else []
 
     def _new_client(self) -> StoreClient:
         """Return a client for a call now and then."""
--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from scaleloom_platform import ADAPTER
-from scaleloom_platform.calls import TOPIC_NAMES
+from scaleloom_platform.calls import PLACES
 
 ROOT = Path(__file__).parents[2]
 # Names of HTTP itself, which the product has of its own right.
@@ -18,7 +18,12 @@
     """Return what may stand in the adapter only."""
     names = [value.decode() for value in vars(ADAPTER.headers).values()]
     kept = set(names) - STANDARD_NAMES - ORDINARY_WORDS
-    return [*kept, ADAPTER.ready_path.decode(), "/scaleloom/", *TOPIC_NAMES.values()]
+    return [
+        *kept,
+        ADAPTER.ready_path.decode(),
+        "/scaleloom/",
+        *(name for name, _ in PLACES.values()),
+    ]
 
 
 def test_no_spelling_of_the_platform_stands_in_the_product():
--- /dev/null
+++ b/tests/gateway/test_copies.py
@@ -0,0 +1,86 @@
+"""Tests of the copies that outlive a fleet while a part of the store is down."""
+
+from nose2.tools import params
+
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
+    TARGETS_TOPIC,
+    Site,
+    config,
+    eventually,
+    request_bytes,
+    route,
+    running_site,
+)
+
+COPIES_TOPIC = "keyed.scaleloom-copies"
+ROUTERS_TOPIC = "keyed.scaleloom-routers"
+
+
+async def _wait_copies(site: Site, count: int) -> None:
+    """Return once at least `count` records of copies were written."""
+
+    async def are_written() -> bool:
+        return len(site.store.topic(COPIES_TOPIC).records) >= count
+
+    await eventually(are_written)
+
+
+@params(
+    {TARGETS_TOPIC},
+    {CONFIG_TOPIC},
+    {CONFIG_TOPIC, TARGETS_TOPIC},
+)
+@runs_in_trio
+async def test_a_fleet_without_memory_reads_the_copies(down):
+    async with running_site() as site:
+        await _wait_copies(site, 6)
+        site.store.down_topics = {*down, ROUTERS_TOPIC}
+        started = site.start_gateway(site.store_port)
+        await started.wait_ready()
+        assert (await started.ask(request_bytes("/safe/1"))).status == 200
+
+
+@runs_in_trio
+async def test_a_change_is_copied():
+    async with running_site() as site:
+        await _wait_copies(site, 6)
+        site.store.put(CONFIG_TOPIC, "config", config(2, route("added", "safe")))
+        await _wait_copies(site, 9)
+        site.store.down_topics = {CONFIG_TOPIC, ROUTERS_TOPIC}
+        started = site.start_gateway(site.store_port)
+        await started.wait_ready()
+        assert (await started.ask(request_bytes("/added/1"))).status == 200
+
+
+@runs_in_trio
+async def test_nothing_is_written_while_nothing_changes():
+    async with running_site() as site:
+        await _wait_copies(site, 6)
+        calls_before = site.store.calls.count("log-append")
+        reads_before = len(site.store.calls)
+
+        async def some_time_passed() -> bool:
+            return len(site.store.calls) > reads_before + 15
+
+        await eventually(some_time_passed)
+        assert site.store.calls.count("log-append") == calls_before
+
+
+@runs_in_trio
+async def test_a_copy_that_cannot_be_read_changes_nothing():
+    async with running_site() as site:
+        await _wait_copies(site, 6)
+        site.store.topic(COPIES_TOPIC).append("config", b"no copy")
+        site.store.down_topics = {CONFIG_TOPIC, ROUTERS_TOPIC}
+        started = site.start_gateway(site.store_port)
+
+        async def is_refused() -> bool:
+            answer = await started.ask(request_bytes("/safe/1"))
+            return answer.status == 503
+
+        await eventually(is_refused)
+        assert not await started.is_ready()
+        site.store.down_topics = set()
+        await started.wait_ready()
