--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 READY := $(VENV)/.ready
 PACKAGES := core wire fleet cli standins
 
-.PHONY: demo test lint format proofs bench placement capacity clean
+.PHONY: demo test lint format proofs soak bench placement capacity clean
 
 demo: $(READY)
 	$(PYTHON) -m scaleloom_standins.demo
@@ -24,6 +24,9 @@
 proofs: $(READY)
 	$(PYTHON) -m proofs
 
+soak: $(READY)
+	$(PYTHON) -m soak $(SOAK)
+
 bench: $(READY)
 	$(PYTHON) -m benchmarks
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real gateways as processes on loopback, under drawn faults."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,143 @@
+"""Faults of the soak, drawn in series that overlap."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable, Sequence
+
+import trio
+
+from soak.relays import Relay, RelayMode
+from soak.site import SoakSite
+from soak.targets import SoakTarget
+from tests.fixtures.platform_store import StoreFault
+
+SERIES_COUNT = 2
+PAUSE_S = (0.3, 1.5)
+LENGTH_S = (0.3, 2.5)
+BAD_MODES = [mode for mode in RelayMode if mode is not RelayMode.PASS]
+BAD_STORE = [fault for fault in StoreFault if fault is not StoreFault.NONE]
+BAD_SHARE = 0.3
+WORST_SHARE = 0.8
+STALE_RECORDS = 12
+DRAIN_S = 3.0
+
+
+Fault = Callable[[SoakSite, random.Random], Awaitable[None]]
+
+
+def draw_faults(draw: random.Random) -> list[Fault]:
+    """Return the kinds of fault of one seed, so that each is also met alone."""
+    return draw.sample(FAULTS, draw.randrange(2, len(FAULTS) + 1))
+
+
+async def trouble_forever(
+    site: SoakSite, draw: random.Random, faults: Sequence[Fault]
+) -> None:
+    """Let one of `faults` strike after another."""
+    while True:
+        await trio.sleep(draw.uniform(*PAUSE_S))
+        await draw.choice(faults)(site, draw)
+
+
+async def signal_gateway(site: SoakSite, draw: random.Random) -> None:
+    """Kill, stop, pause or wake one gateway, or all of them at once."""
+    number = draw.choice(
+        [signal.SIGKILL, signal.SIGTERM, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP]
+    )
+    struck = [draw.choice(site.gateways)]
+    if number is signal.SIGKILL and draw.random() < 0.2:
+        struck = site.gateways
+    for gateway in struck:
+        gateway.send(number)
+    if number is signal.SIGSTOP:
+        await trio.sleep(draw.uniform(*LENGTH_S))
+        for gateway in struck:
+            gateway.send(signal.SIGCONT)
+
+
+async def _trouble_relay(relay: Relay, draw: random.Random) -> None:
+    """Let one relay misbehave for a while."""
+    relay.set_mode(draw.choice(BAD_MODES))
+    await trio.sleep(draw.uniform(*LENGTH_S))
+    relay.set_mode(RelayMode.PASS)
+
+
+async def cut_gateway_from_store(site: SoakSite, draw: random.Random) -> None:
+    """Let one gateway's way to the store misbehave."""
+    number = draw.randrange(len(site.gateways))
+    gateway = site.gateways[number]
+    gateway.strike()
+    await _trouble_relay(site.store_relays[number], draw)
+    gateway.strike()
+
+
+async def trouble_store(site: SoakSite, draw: random.Random) -> None:
+    """Let the store misbehave for everybody."""
+    site.trouble_store(draw.choice(BAD_STORE))
+    await trio.sleep(draw.uniform(*LENGTH_S))
+    site.trouble_store(StoreFault.NONE)
+
+
+async def rewind_store(site: SoakSite, draw: random.Random) -> None:
+    """Let the store give old readings to routers that have to read again."""
+    site.trouble_store(StoreFault.STALE)
+    site.store.stale_by = draw.randrange(1, STALE_RECORDS)
+    for relay in site.store_relays:
+        relay.set_mode(RelayMode.RESET)
+    await trio.sleep(0.05)
+    for relay in site.store_relays:
+        relay.set_mode(RelayMode.PASS)
+    await trio.sleep(draw.uniform(*LENGTH_S))
+    site.trouble_store(StoreFault.NONE)
+
+
+async def cut_target(site: SoakSite, draw: random.Random) -> None:
+    """Let the way to one target misbehave."""
+    target = draw.choice(site.targets)
+    target.strike()
+    await _trouble_relay(target.relay, draw)
+    target.strike()
+
+
+async def spoil_answers(site: SoakSite, draw: random.Random) -> None:
+    """Let one target answer badly for a while, or most of a service."""
+    struck = [draw.choice(site.targets)]
+    if draw.random() < 0.4:
+        service = struck[0].service
+        struck = [target for target in site.targets if target.service == service]
+    for target in struck:
+        target.strike()
+        target.bad_share = BAD_SHARE if len(struck) == 1 else WORST_SHARE
+    await trio.sleep(draw.uniform(*LENGTH_S))
+    for target in struck:
+        target.bad_share = 0.0
+        target.strike()
+
+
+async def replace_target(site: SoakSite, draw: random.Random) -> None:
+    """Let a new target join and an old one leave."""
+    leaving: SoakTarget = draw.choice(site.targets)
+    site.add_target(leaving.service)
+    await trio.sleep(draw.uniform(*PAUSE_S))
+    if leaving in site.targets:
+        site.leave(leaving)
+        await trio.sleep(DRAIN_S)
+
+
+async def change_config(site: SoakSite, draw: random.Random) -> None:
+    """Write one configuration, or several in quick succession."""
+    for _ in range(draw.choice((1, 1, 5))):
+        site.put_config()
+        await trio.sleep(0.05)
+
+
+FAULTS: tuple[Fault, ...] = (
+    signal_gateway,
+    cut_gateway_from_store,
+    trouble_store,
+    rewind_store,
+    cut_target,
+    spoil_answers,
+    replace_target,
+    change_config,
+)
--- /dev/null
+++ b/soak/targets.py
@@ -0,0 +1,119 @@
+"""Targets of the soak: stand-ins behind relays, with work that takes time."""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from soak.relays import Relay
+from tests.fixtures import runners
+from tests.fixtures.http_standin import Asked, free_listener, port_of, serve_http
+from tests.fixtures.runners import Runner, request_id
+
+WORK_S = (0.005, 0.04)
+CHAT_WORK_S = (0.05, 0.2)
+SLOTS = 32
+GATEWAY_HEADER = "soak-gateway"
+BAD_ANSWERS = (
+    runners.shed,
+    runners.fail,
+    runners.close_unanswered,
+    runners.cut_body,
+    runners.answer_twice,
+    runners.answer_other_first,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request as it reached a target."""
+
+    request_id: str
+    gateway: str
+    target: str
+    service: str
+    at_s: float
+    ended_s: float
+    has_run: bool
+
+
+@dataclass
+class SoakTarget:
+    """
+    One target and what reached it.
+
+    Parameters
+    ----------
+    bad_share : float
+        How many of its answers are bad ones.
+    joined_s, left_s : float
+        When its entry came, and said that it leaves, on the runtime's clock.
+    strikes_s : list of float
+        When it, or the way to it, began or ceased to misbehave.
+    """
+
+    runner: Runner
+    relay: Relay
+    service: str
+    draw: random.Random
+    bad_share: float = 0.0
+    joined_s: float = field(default_factory=trio.current_time)
+    left_s: float = float("inf")
+    strikes_s: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+
+    def strike(self) -> None:
+        """Note that something begins or ceases to misbehave now."""
+        self.strikes_s.append(trio.current_time())
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Return what the target writes of itself."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.relay.port}",
+            "zone": "a",
+            "slots": SLOTS,
+            "state": state,
+            "cold-left-ms": 0,
+            "seq": 1,
+        }
+
+    async def answer(self, runner: Runner, asked: Asked) -> bool:
+        """Work on one request for a while, and answer it well or badly."""
+        runs_before = runner.runs[request_id(asked)]
+        arrived_s = trio.current_time()
+        try:
+            is_chat = asked.target.startswith("/chat")
+            work_s = CHAT_WORK_S if is_chat else WORK_S
+            await trio.sleep(self.draw.uniform(*work_s))
+            behave = runners.answer_well
+            if self.draw.random() < self.bad_share:
+                behave = self.draw.choice(BAD_ANSWERS)
+            return await behave(runner, asked)
+        finally:
+            has_run = runner.runs[request_id(asked)] > runs_before
+            gateway = asked.headers.get(GATEWAY_HEADER, "")
+            self.arrivals.append(
+                Arrival(
+                    request_id(asked),
+                    gateway,
+                    runner.id,
+                    self.service,
+                    arrived_s,
+                    trio.current_time(),
+                    has_run,
+                )
+            )
+
+
+def start_target(
+    name: str, service: str, draw: random.Random, nursery: trio.Nursery
+) -> SoakTarget:
+    """Start a target behind a relay of its own."""
+    listener = free_listener()
+    runner = Runner(name, port_of(listener))
+    target = SoakTarget(runner, Relay(runner.port), service, draw)
+    runner.behaviour = target.answer
+    nursery.start_soon(serve_http, listener, runner.answer)
+    nursery.start_soon(target.relay.run)
+    return target
