Load only the settings of the process's own role

Change: types and shared sections, the gateway's settings and the others stand in modules of their own; a role's class is imported when asked for.

--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/__init__.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/__init__.py
@@ -6,17 +6,9 @@
     load_router_settings,
     load_sidecar_settings,
 )
-from scaleloom_fleet.conf.schema import (
-    GatewaySettings,
-    RouterSettings,
-    SidecarSettings,
-)
 
 __all__ = [
     "CheckMessage",
-    "GatewaySettings",
-    "RouterSettings",
-    "SidecarSettings",
     "check_file",
     "load_gateway_settings",
     "load_router_settings",
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/checks.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/checks.py
@@ -8,17 +8,8 @@
 
 import msgspec
 
-from scaleloom_fleet.conf.schema import (
-    GatewaySettings,
-    RouterSettings,
-    SidecarSettings,
-)
-
-ROLE_SETTINGS = {
-    "gateway": GatewaySettings,
-    "router": RouterSettings,
-    "sidecar": SidecarSettings,
-}
+from scaleloom_fleet.conf.roles import settings_of
+
 _NUMBER_WITH_UNIT = re.compile(r"^-?[0-9.]+\s*([A-Za-z%]+)$")
 
 
@@ -62,7 +53,7 @@
         return Checked({}, [_unreadable(path, error.strerror or str(error))])
     except (configparser.Error, UnicodeDecodeError) as error:
         return Checked({}, [_unreadable(path, str(error))])
-    return _check(parser, ROLE_SETTINGS[role], role)
+    return _check(parser, settings_of(role), role)
 
 
 def _unreadable(path: Path, reason: str) -> CheckMessage:
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/fields.py
@@ -0,0 +1,33 @@
+"""Types of settings, and the sections that every role has."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+MEBIBYTE = 1 << 20
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+IpAddress = Annotated[str, Meta(pattern=r"^[0-9.]+$|^[0-9a-fA-F:]+$")]
+HostPort = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[0-9.]+):[0-9]+$")]
+PositiveSeconds = Annotated[float, Meta(gt=0)]
+Seconds = Annotated[float, Meta(ge=0)]
+Ratio = Annotated[float, Meta(ge=0, le=1)]
+
+
+class ObserveSection(msgspec.Struct, frozen=True):
+    """Logs, metrics and traces."""
+
+    log_level: Annotated[
+        str,
+        Meta(
+            pattern="^(DEBUG|INFO|WARNING|ERROR)$", description="Lowest level logged."
+        ),
+    ] = "INFO"
+    statsd_address: Annotated[
+        HostPort | None, Meta(description="The statsd server; none sends nothing.")
+    ] = None
+    trace_ratio: Annotated[
+        Ratio, Meta(description="Share of the traces begun here that are kept.")
+    ] = 0.01
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -0,0 +1,169 @@
+"""Every setting of a gateway, with its type, bounds, default and effect."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from scaleloom_fleet.conf.fields import (
+    HostPort,
+    Name,
+    ObserveSection,
+    Port,
+    PositiveSeconds,
+    Ratio,
+    Seconds,
+)
+from scaleloom_fleet.utils.addresses import Address, parse_address
+
+
+class ListenSection(msgspec.Struct, frozen=True):
+    """Where a gateway listens."""
+
+    front: Annotated[HostPort, Meta(description="For callers.")]
+    ready: Annotated[HostPort, Meta(description="For the balancer's questions.")]
+    peer_port: Annotated[
+        Port, Meta(description="TCP and UDP port for other gateways, the same on all.")
+    ]
+    seeds: Annotated[
+        str,
+        Meta(
+            description="Addresses of other gateways, separated by commas; only their"
+            " hosts count."
+        ),
+    ] = ""
+
+
+class StoreSection(msgspec.Struct, frozen=True):
+    """The platform's store, and how it is read."""
+
+    adapter: Annotated[
+        str,
+        Meta(
+            pattern=r"^[A-Za-z_][\w.]*$",
+            description="Python module that knows the platform's names and formats.",
+        ),
+    ]
+    store: Annotated[HostPort, Meta(description="Where the store listens.")]
+    timeout_s: Annotated[
+        PositiveSeconds, Meta(description="Longest wait for an answer of the store.")
+    ] = 1.0
+    list_poll_s: Annotated[
+        PositiveSeconds, Meta(description="Time between readings of the targets.")
+    ] = 0.7
+    retry_s: Annotated[
+        PositiveSeconds, Meta(description="Time before a failed reading is repeated.")
+    ] = 0.3
+    config_wait_s: Annotated[
+        PositiveSeconds,
+        Meta(description="How long one call waits for a new configuration."),
+    ] = 20.0
+
+
+class CallersSection(msgspec.Struct, frozen=True):
+    """How a gateway treats its callers, besides what the configuration says."""
+
+    body_timeout_s: Annotated[
+        PositiveSeconds, Meta(description="Longest time to receive a body.")
+    ] = 10.0
+
+
+class TargetsSection(msgspec.Struct, frozen=True):
+    """How a gateway reaches targets."""
+
+    connect_timeout_s: Annotated[
+        PositiveSeconds, Meta(description="Longest time to reach a target.")
+    ] = 0.25
+    silence_s: Annotated[
+        PositiveSeconds,
+        Meta(description="How long sent bytes may stay unacknowledged."),
+    ] = 0.8
+    once_idle_limit_s: Annotated[
+        Seconds,
+        Meta(
+            description="Longest idle time of a connection that carries a request"
+            " that must not be repeated."
+        ),
+    ] = 0.3
+
+
+class FleetBoundsSection(msgspec.Struct, frozen=True):
+    """Bounds that all gateways keep together."""
+
+    load_multiple: Annotated[
+        float, Meta(gt=1, description="Bound on load over the service's mean.")
+    ] = 2.0
+    retry_ratio: Annotated[
+        Ratio, Meta(description="Repeats for each request in the window.")
+    ] = 0.2
+    retry_extra: Annotated[
+        float, Meta(ge=0, description="Repeats in the window beyond that.")
+    ] = 50.0
+    retry_window_s: Annotated[
+        PositiveSeconds, Meta(description="Length of the window.")
+    ] = 10.0
+
+
+class GatewayStopSection(msgspec.Struct, frozen=True):
+    """How a gateway stops."""
+
+    notice_s: Annotated[
+        Seconds,
+        Meta(description="Time between failing readiness and ending connections."),
+    ] = 2.7
+    grace_s: Annotated[
+        PositiveSeconds,
+        Meta(description="Time after which a process that was asked to stop is gone."),
+    ] = 8.0
+
+
+class GatewayInstanceSection(msgspec.Struct, frozen=True):
+    """Who a gateway is."""
+
+    name: Annotated[Name, Meta(description="Name in logs.")]
+    data_centre: Annotated[Name, Meta(description="Data centre it stands in.")]
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """All settings of a gateway."""
+
+    instance: GatewayInstanceSection
+    listen: ListenSection
+    platform: StoreSection
+    callers: CallersSection = CallersSection()
+    targets: TargetsSection = TargetsSection()
+    bounds: FleetBoundsSection = FleetBoundsSection()
+    stop: GatewayStopSection = GatewayStopSection()
+    observe: ObserveSection = ObserveSection()
+
+    @property
+    def front_address(self) -> Address:
+        """Return where callers connect."""
+        return parse_address(self.listen.front)
+
+    @property
+    def ready_address(self) -> Address:
+        """Return where the balancer asks."""
+        return parse_address(self.listen.ready)
+
+    @property
+    def peer_address(self) -> Address:
+        """Return where other gateways reach this one."""
+        return Address(self.front_address.host, self.listen.peer_port)
+
+    @property
+    def store_address(self) -> Address:
+        """Return where the store listens."""
+        return parse_address(self.platform.store)
+
+    @property
+    def statsd_address(self) -> Address | None:
+        """Return where metrics are sent, if anywhere."""
+        listed = self.observe.statsd_address
+        return parse_address(listed) if listed else None
+
+    @property
+    def seed_hosts(self) -> list[str]:
+        """Return the hosts of the gateways that the settings name."""
+        named = [seed.strip() for seed in self.listen.seeds.split(",")]
+        return [parse_address(seed).host for seed in named if seed]
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/loading.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/loading.py
@@ -1,45 +1,41 @@
 """Loading of a checked settings file."""
 
 from pathlib import Path
-from typing import TypeVar
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from scaleloom_fleet.conf.checks import CheckMessage, read_checked
-from scaleloom_fleet.conf.schema import (
-    GatewaySettings,
-    RouterSettings,
-    SidecarSettings,
-)
+from scaleloom_fleet.conf.roles import settings_of
 from scaleloom_fleet.utils.addresses import Address, parse_address
 
-Settings = TypeVar("Settings")
+if TYPE_CHECKING:
+    from scaleloom_fleet.conf.gateway_schema import GatewaySettings
+    from scaleloom_fleet.conf.schema import RouterSettings, SidecarSettings
 
 
-def load_gateway_settings(path: Path) -> Result[GatewaySettings, list[CheckMessage]]:
+def load_gateway_settings(path: Path) -> Result["GatewaySettings", list[CheckMessage]]:
     """Return the gateway settings at `path`, or everything wrong with them."""
-    return _load(path, "gateway", GatewaySettings)
+    return _load(path, "gateway")
 
 
-def load_router_settings(path: Path) -> Result[RouterSettings, list[CheckMessage]]:
+def load_router_settings(path: Path) -> Result["RouterSettings", list[CheckMessage]]:
     """Return the router settings at `path`, or everything wrong with them."""
-    return _load(path, "router", RouterSettings)
+    return _load(path, "router")
 
 
-def load_sidecar_settings(path: Path) -> Result[SidecarSettings, list[CheckMessage]]:
+def load_sidecar_settings(path: Path) -> Result["SidecarSettings", list[CheckMessage]]:
     """Return the sidecar settings at `path`, or everything wrong with them."""
-    return _load(path, "sidecar", SidecarSettings)
+    return _load(path, "sidecar")
 
 
-def _load(
-    path: Path, role: str, kind: type[Settings]
-) -> Result[Settings, list[CheckMessage]]:
+def _load(path: Path, role: str) -> Result[Any, list[CheckMessage]]:
     """Return the settings of `role` at `path`."""
     checked = read_checked(path, role)
     if checked.messages:
         return Failure(checked.messages)
-    return Success(msgspec.convert(checked.sections, kind))
+    return Success(msgspec.convert(checked.sections, settings_of(role)))
 
 
 def parse_optional_address(text: str | None) -> Address | None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/reference.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/reference.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from scaleloom_fleet.conf.checks import ROLE_SETTINGS, describe
+from scaleloom_fleet.conf.checks import describe
+from scaleloom_fleet.conf.roles import settings_of
 
 EXAMPLES = {
     "name": "router-1",
@@ -27,7 +28,7 @@
 def render_reference(role: str) -> str:
     """Return an INI file with every setting of `role`, its effect and default."""
     lines = [f"# Every setting of a {role}. Lines without '#' must be given."]
-    for section in msgspec.structs.fields(ROLE_SETTINGS[role]):
+    for section in msgspec.structs.fields(settings_of(role)):
         lines += ["", f"[{section.name}]", f"# {section.type.__doc__.strip()}"]
         for field in msgspec.structs.fields(section.type):
             lines += ["", f"# {describe(field.type)}", _line(field)]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
@@ -4,7 +4,7 @@
 
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
-from scaleloom_fleet.conf.schema import TargetsSection
+from scaleloom_fleet.conf.gateway_schema import TargetsSection
 from scaleloom_fleet.http1.links import Link, open_link
 from scaleloom_fleet.utils.addresses import Address
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -12,7 +12,7 @@
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.targets import TargetView
-from scaleloom_fleet.conf.schema import GatewaySettings
+from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway import accepting, readiness
 from scaleloom_fleet.gateway.copies import DocumentCopies
 from scaleloom_fleet.gateway.interfaces import load_adapter
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -10,7 +10,7 @@
 from scaleloom_core.routing import RequestLimits, RoutingTable
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.targets import TargetView
-from scaleloom_fleet.conf.schema import GatewaySettings
+from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.waiting import WaitingRoom
--- a/tests/fleet/test_conf.py
+++ b/tests/fleet/test_conf.py
@@ -1,5 +1,7 @@
 """Tests of settings and their checks."""
 
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -69,3 +71,14 @@
 def test_a_file_that_is_not_there_is_one_problem():
     (message,) = check_file(Path("nowhere.ini"), "router")
     assert message.number == "scaleloom.E001"
+
+
+def test_a_gateway_loads_no_settings_of_other_roles():
+    program = (
+        "import sys, scaleloom_fleet.main, scaleloom_fleet.gateway.process\n"
+        "from scaleloom_fleet.conf.roles import settings_of\n"
+        "settings_of('gateway')\n"
+        "assert 'scaleloom_fleet.conf.schema' not in sys.modules\n"
+        "assert 'scaleloom_core.once' not in sys.modules\n"
+    )
+    assert subprocess.run([sys.executable, "-c", program]).returncode == 0
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from scaleloom_fleet.conf.schema import ObserveSection
+from scaleloom_fleet.conf.fields import ObserveSection
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import running_site
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from scaleloom_fleet.conf.schema import GatewayStopSection
+from scaleloom_fleet.conf.gateway_schema import GatewayStopSection
 from scaleloom_fleet.gateway.accepting import serve_connection
 from scaleloom_fleet.gateway.process import make_state
 from scaleloom_fleet.gateway.store_watch import (
