--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,10 +8,12 @@
 import click
 import trio
 
+from soak.faults import FAULTS
 from soak.play import SoakResult, play
 from soak.switched_off import MECHANISMS
 
 SHOWN_CASES = 4
+KINDS = {fault.__name__: fault for fault in FAULTS}
 
 
 @click.command()
@@ -20,6 +22,7 @@
 @click.option("--seconds", "length_s", default=12.0, show_default=True)
 @click.option("--gateways", "gateway_count", default=3, show_default=True)
 @click.option("--without", type=click.Choice(list(MECHANISMS)))
+@click.option("--only", multiple=True, type=click.Choice(list(KINDS)))
 @click.option("--logs", type=click.Path(path_type=Path), help="Where logs are kept.")
 def main(
     seed: int | None,
@@ -27,6 +30,7 @@
     length_s: float,
     gateway_count: int,
     without: str | None,
+    only: tuple[str, ...],
     logs: Path | None,
 ) -> None:
     """Play faults against real gateways and judge every promise."""
@@ -34,7 +38,9 @@
     failed = 0
     for number in range(first, first + count):
         directory = _directory(logs, number)
-        result = trio.run(play, number, length_s, directory, gateway_count, without)
+        kinds = [KINDS[name] for name in only]
+        arguments = (number, length_s, directory, gateway_count, without, kinds)
+        result = trio.run(play, *arguments)
         failed += bool(result.broken)
         _show(result, directory)
     click.echo(f"{count - failed} seeds held, {failed} broke a promise")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,9 +40,9 @@
 
 
 async def signal_gateway(site: SoakSite, draw: random.Random) -> None:
-    """Kill, stop, pause or wake one gateway, or all of them at once."""
+    """Kill, stop, pause or hang up one gateway, or kill all of them at once."""
     number = draw.choice(
-        [signal.SIGKILL, signal.SIGTERM, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP]
+        [signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP]
     )
     struck = [draw.choice(site.gateways)]
     if number is signal.SIGKILL and draw.random() < 0.2:
@@ -55,6 +55,13 @@
             gateway.send(signal.SIGCONT)
 
 
+async def roll_gateways(site: SoakSite, draw: random.Random) -> None:
+    """Stop the gateways as planned, one after the other, sooner or later."""
+    for gateway in draw.sample(site.gateways, draw.randrange(1, len(site.gateways))):
+        gateway.send(signal.SIGTERM)
+        await trio.sleep(draw.uniform(*PAUSE_S))
+
+
 async def _trouble_relay(relay: Relay, draw: random.Random) -> None:
     """Let one relay misbehave for a while."""
     relay.set_mode(draw.choice(BAD_MODES))
@@ -133,6 +140,7 @@
 
 FAULTS: tuple[Fault, ...] = (
     signal_gateway,
+    roll_gateways,
     cut_gateway_from_store,
     trouble_store,
     rewind_store,
--- a/soak/play.py
+++ b/soak/play.py
@@ -67,7 +67,7 @@
     kinds = faults or draw_faults(random.Random(seed))
     seen = Observations()
     async with running_soak(seed, directory, gateway_count, mechanism) as site:
-        await _wait_ready(site)
+        await wait_ready(site)
         async with trio.open_nursery() as nursery:
             for number in range(CALLER_COUNT):
                 nursery.start_soon(call_forever, site, seen, number, KINDS)
@@ -92,7 +92,7 @@
     return SoakResult(seed, len(seen.outcomes), served, broken)
 
 
-async def _wait_ready(site: SoakSite) -> None:
+async def wait_ready(site: SoakSite) -> None:
     """Return once every gateway says that it is ready."""
     with trio.fail_after(START_LIMIT_S):
         for gateway in site.gateways:
