--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Plays seeds of the soak and prints which promises were broken."""
 
 import random
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -34,6 +35,8 @@
     logs: Path | None,
 ) -> None:
     """Play faults against real gateways and judge every promise."""
+    # Ending in order ends the gateways too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = seed if seed is not None else random.SystemRandom().randrange(10**6)
     failed = 0
     for number in range(first, first + count):
