--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,7 @@
 IMPATIENT_SHARE = 0.04
 IMPATIENT_S = 0.01
 PROBE_INTERVAL_S = 0.2
+CONFIG_DUE_S = 2.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +140,10 @@
     """Ask which version of the configuration a gateway has in force."""
     for turn in range(1_000_000):
         await trio.sleep(PROBE_INTERVAL_S)
-        version, incarnation = site.version, gateway.incarnation
+        # In turn the newest version and the newest that is due everywhere.
+        old_s = CONFIG_DUE_S if turn % 2 else 0.0
+        version = site.version_before(trio.current_time() - old_s)
+        incarnation = gateway.incarnation
         stream = await _connect(gateway)
         if stream is None:
             continue
--- a/soak/site.py
+++ b/soak/site.py
@@ -47,10 +47,9 @@
     store_strikes_s: list[float] = field(default_factory=list)
     _started: int = 0
 
-    @property
-    def version(self) -> int:
-        """Return the newest version of the configuration."""
-        return max(self.puts_s)
+    def version_before(self, at_s: float) -> int:
+        """Return the newest version that was written before `at_s`, or the first."""
+        return max((v for v, s in self.puts_s.items() if s <= at_s), default=1)
 
     def put_config(self) -> None:
         """Write a configuration with one route more than the last."""
