--- a/tests/fleet/test_signals.py
+++ b/tests/fleet/test_signals.py
@@ -4,70 +4,70 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 SIGNAL_INTERVAL_S = 0.01
+SIGNAL_COUNT = 3
+STARTING_PROGRAM = """
+import signal, sys
+print('up', flush=True)
+import scaleloom_fleet.__main__
+assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+print('loaded', flush=True)
+sys.stdin.read()
+"""
+STOPPING_PROGRAM = """
+import sys, trio
+from scaleloom_fleet.utils.stopping import wait_signal
+async def run():
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait_signal)
+        await trio.sleep(0.1)
+        print('up', flush=True)
+    print('stopping', flush=True)
+    sys.stdin.read()
+    print('stopped', flush=True)
+trio.run(run)
+"""
 
-PROGRAM = (
-    "import signal, sys\n"
-    + "print('up', flush=True)\n"
-    + "import scaleloom_fleet.__main__\n"
-    + "assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN\n"
-    + "print('loaded', flush=True)\n"
-    + "sys.stdin.read()\n"
-)
 
-
-def test_a_hang_up_signal_while_a_process_starts_does_not_end_it():
+@contextmanager
+def _running(program: str) -> Iterator[subprocess.Popen]:
+    """Yield a process that runs `program` until its input ends."""
     with subprocess.Popen(
-        [sys.executable, "-c", PROGRAM],
+        [sys.executable, "-c", program],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     ) as process:
         try:
             assert process.stdout.readline() == "up\n"
-            assert process.stdout.readline() == "loaded\n"
-            for _ in range(3):
-                process.send_signal(signal.SIGHUP)
-                time.sleep(SIGNAL_INTERVAL_S)
-            assert process.poll() is None
+            yield process
         finally:
             process.stdin.close()
             process.wait()
 
 
-STOPPING_PROGRAM = (
-    "import sys, time, trio\n"
-    + "from scaleloom_fleet.utils.stopping import wait_signal\n"
-    + "async def run():\n"
-    + "    async with trio.open_nursery() as nursery:\n"
-    + "        nursery.start_soon(wait_signal)\n"
-    + "        await trio.sleep(0.1)\n"
-    + "        print('up', flush=True)\n"
-    + "    print('stopping', flush=True)\n"
-    + "    sys.stdin.read()\n"
-    + "    print('stopped', flush=True)\n"
-    + "trio.run(run)\n"
-)
+def _signal_often(process: subprocess.Popen, number: signal.Signals) -> None:
+    """Send a signal several times, and check that the process lives on."""
+    for _ in range(SIGNAL_COUNT):
+        process.send_signal(number)
+        time.sleep(SIGNAL_INTERVAL_S)
+    assert process.poll() is None
+
+
+def test_a_hang_up_signal_while_a_process_starts_does_not_end_it():
+    with _running(STARTING_PROGRAM) as process:
+        assert process.stdout.readline() == "loaded\n"
+        _signal_often(process, signal.SIGHUP)
 
 
 def test_a_second_signal_does_not_end_a_stop():
-    with subprocess.Popen(
-        [sys.executable, "-c", STOPPING_PROGRAM],
-        stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE,
-        text=True,
-    ) as process:
-        try:
-            assert process.stdout.readline() == "up\n"
-            process.send_signal(signal.SIGTERM)
-            assert process.stdout.readline() == "stopping\n"
-            for _ in range(3):
-                process.send_signal(signal.SIGTERM)
-                time.sleep(SIGNAL_INTERVAL_S)
-            assert process.poll() is None
-        finally:
-            process.stdin.close()
-            rest = process.stdout.read()
-            process.wait()
-    assert (rest, process.returncode) == ("stopped\n", 0)
+    with _running(STOPPING_PROGRAM) as process:
+        process.send_signal(signal.SIGTERM)
+        assert process.stdout.readline() == "stopping\n"
+        _signal_often(process, signal.SIGTERM)
+        process.stdin.close()
+        assert process.stdout.read() == "stopped\n"
+    assert process.returncode == 0
