Keep callers' values of the gateway's own headers from targets

Cause: the gateway passed on every caller's header but the customer's name and what it sets itself, so Hold, Pin-Ms, Kv-Backup, Kv-From and Expect-Version reached targets as the caller had sent them.

Change: the adapter lists what only the gateway may tell a target; each occurrence is dropped, in any case and with _ for -. Last-Event-Id goes no further on a route that cannot resume. A request without exactly one id is refused, and a deadline of thousands of digits no longer ends in a 500.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/headers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/headers.py
@@ -42,9 +42,11 @@
     now_s: float,
 ) -> OutgoingRequest:
     """Return `request` as `target` gets it at `now_s`."""
-    dropped = set(_NOT_FOR_TARGETS)
+    dropped = set(_NOT_FOR_TARGETS | names.reserved)
     dropped |= _named_by_connection(request.values.get(b"connection", b""))
     dropped -= {names.request_id.lower(), b"host"}
+    if not match.route.is_resumable:
+        dropped.add(names.last_event_id.lower())
     ours: HeaderList = [
         (names.deadline, str(match.left_ms(now_s)).encode()),
         (names.expected_target, target.id.encode()),
@@ -60,11 +62,15 @@
     if last_event_id is not None:
         ours.append((names.last_event_id, last_event_id))
     dropped |= {name.lower() for name, _ in ours}
-    dropped.add(names.customer.lower())
-    headers = [item for item in request.headers if item[0].lower() not in dropped]
+    headers = [item for item in request.headers if _folded(item[0]) not in dropped]
     return OutgoingRequest(request.method, request.target, headers + ours, request.body)
 
 
+def _folded(name: bytes) -> bytes:
+    """Return `name` as servers that take ``_`` for ``-`` would read it."""
+    return name.lower().replace(b"_", b"-")
+
+
 def answer_headers(head: AnswerHead, keeps_length: bool) -> HeaderList:
     """Return the headers of a target's answer as the caller gets them."""
     dropped = set(ONE_CONNECTION_ONLY)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -33,8 +33,14 @@
     """
     How the platform spells the headers that the gateway reads or sets.
 
-    Every name is as it is sent; `deadline` counts milliseconds, `load` is the
-    target's own count, `prompt_parts` names the parts of a prompt in order.
+    Every name is as it is sent; `deadline` counts milliseconds, `prompt_parts`
+    names the parts of a prompt in order.
+
+    Parameters
+    ----------
+    reserved : frozenset of bytes
+        In lower case, what only the gateway may tell a target. A caller's own
+        value never reaches one.
     """
 
     request_id: bytes
@@ -46,6 +52,7 @@
     not_run: bytes
     priority: bytes
     cache_source: bytes
+    reserved: frozenset[bytes]
 
 
 @dataclass(frozen=True)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
@@ -12,6 +12,8 @@
 from scaleloom_fleet.http1.callers import CallerRequest
 
 BEARER = b"bearer "
+# Longer numbers of milliseconds than 30,000 years are taken for none at all.
+DEADLINE_DIGITS_LIMIT = 15
 _K = ErrorKind
 
 
@@ -49,7 +51,9 @@
     """Return what `routing` says of `request`, or why it is not allowed."""
     if routing is None:
         return Failure(FleetError(_K.NOT_READY, "No configuration is known yet."))
-    request_id = request.values.get(names.request_id.lower(), b"").decode("latin-1")
+    request_id = _find_request_id(request, names)
+    if request_id is None:
+        return Failure(FleetError(_K.BAD_REQUEST, "Not exactly one request id."))
     host = request.values.get(b"host", b"").decode("latin-1").lower()
     path = request.target.partition(b"?")[0].decode("latin-1")
     route = routing.find_route(host.partition(":")[0], path)
@@ -80,6 +84,15 @@
     )
 
 
+def _find_request_id(request: CallerRequest, names: HeaderNames) -> str | None:
+    """Return the one id that a request carries, or None."""
+    name = names.request_id.lower()
+    given = [value for key, value in request.headers if key.lower() == name]
+    if len(given) != 1 or not given[0]:
+        return None
+    return given[0].decode("latin-1")
+
+
 def _key_of(request: CallerRequest) -> str:
     """Return the key that a request carries, or an empty text."""
     value = request.values.get(b"authorization", b"")
@@ -102,6 +115,6 @@
     """Return when `request` is given up, on the runtime's clock."""
     stated = request.values.get(names.deadline.lower(), b"")
     hold_ms = route.timeout_ms
-    if stated.isdigit():
+    if stated.isdigit() and len(stated) <= DEADLINE_DIGITS_LIMIT:
         hold_ms = min(hold_ms, int(stated))
     return request.received_s + hold_ms / 1000.0
