Send a chat to the targets that hold its prompt part before its home

Change: the least loaded holder within the bound goes first; rendezvous order decides only where nobody who holds the part has room.

--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -55,10 +55,11 @@
         """
         Return the target to send to, or None if every one is full.
 
-        A request that shares a part of its prompt goes to the first target in
-        rendezvous order that is within the bound, so that all routers agree on
-        the home and on where its overflow goes. Any other goes where the least
-        is held, the own data centre first.
+        A request that shares a part of its prompt goes to the least loaded of
+        the targets that hold the part and are within the bound. If there is
+        none, it goes to the first target in rendezvous order that is, so that
+        all routers agree on the home and on where its overflow goes. Any other
+        goes where the least is held, the own data centre first.
         """
         usable = self.view.usable(key.service, now_s)
         open_to_it = [r for r in usable if r.listed.id not in tried]
@@ -71,12 +72,23 @@
         if key.shared_part is None:
             return self._least_loaded(open_to_it, fits)
         by_id = {record.listed.id: record for record in open_to_it}
+        holder = self._least_loaded(self._holding(key.shared_part, by_id, now_s), fits)
+        if holder is not None:
+            return holder
         for candidate in self.view.candidates(key.service, key.shared_part):
             record = by_id.get(candidate)
             if record is not None and fits(record):
                 return record
         return self._least_loaded(open_to_it, self._has_place)
 
+    def _holding(
+        self, part: str, by_id: dict[TargetId, TargetRecord], now_s: float
+    ) -> list[TargetRecord]:
+        """Return those of `by_id` that hold `part`."""
+        keys = self.holders.latest(part_key(part), now_s)
+        found = map(self.view.find_key, keys)
+        return [by_id[target] for target in found if target in by_id]
+
     def cache_source(
         self, key: PlacementKey, chosen: TargetId, now_s: float
     ) -> ListedTarget | None:
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -224,6 +224,51 @@
     assert chooser.cache_source(_key(None), other, 0.0) is None
 
 
+def test_a_target_that_holds_the_part_goes_before_a_home_that_does_not():
+    chooser = _chooser(_view(6))
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(_key(), other, 5.0)
+    assert chooser.choose(_key(), ENGINE, set(), 6.0).listed.id == other
+    assert chooser.choose(_key(), ENGINE, {other}, 6.0).listed.id == home
+
+
+def test_a_joining_target_takes_no_part_that_another_holds():
+    view = _view(5)
+    chooser = _chooser(view)
+    parts = [f"p-{number}" for number in range(60)]
+    held_by = {}
+    for part in parts:
+        held_by[part] = chooser.choose(_key(part), ENGINE, set(), 0.0).listed.id
+        chooser.note_read(_key(part), held_by[part], 0.0)
+    view.apply_list([_listed(n) for n in range(6)], 2)
+    after = {p: chooser.choose(_key(p), ENGINE, set(), 1.0).listed.id for p in parts}
+    assert after == held_by
+    new_homes = {view.candidates(SERVICE, part)[0] for part in parts}
+    assert TargetId("i-5") in new_homes
+
+
+def test_a_part_that_several_hold_goes_to_the_least_loaded_of_them():
+    chooser = _chooser(_view(6))
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(_key(), home, 5.0)
+    chooser.note_read(_key(), other, 5.0)
+    for loaded, least in ((home, other), (other, home)):
+        chooser.load = FleetLoad()
+        for _ in range(2):
+            chooser.load.take(loaded)
+        assert chooser.choose(_key(), ENGINE, set(), 6.0).listed.id == least
+
+
+def test_a_holder_that_is_full_sends_its_overflow_on():
+    chooser = _chooser(_view(6))
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(_key(), home, 5.0)
+    while chooser.choose(_key(), ENGINE, set(), 6.0).listed.id == home:
+        chooser.load.take(home)
+    assert chooser.choose(_key(), ENGINE, set(), 6.0).listed.id == other
+    assert chooser.load.held(home) < 64
+
+
 def test_a_home_of_which_nothing_is_known_copies_from_the_next_one():
     chooser = _chooser(_view(6))
     home, other, _ = _ranking(chooser)
