Write down who holds which prompt part, for routers that start

Cause: since chats go to holders first, a part's place follows from what came and went before and not from the list of targets.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -22,6 +22,7 @@
     FIRST_COPY = "first_copy"
     SECOND_COPY = "second_copy"
     THIRD_COPY = "third_copy"
+    HOLDERS = "holders"
 
 
 # Each lies in another part of the store, which may be up when others are down.
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -15,6 +15,7 @@
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway import accepting, readiness
 from scaleloom_fleet.gateway.copies import DocumentCopies
+from scaleloom_fleet.gateway.holder_copies import HolderCopies
 from scaleloom_fleet.gateway.interfaces import load_adapter
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
@@ -50,6 +51,7 @@
     watch = StoreWatch(state)
     peers = PeerExchange(state, watch)
     copies = DocumentCopies(state, watch)
+    holder_copies = HolderCopies(state, watch)
     front = sockets.listen(settings.front_address)
     ready = sockets.listen(settings.ready_address)
     documents = peers.bind()
@@ -67,6 +69,8 @@
             peers.introduce,
             copies.read_until_known,
             copies.write_forever,
+            holder_copies.read,
+            holder_copies.write_forever,
             state.pools.sweep_forever,
             state.waiting.pump_forever,
         ):
--- /dev/null
+++ b/tests/gateway/test_holder_copies.py
@@ -0,0 +1,105 @@
+"""Tests of what routers that start learn of who holds which prompt part."""
+
+import trio
+from nose2.tools import params
+
+from scaleloom_core.prefix_holders import HoldingAge, PrefixHolders, part_key
+from scaleloom_fleet.gateway.holder_copies import LEAST_INTERVAL_S
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
+    Site,
+    config,
+    eventually,
+    request_bytes,
+    route,
+    running_site,
+)
+
+TOPIC = "keyed.scaleloom-holders"
+ENGINE = {"slots": 8, "kv-capacity": 1000}
+PARTS = "aa:100,bb:900,cc:10"
+
+
+async def _serve_engines(site: Site) -> None:
+    """Let the targets count as model engines."""
+    served = config(2, route("drafts", "stream"))
+    served["services"][0]["engine"] = ENGINE
+    site.store.put(CONFIG_TOPIC, "config", served)
+
+    async def is_in_force() -> bool:
+        return (await site.ask("/drafts/0", "r-0")).status == 200
+
+    await eventually(is_in_force)
+
+
+def _served_by(site: Site, request_id: str) -> str:
+    """Return which target ran a request."""
+    (runner,) = [one for one in site.runners if one.runs[request_id]]
+    return runner.id
+
+
+@runs_in_trio
+async def test_a_fleet_that_lost_its_memory_finds_a_part_where_it_was_read():
+    async with running_site(runner_count=4) as site:
+        await _serve_engines(site)
+        await site.ask("/drafts/1", "r-1", Prompt_Prefix=PARTS)
+        holder = _served_by(site, "r-1")
+        await eventually(lambda: _is_written(site))
+        before = site.gateways[0]
+        before.stop.set()
+        await before.stopped.wait()
+        started = site.start_gateway(site.store_port)
+        await started.wait_ready()
+        await _settle()
+        data = request_bytes("/drafts/1", "r-2", Prompt_Prefix=PARTS)
+        await started.ask(data)
+        assert _served_by(site, "r-2") == holder
+        (asked,) = [
+            asked
+            for runner in site.runners
+            for asked in runner.asked
+            if asked.headers["request-id"] == "r-2"
+        ]
+    assert "kv-fetch" not in asked.headers
+
+
+async def _is_written(site: Site) -> bool:
+    """Return whether holders were written down."""
+    return bool(site.store.topic(TOPIC).records)
+
+
+async def _settle() -> None:
+    """Give a started gateway the time of one reading."""
+    await trio.sleep(LEAST_INTERVAL_S / 10)
+
+
+@params(b"", b"not compressed", b"x\x9c\x03\x00\x00\x00\x00\x01")
+@runs_in_trio
+async def test_a_document_that_cannot_be_read_harms_nothing(document):
+    async with running_site() as site:
+        site.store.topic(TOPIC).append("holders", document or b"\x00")
+        started = site.start_gateway(site.store_port)
+        await started.wait_ready()
+        assert (await started.ask(request_bytes("/safe/1"))).status == 200
+
+
+def test_only_the_last_used_are_written_down():
+    holders = PrefixHolders(life_s=10.0)
+    for second in range(4):
+        holders.note(part_key(f"p-{second}"), second, float(second))
+    rows = holders.newest(2, 5.0)
+    assert [(row.target, row.age_s) for row in rows] == [(3, 2), (2, 3)]
+    assert holders.newest(9, 12.0) == [HoldingAge(part_key("p-3"), 3, 9)] + [
+        HoldingAge(part_key("p-2"), 2, 10)
+    ]
+
+
+def test_what_is_adopted_counts_from_its_last_use():
+    holders = PrefixHolders(life_s=10.0)
+    part = part_key("p")
+    holders.note(part, 1, 100.0)
+    holders.adopt([HoldingAge(part, 1, 50), HoldingAge(part, 2, 8)], 101.0)
+    assert holders.latest(part, 102.0) == [1, 2]
+    assert holders.latest(part, 104.0) == [1]
+    assert holders.take_news() == []
