--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 READY := $(VENV)/.ready
 PACKAGES := core wire fleet cli standins
 
-.PHONY: demo test lint format proofs soak bench placement capacity clean
+.PHONY: demo test lint format proofs soak bench ablation placement capacity clean
 
 demo: $(READY)
 	$(PYTHON) -m scaleloom_standins.demo
@@ -30,6 +30,9 @@
 bench: $(READY)
 	$(PYTHON) -m benchmarks
 
+ablation: $(READY)
+	$(PYTHON) -m benchmarks.ablation $(ABLATION)
+
 placement: $(READY)
 	$(PYTHON) -m benchmarks.report
 
