--- a/tests/gateway/test_cache_sources.py
+++ b/tests/gateway/test_cache_sources.py
@@ -5,30 +5,15 @@
 from tests.fixtures import runners
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import (
-    CONFIG_TOPIC,
     Site,
-    config,
     eventually,
-    route,
     running_site,
+    serve_engines,
 )
 
-ENGINE = {"slots": 8, "kv-capacity": 1000}
 PARTS = "aa:100,bb:900,cc:10"
 
 
-async def _serve_engines(site: Site) -> None:
-    """Let the targets count as model engines."""
-    served = config(2, route("drafts", "stream", timeout_ms=4000))
-    served["services"][0]["engine"] = ENGINE
-    site.store.put(CONFIG_TOPIC, "config", served)
-
-    async def is_in_force() -> bool:
-        return (await site.ask("/drafts/0", "r-0")).status == 200
-
-    await eventually(is_in_force)
-
-
 def _sources(site: Site, request_id: str) -> list[str | None]:
     """Return the sources that targets were told of for one request."""
     asked = [asked for runner in site.runners for asked in runner.asked]
@@ -48,7 +33,7 @@
         return await runners.answer_well(runner, asked)
 
     async with running_site() as site:
-        await _serve_engines(site)
+        await serve_engines(site)
         for runner in site.runners:
             runner.behaviour = answer_late
         async with trio.open_nursery() as nursery:
--- a/tests/gateway/test_holder_copies.py
+++ b/tests/gateway/test_holder_copies.py
@@ -7,32 +7,17 @@
 from scaleloom_fleet.gateway.holder_copies import LEAST_INTERVAL_S
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import (
-    CONFIG_TOPIC,
     Site,
-    config,
     eventually,
     request_bytes,
-    route,
     running_site,
+    serve_engines,
 )
 
 TOPIC = "keyed.scaleloom-holders"
-ENGINE = {"slots": 8, "kv-capacity": 1000}
 PARTS = "aa:100,bb:900,cc:10"
 
 
-async def _serve_engines(site: Site) -> None:
-    """Let the targets count as model engines."""
-    served = config(2, route("drafts", "stream"))
-    served["services"][0]["engine"] = ENGINE
-    site.store.put(CONFIG_TOPIC, "config", served)
-
-    async def is_in_force() -> bool:
-        return (await site.ask("/drafts/0", "r-0")).status == 200
-
-    await eventually(is_in_force)
-
-
 def _served_by(site: Site, request_id: str) -> str:
     """Return which target ran a request."""
     (runner,) = [one for one in site.runners if one.runs[request_id]]
@@ -42,7 +27,7 @@
 @runs_in_trio
 async def test_a_fleet_that_lost_its_memory_finds_a_part_where_it_was_read():
     async with running_site(runner_count=4) as site:
-        await _serve_engines(site)
+        await serve_engines(site)
         await site.ask("/drafts/1", "r-1", Prompt_Prefix=PARTS)
         holder = _served_by(site, "r-1")
         await eventually(lambda: _is_written(site))
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -56,6 +56,9 @@
         site.store.fault = fault
         for number in range(10):
             assert (await site.ask("/once/1", f"r-{number}")).status == 200
+            assert (await site.ask("/safe/1", f"s-{number}")).status == 200
+        for runner in site.runners:
+            assert set(runner.runs.values()) <= {1}
 
 
 @runs_in_trio
@@ -121,6 +124,26 @@
     assert (sum(leaving.runs.values()), sum(staying.runs.values())) == (0, 8)
 
 
+@params(*OUTAGES)
+@runs_in_trio
+async def test_a_draining_target_gets_nothing_new_while_the_store_is_away(fault):
+    async with running_site() as site:
+        leaving, staying = site.runners
+        document = entry(leaving, state="draining")
+        site.store.put(TARGETS_TOPIC, leaving.id, document)
+        asked_before = len(site.store.calls)
+
+        async def is_read() -> bool:
+            return len(site.store.calls) > asked_before + 2
+
+        await eventually(is_read)
+        site.store.fault = fault
+        await trio.sleep(AWAY_AGE_S + 0.2)
+        for number in range(8):
+            assert (await site.ask("/once/1", f"r-{number}")).status == 200
+    assert (sum(leaving.runs.values()), sum(staying.runs.values())) == (0, 8)
+
+
 @runs_in_trio
 async def test_a_list_of_many_pages_is_read_whole():
     async with running_site(runner_count=5) as site:
