--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -8,6 +8,7 @@
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     TARGETS_TOPIC,
+    Site,
     config,
     entry,
     eventually,
@@ -16,6 +17,7 @@
     running_site,
 )
 from tests.fixtures.platform_store import StoreFault
+from tests.fixtures.runners import Runner
 
 OUTAGES = [
     StoreFault.BUSY,
@@ -107,18 +109,23 @@
         await eventually(is_served)
 
 
+async def _announce_leaving(site: Site, leaving: Runner) -> None:
+    """Let a target say that it leaves, and return once that was read."""
+    document = entry(leaving, state="draining")
+    site.store.put(TARGETS_TOPIC, leaving.id, document)
+    asked_before = len(site.store.calls)
+
+    async def is_read() -> bool:
+        return len(site.store.calls) > asked_before + 2
+
+    await eventually(is_read)
+
+
 @runs_in_trio
 async def test_a_draining_target_gets_nothing_new():
     async with running_site() as site:
         leaving, staying = site.runners
-        document = entry(leaving, state="draining")
-        site.store.put(TARGETS_TOPIC, leaving.id, document)
-        asked_before = len(site.store.calls)
-
-        async def is_read() -> bool:
-            return len(site.store.calls) > asked_before + 2
-
-        await eventually(is_read)
+        await _announce_leaving(site, leaving)
         for number in range(8):
             assert (await site.ask("/safe/1", f"r-{number}")).status == 200
     assert (sum(leaving.runs.values()), sum(staying.runs.values())) == (0, 8)
@@ -129,14 +136,7 @@
 async def test_a_draining_target_gets_nothing_new_while_the_store_is_away(fault):
     async with running_site() as site:
         leaving, staying = site.runners
-        document = entry(leaving, state="draining")
-        site.store.put(TARGETS_TOPIC, leaving.id, document)
-        asked_before = len(site.store.calls)
-
-        async def is_read() -> bool:
-            return len(site.store.calls) > asked_before + 2
-
-        await eventually(is_read)
+        await _announce_leaving(site, leaving)
         site.store.fault = fault
         await trio.sleep(AWAY_AGE_S + 0.2)
         for number in range(8):
