Let gateways with thin links take configurations from peers, packed

Callers' answers waited behind it. After the loss of all power it came encoded once more.

Change: a router whose link the configuration in force would fill for over 0.1 s takes newer ones from peers, packed, as long as two peers or more say that they follow the store; at once instead of 0.5 s late. With fewer it follows the store again. At a start a thin link waits 0.6 s for a copy or a peer first. The packed form is made once a version; copies use it too.

Where links are not thin nothing changes. The test of the store at rest fails without.

--- a/packages/scaleloom-core/scaleloom_core/catching_up.py
+++ b/packages/scaleloom-core/scaleloom_core/catching_up.py
@@ -8,6 +8,42 @@
 # peer as well would send it over each link twice, and over one peer's link
 # once for every router.
 STORE_LEAD_S = 0.5
+# A configuration that fills the own link for longer delays callers' answers;
+# the shortest objectives of the users' sheets are 0.1 s.
+HEAVY_TRANSFER_S = 0.1
+# One peer may be cut from the store and not know it yet.
+LEAST_FOLLOWED = 2
+BITS_PER_BYTE = 8
+
+
+def is_heavy(document_bytes: int, link_mbps: float) -> bool:
+    """
+    Return whether a document fills the own link for too long.
+
+    Parameters
+    ----------
+    link_mbps : float
+        What the link carries, in millions of bits a second.
+    """
+    transfer_s = document_bytes * BITS_PER_BYTE / (link_mbps * 1e6)
+    return transfer_s > HEAVY_TRANSFER_S
+
+
+def follows_peers(document_bytes: int, link_mbps: float, followed_peers: int) -> bool:
+    """
+    Return whether to take configurations from peers rather than from the store.
+
+    The store sends them as they are, peers send them packed. Peers tell at once
+    that a newer one is in force with them, if enough of them follow the store.
+
+    Parameters
+    ----------
+    document_bytes : int
+        The length of the configuration in force; 0 if none is.
+    followed_peers : int
+        How many peers are heard that follow the store themselves.
+    """
+    return is_heavy(document_bytes, link_mbps) and followed_peers >= LEAST_FOLLOWED
 
 
 class Knowledge(msgspec.Struct, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -122,6 +122,10 @@
 
     name: Annotated[Name, Meta(description="Name in logs.")]
     data_centre: Annotated[Name, Meta(description="Data centre it stands in.")]
+    link_mbps: Annotated[
+        float,
+        Meta(gt=0, description="What its link carries, in millions of bits a second."),
+    ] = 1000.0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -77,25 +77,23 @@
         version, digest = state.routing.version, state.view.digest
         is_whole = True
         if version != written.config_version:
-            is_whole = await self._write(topic, CONFIG_KEY, state.config_document)
+            is_whole = await self._write(topic, CONFIG_KEY, state.packed_config())
             written.config_version = version if is_whole else -1
         if is_whole and digest != written.list_digest:
             copy = TargetsCopy(state.view.list_position, state.listed_documents)
-            is_whole = await self._write(
-                topic, TARGETS_KEY, msgspec.msgpack.encode(copy)
-            )
+            packed = zlib.compress(msgspec.msgpack.encode(copy))
+            is_whole = await self._write(topic, TARGETS_KEY, packed)
             written.list_digest = digest if is_whole else None
         if not is_whole:
             written.retry_at_s = now_s + WRITE_RETRY_S
 
-    async def _write(self, topic: Topic, key: str, document: bytes) -> bool:
-        """Write `document`; return whether nothing more is to be done for it."""
-        value = zlib.compress(document)
-        if len(value) > COPY_LIMIT_BYTES:
-            fields = {"key": key, "bytes": len(value)}
+    async def _write(self, topic: Topic, key: str, packed: bytes) -> bool:
+        """Write `packed`; return whether nothing more is to be done for it."""
+        if len(packed) > COPY_LIMIT_BYTES:
+            fields = {"key": key, "bytes": len(packed)}
             _logger.warning("document too large to be copied", extra=fields)
             return True
-        return await self._watch.append(topic, key, value)
+        return await self._watch.append(topic, key, packed)
 
     async def read_until_known(self) -> None:
         """Read the copies if neither the store nor a peer told enough."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import zlib
 
 import msgspec
 import trio
@@ -41,11 +42,12 @@
         data = await _ask(peer, msgspec.msgpack.encode(query))
     try:
         documents = msgspec.msgpack.decode(data, type=PeerDocuments)
-    except msgspec.DecodeError:
+        config = zlib.decompress(documents.config) if documents.config else b""
+    except (msgspec.DecodeError, zlib.error):
         _logger.info("no documents from a peer", extra={"peer": str(peer)})
         return
-    if documents.config:
-        apply_config_document(state, documents.config)
+    if config:
+        apply_config_document(state, config)
     if documents.targets is not None:
         confirmed_s = trio.current_time() - documents.list_age_ms / 1000.0
         apply_target_documents(
@@ -126,7 +128,7 @@
         own = own_knowledge(state)
         is_list_newer = own.list_position > theirs.list_position
         return PeerDocuments(
-            state.config_document if own.has_newer_config(theirs) else b"",
+            state.packed_config() if own.has_newer_config(theirs) else b"",
             state.view.list_position,
             state.freshness.age_ms(trio.current_time()),
             state.listed_documents if is_list_newer else None,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -22,7 +22,9 @@
     held : dict of int to int
         Requests that it holds, by the target's number.
     holdings : list of tuple of int
-        Prompt parts that it sent to targets lately, by their numbers.
+        Prompt parts that it saw targets read lately, by their numbers.
+    follows_store : bool
+        Whether it would learn of a newer configuration from the store at once.
     """
 
     sender: str
@@ -32,6 +34,7 @@
     list_age_ms: int
     held: dict[int, int]
     holdings: list[tuple[int, int]] = []
+    follows_store: bool = False
 
 
 class PeerQuery(msgspec.Struct, array_like=True, frozen=True):
@@ -49,7 +52,7 @@
     Parameters
     ----------
     config : bytes
-        The configuration; empty if the asking router knows it.
+        The configuration, compressed; empty if the asking router knows it.
     targets : dict of str to bytes, or None
         The list of targets; None if the asking router knows it.
     """
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_table.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_table.py
@@ -19,16 +19,26 @@
     def __init__(self, own: Address) -> None:
         self._own = own
         self.heard_s: dict[Address, float] = {}
+        self._following: set[Address] = set()
 
     def add(self, address: Address) -> None:
         """Take in a router that may be there."""
         if address != self._own:
             self.heard_s.setdefault(address, float("-inf"))
 
-    def note_heard(self, address: Address, now_s: float) -> None:
-        """Note that a router was heard."""
-        if address != self._own:
-            self.heard_s[address] = now_s
+    def note_heard(self, address: Address, now_s: float, follows_store: bool) -> None:
+        """Note that a router was heard, and whether it follows the store."""
+        if address == self._own:
+            return
+        self.heard_s[address] = now_s
+        if follows_store:
+            self._following.add(address)
+        else:
+            self._following.discard(address)
+
+    def followed_peers(self, now_s: float) -> int:
+        """Return how many routers that are heard follow the store."""
+        return len(self._following.intersection(self.lively(now_s)))
 
     def lively(self, now_s: float) -> list[Address]:
         """Return the routers that were heard a moment ago."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -91,7 +91,7 @@
     def _apply(self, report: PeerReport, address: Address) -> None:
         """Take in what a peer reports."""
         now_s = trio.current_time()
-        self.table.note_heard(address, now_s)
+        self.table.note_heard(address, now_s, report.follows_store)
         self._state.load.note_report(InstanceId(report.sender), report.held, now_s)
         holders = self._state.chooser.holders
         for part, target in report.holdings:
@@ -130,6 +130,7 @@
             self._state.load.forget_silent(now_s)
             self._state.router_count = 1 + len(self.table.heard_s)
             self._state.rank = self.table.rank(now_s)
+            self._state.followed_peers = self.table.followed_peers(now_s)
             await trio.sleep(pause_s)
 
     def _report(self, peers: list[Address]) -> None:
@@ -144,6 +145,7 @@
             state.freshness.age_ms(trio.current_time()),
             state.load.own_report(),
             state.chooser.holders.take_news(),
+            state.follows_store,
         )
         data = msgspec.msgpack.encode(report)
         for peer in peers:
@@ -167,7 +169,7 @@
 
     def _peer_to_ask(self, now_s: float) -> Address | None:
         """Return a peer that is ahead, or any while nothing at all is known."""
-        is_away = not self._watch.is_reachable
+        is_away = not self._watch.is_reachable or self._state.follows_peers
         own = own_knowledge(self._state)
         ahead = self._catch_up.peers_to_ask(own, is_away, now_s)
         if ahead:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -1,8 +1,11 @@
 """What the gateway's tasks share."""
 
+import zlib
+
 import msgspec
 import trio
 
+from scaleloom_core.catching_up import follows_peers
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.retry_windows import RetryWindows
@@ -19,6 +22,13 @@
 _NO_LIMITS = RequestLimits()
 
 
+class PackedConfig(msgspec.Struct):
+    """A configuration as it is sent to peers, kept since packing takes time."""
+
+    version: int = -1
+    data: bytes = b""
+
+
 class GatewayState(msgspec.Struct):
     """
     The state of one gateway process.
@@ -31,6 +41,10 @@
         That configuration as the store gave it, for peers that ask.
     router_count : int
         How many routers the fleet is known to have, this one included.
+    follows_store : bool
+        Whether a call for newer configurations is open at the store.
+    followed_peers : int
+        How many peers are heard whose own call is open.
     known : trio.Event
         Set once a configuration and some targets are known.
     last_answer_s : float
@@ -52,10 +66,13 @@
     routing: RoutingTable | None = None
     config_document: bytes = b""
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
+    follows_store: bool = False
+    followed_peers: int = 0
     router_count: int = 1
     rank: int = 0
     is_stopping: bool = False
     last_answer_s: float = float("inf")
+    _packed_config: PackedConfig = msgspec.field(default_factory=PackedConfig)
     connections: set[CallerConnection] = msgspec.field(default_factory=set)
     known: trio.Event = msgspec.field(default_factory=trio.Event)
 
@@ -85,6 +102,23 @@
         self.pools.configure(settings.targets)
         self.freshness.poll_s = settings.platform.list_poll_s
 
+    @property
+    def follows_peers(self) -> bool:
+        """Return whether configurations are taken from peers."""
+        return follows_peers(
+            len(self.config_document),
+            self.settings.instance.link_mbps,
+            self.followed_peers,
+        )
+
+    def packed_config(self) -> bytes:
+        """Return the configuration in force, compressed."""
+        version = self.routing.version if self.routing else -1
+        if self._packed_config.version != version:
+            data = zlib.compress(self.config_document)
+            self._packed_config = PackedConfig(version, data)
+        return self._packed_config.data
+
     def caller_limits(self) -> CallerLimits:
         """Return the limits that the configuration in force sets."""
         limits = self.routing.limits if self.routing else _NO_LIMITS
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -6,6 +6,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from scaleloom_core.catching_up import is_heavy
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
 from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
@@ -22,6 +23,11 @@
 
 ANSWER_LIMIT_BYTES = 1 << 26
 PAGE_LIMIT = 1000
+FOLLOWING_CHECK_S = 0.1
+# The configurations of the users' grown sites are about this long.
+LARGE_CONFIG_BYTES = 500_000
+# A copy or a peer that runs on answers within this after a start.
+THIN_LINK_PATIENCE_S = 0.6
 _logger = logging.getLogger("scaleloom.store")
 
 
@@ -155,14 +161,31 @@
     async def follow_config(self) -> None:
         """Follow the configuration for as long as the process runs."""
         retry_s = self._state.settings.platform.retry_s
+        await self._let_others_tell_first()
         while True:
+            while self._state.follows_peers:
+                await trio.sleep(FOLLOWING_CHECK_S)
             position = await self._read_config()
             if position is not None:
-                with trio.CancelScope() as self._waiting_scope:
-                    await self._wait_changes(position)
-                self._waiting_scope = None
+                await self._follow_from(position)
             await trio.sleep(retry_s)
 
+    async def _let_others_tell_first(self) -> None:
+        """Wait for a packed configuration if the own link is thin."""
+        if is_heavy(LARGE_CONFIG_BYTES, self._state.settings.instance.link_mbps):
+            with trio.move_on_after(THIN_LINK_PATIENCE_S):
+                await self._state.known.wait()
+
+    async def _follow_from(self, position: int) -> None:
+        """Wait for newer configurations until the store or the link forbids it."""
+        self._state.follows_store = True
+        try:
+            with trio.CancelScope() as self._waiting_scope:
+                await self._wait_changes(position)
+        finally:
+            self._waiting_scope = None
+            self._state.follows_store = False
+
     async def _read_config(self) -> int | None:
         """Read the configuration once and return how far the topic goes."""
         reading = await self._read_newest(self._config_client, Topic.CONFIG)
@@ -188,8 +211,9 @@
             records = batch.unwrap().records
             self._apply(records)
             position += len(records)
-            if batch.unwrap().end > position:
-                # More changes wait than one answer holds; only the last counts.
+            if batch.unwrap().end > position or self._state.follows_peers:
+                # More changes wait than one answer holds and only the last
+                # counts, or peers send them in a shorter form from now on.
                 return
 
     def _apply(self, records: list[StoredRecord]) -> None:
--- a/tests/core/test_catching_up.py
+++ b/tests/core/test_catching_up.py
@@ -2,7 +2,13 @@
 
 from nose2.tools import params
 
-from scaleloom_core.catching_up import CatchUp, Knowledge
+from scaleloom_core.catching_up import (
+    LEAST_FOLLOWED,
+    CatchUp,
+    Knowledge,
+    follows_peers,
+    is_heavy,
+)
 from scaleloom_core.ids import InstanceId
 
 OWN = Knowledge(config_version=4, list_position=10, list_digest=1)
@@ -47,3 +53,20 @@
     assert set(catch_up.peers_to_ask(nothing, False, 0.0)) == {PEER, OTHER}
     catch_up.forget(PEER)
     assert catch_up.peers_to_ask(nothing, False, 0.0) == [OTHER]
+
+
+@params(
+    (800_000, 10.0, True),
+    (800_000, 100.0, False),
+    (60_000, 10.0, False),
+    (200_000, 5.0, True),
+    (0, 5.0, False),
+)
+def test_a_document_is_heavy_by_the_time_it_fills_the_link(size, link_mbps, expected):
+    assert is_heavy(size, link_mbps) is expected
+
+
+def test_peers_are_followed_only_if_enough_of_them_follow_the_store():
+    assert follows_peers(800_000, 10.0, LEAST_FOLLOWED)
+    assert not follows_peers(800_000, 10.0, LEAST_FOLLOWED - 1)
+    assert not follows_peers(800_000, 1000.0, 30)
--- /dev/null
+++ b/tests/gateway/test_thin_links.py
@@ -0,0 +1,82 @@
+"""Tests of gateways whose link a whole configuration would fill for too long."""
+
+import trio
+
+from scaleloom_fleet.conf.gateway_schema import GatewayInstanceSection
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
+    TARGETS_TOPIC,
+    GatewayFixture,
+    Site,
+    config,
+    entry,
+    eventually,
+    request_bytes,
+    route,
+    running_site,
+)
+from tests.fixtures.http_standin import free_listener, port_of, serve_http
+from tests.fixtures.platform_store import StoreStandin
+
+THIN_LINK = GatewayInstanceSection(name="thin", data_centre="a", link_mbps=0.01)
+STORE_CALL = "log-read"
+# Longer than reports take and shorter than a gateway waits for its own call.
+SILENCE_S = 1.5
+
+
+async def _start_thin(site: Site, known: list[GatewayFixture]) -> StoreStandin:
+    """Start a gateway with a thin link before a store of its own; return that."""
+    store = StoreStandin()
+    store.put(CONFIG_TOPIC, "config", config(1))
+    for runner in site.runners:
+        store.put(TARGETS_TOPIC, runner.id, entry(runner))
+    listener = free_listener()
+    site.nursery.start_soon(serve_http, listener, store.answer)
+    seeds = ",".join(str(gateway.settings.peer_address) for gateway in known)
+    thin = site.start_gateway(port_of(listener), seeds, instance=THIN_LINK)
+    await thin.wait_ready()
+    return store
+
+
+async def _serves(gateway: GatewayFixture, path: str) -> bool:
+    """Return whether a gateway serves `path`."""
+    return (await gateway.ask(request_bytes(path))).status == 200
+
+
+@runs_in_trio
+async def test_a_thin_gateway_takes_a_configuration_from_peers_that_follow_the_store():
+    async with running_site(gateway_count=2) as site:
+        await _start_thin(site, site.gateways[:2])
+        thin = site.gateways[2]
+        site.store.put(CONFIG_TOPIC, "config", config(2, route("added", "safe")))
+        await eventually(lambda: _serves(thin, "/added/1"))
+
+
+@runs_in_trio
+async def test_a_thin_gateway_whose_peers_are_gone_follows_the_store_again():
+    async with running_site(gateway_count=2) as site:
+        store = await _start_thin(site, site.gateways[:2])
+        thin = site.gateways[2]
+        for gateway in site.gateways[:2]:
+            gateway.stop.set()
+        for gateway in site.gateways[:2]:
+            await gateway.stopped.wait()
+        store.put(CONFIG_TOPIC, "config", config(3, route("later", "safe")))
+        await eventually(lambda: _serves(thin, "/later/1"), limit_s=8.0)
+
+
+@runs_in_trio
+async def test_a_thin_gateway_lets_its_own_store_rest():
+    async with running_site(gateway_count=2) as site:
+        store = await _start_thin(site, site.gateways[:2])
+        # Ends the call that was opened before peers were heard.
+        store.put(CONFIG_TOPIC, "config", config(2))
+        site.store.put(CONFIG_TOPIC, "config", config(2))
+        await trio.sleep(SILENCE_S)
+        asked_before = store.calls.count(STORE_CALL)
+        store.put(CONFIG_TOPIC, "config", config(3, route("unseen", "safe")))
+        site.store.put(CONFIG_TOPIC, "config", config(4, route("added", "safe")))
+        await eventually(lambda: _serves(site.gateways[2], "/added/1"))
+        assert store.calls.count(STORE_CALL) == asked_before
+        assert not await _serves(site.gateways[2], "/unseen/1")
