Keep the first two routers in rank at the store, whatever their links

Cause: in a fleet whose links are all thin every router saw others follow the store and left it at the next configuration; none followed it then, and all read it whole once more. Change: the first two in rank always follow the store. Measured: two tests fail without, one of four real gateways with thin links (readings of the whole configuration per change).

--- a/packages/scaleloom-core/scaleloom_core/catching_up.py
+++ b/packages/scaleloom-core/scaleloom_core/catching_up.py
@@ -29,7 +29,9 @@
     return transfer_s > HEAVY_TRANSFER_S
 
 
-def follows_peers(document_bytes: int, link_mbps: float, followed_peers: int) -> bool:
+def follows_peers(
+    document_bytes: int, link_mbps: float, followed_peers: int, rank: int
+) -> bool:
     """
     Return whether to take configurations from peers rather than from the store.
 
@@ -42,8 +44,12 @@
         The length of the configuration in force; 0 if none is.
     followed_peers : int
         How many peers are heard that follow the store themselves.
+    rank : int
+        The own place among the routers that are heard. The first ones always
+        follow the store, or a fleet of thin links alone would leave it together.
     """
-    return is_heavy(document_bytes, link_mbps) and followed_peers >= LEAST_FOLLOWED
+    is_needed = rank < LEAST_FOLLOWED or followed_peers < LEAST_FOLLOWED
+    return not is_needed and is_heavy(document_bytes, link_mbps)
 
 
 class Knowledge(msgspec.Struct, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -109,6 +109,7 @@
             len(self.config_document),
             self.settings.instance.link_mbps,
             self.followed_peers,
+            self.rank,
         )
 
     def packed_config(self) -> bytes:
--- a/tests/core/test_catching_up.py
+++ b/tests/core/test_catching_up.py
@@ -67,6 +67,18 @@
 
 
 def test_peers_are_followed_only_if_enough_of_them_follow_the_store():
-    assert follows_peers(800_000, 10.0, LEAST_FOLLOWED)
-    assert not follows_peers(800_000, 10.0, LEAST_FOLLOWED - 1)
-    assert not follows_peers(800_000, 1000.0, 30)
+    assert follows_peers(800_000, 10.0, LEAST_FOLLOWED, LEAST_FOLLOWED)
+    assert not follows_peers(800_000, 10.0, LEAST_FOLLOWED - 1, LEAST_FOLLOWED)
+    assert not follows_peers(800_000, 1000.0, 30, 20)
+
+
+def test_a_fleet_of_thin_links_alone_never_leaves_the_store_together():
+    following = set(range(5))
+    for _ in range(4):
+        following = {
+            rank
+            for rank in range(5)
+            if not follows_peers(800_000, 10.0, len(following - {rank}), rank)
+        }
+        assert len(following) >= LEAST_FOLLOWED
+    assert following == set(range(LEAST_FOLLOWED))
--- a/tests/gateway/test_thin_links.py
+++ b/tests/gateway/test_thin_links.py
@@ -66,6 +66,20 @@
         await eventually(lambda: _serves(thin, "/later/1"), limit_s=8.0)
 
 
+@runs_in_trio
+async def test_a_fleet_of_thin_links_reads_each_configuration_once_each():
+    async with running_site(gateway_count=4, instance=THIN_LINK) as site:
+        for version in (2, 3):
+            routes = route(f"added-{version}", "safe")
+            site.store.put(CONFIG_TOPIC, "config", config(version, routes))
+            for gateway in site.gateways:
+                path = f"/added-{version}/1"
+                await eventually(lambda g=gateway, p=path: _serves(g, p))
+            await trio.sleep(SILENCE_S)
+        whole_readings = site.store.whole_readings[CONFIG_TOPIC]
+    assert whole_readings <= len(site.gateways)
+
+
 @runs_in_trio
 async def test_a_thin_gateway_lets_its_own_store_rest():
     async with running_site(gateway_count=2) as site:
