Let the test of a crashed target's cache compare like with like

Cause: its last check compared a listed target with an id, which never are equal, so it held whatever was returned. Change: it compares ids, which is stricter. Measured: holds; fails with the check of absence taken out of find_source, also without the test's other check. The product did not change.

--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -336,7 +336,7 @@
     view.records[home].note_unreachable(5.5)
     assert chooser.cache_source(_key(), other, 9.0) is None
     view.apply_list([_listed(n) for n in range(6) if f"i-{n}" != home], 2, 9.0)
-    assert chooser.cache_source(_key(), other, 9.1) != home
+    assert chooser.cache_source(_key(), other, 9.1).id != home
 
 
 def test_a_peer_that_was_told_names_the_holder_as_the_source():
