Ask the store at a start only for what it has not told

Change: copies are read only while the store has not answered for the documents themselves, one topic after another; an empty answer is an answer; nothing is written before ranks have settled (2 s); a router that the store knows already does not announce itself again.

Tests: tests/gateway/test_start_calls.py; two of three failed before, the third fails if the rank is taken before it has settled.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -8,6 +8,7 @@
 import trio
 
 from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
+from scaleloom_fleet.gateway.peer_table import RANK_SETTLES_S
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_watch import (
     StoreWatch,
@@ -19,6 +20,8 @@
 WRITE_RETRY_S = 3.0
 FIRST_READING_S = 0.15
 READ_RETRY_S = 0.5
+# An answer of the store takes a few milliseconds while it is well.
+NEXT_TOPIC_S = 0.1
 CONFIG_KEY = "config"
 TARGETS_KEY = "targets"
 COPY_LIMIT_BYTES = 200_000
@@ -62,6 +65,7 @@
 
     async def write_forever(self) -> None:
         """Keep the copies up to date while this router is the first in rank."""
+        await trio.sleep(RANK_SETTLES_S)
         while True:
             await trio.sleep(WRITE_INTERVAL_S)
             if self._state.rank == 0 and self._watch.is_reachable:
@@ -99,18 +103,27 @@
         """Read the copies if neither the store nor a peer told enough."""
         await trio.sleep(FIRST_READING_S)
         while not self._state.knows_enough:
-            async with trio.open_nursery() as nursery:
-                for topic in random.sample(COPY_TOPICS, len(COPY_TOPICS)):
-                    nursery.start_soon(self._read, topic, nursery.cancel_scope)
+            if self._watch.lacks_answers:
+                await self._read_first_to_answer()
             if not self._state.knows_enough:
                 await trio.sleep(READ_RETRY_S)
 
+    async def _read_first_to_answer(self) -> None:
+        """Read one topic after another until one has answered."""
+        async with trio.open_nursery() as nursery:
+            for topic in random.sample(COPY_TOPICS, len(COPY_TOPICS)):
+                nursery.start_soon(self._read, topic, nursery.cancel_scope)
+                await trio.sleep(NEXT_TOPIC_S)
+
     async def _read(self, topic: Topic, scope: trio.CancelScope) -> None:
-        """Take in one topic's copies, and end `scope` if that is enough."""
-        for record in await self._watch.read_records(topic):
+        """Take in one topic's copies; end `scope` if that is enough or there is none."""
+        records = await self._watch.read_records(topic)
+        if records is None:
+            return
+        for record in records:
             _logger.info("copy read", extra={"key": record.key})
             self._apply(record)
-        if self._state.knows_enough:
+        if self._state.knows_enough or not records:
             scope.cancel()
 
     def _apply(self, record: StoredRecord) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/holder_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/holder_copies.py
@@ -8,6 +8,7 @@
 
 from scaleloom_core.prefix_holders import HoldingAge
 from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.peer_table import RANK_SETTLES_S
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_watch import StoreWatch
 
@@ -45,6 +46,7 @@
 
     async def write_forever(self) -> None:
         """Write what changed while this router is the first in rank."""
+        await trio.sleep(RANK_SETTLES_S)
         while True:
             await trio.sleep(await self._write_changed())
 
@@ -62,12 +64,12 @@
         return max(LEAST_INTERVAL_S, len(document) / RATE_BYTES_PER_S)
 
     async def read(self) -> None:
-        """Take in what was written last, trying a few times."""
+        """Take in what was written last, trying a few times to reach the store."""
         for _ in range(READ_TRIES):
             records = await self._watch.read_records(Topic.HOLDERS)
-            for record in records:
-                self._adopt(record.value)
-            if records:
+            if records is not None:
+                for record in records:
+                    self._adopt(record.value)
                 return
             await trio.sleep(READ_RETRY_S)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_table.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_table.py
@@ -4,6 +4,8 @@
 
 SILENT_INTERVAL_S = 1.0
 SILENT_INTERVALS = 3
+# By then all routers that started together have told each other of themselves.
+RANK_SETTLES_S = 2 * SILENT_INTERVAL_S
 
 
 class PeerTable:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -181,11 +181,17 @@
         return random.choice(peers) if peers else None
 
     async def introduce(self) -> None:
-        """Tell the store where this router is, and learn where the others are."""
+        """Learn from the store where the others are, and tell it the own place."""
         value = self._state.settings.instance.data_centre.encode()
-        await self._watch.announce(str(self._own), value)
         while True:
+            pause_s = SILENT_INTERVAL_S
             routers = await self._watch.read_records(Topic.ROUTERS)
-            for record in routers:
-                self.table.add(parse_address(record.key))
-            await trio.sleep(ROUTERS_INTERVAL_S if routers else SILENT_INTERVAL_S)
+            if routers is not None:
+                for record in routers:
+                    self.table.add(parse_address(record.key))
+                if any(record.key == str(self._own) for record in routers):
+                    pause_s = ROUTERS_INTERVAL_S
+                elif await self._watch.append(Topic.ROUTERS, str(self._own), value):
+                    # Whoever started in the same moment is there by now.
+                    pause_s = 0.0
+            await trio.sleep(pause_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -28,6 +28,8 @@
 LARGE_CONFIG_BYTES = 500_000
 # A copy or a peer that runs on answers within this after a start.
 THIN_LINK_PATIENCE_S = 0.6
+# Without these nothing can be served.
+DOCUMENT_TOPICS = frozenset({Topic.CONFIG, Topic.TARGETS})
 _logger = logging.getLogger("scaleloom.store")
 
 
@@ -105,8 +107,14 @@
         self._list_client = StoreClient(address, settings.timeout_s)
         self._config_client = StoreClient(address, settings.timeout_s)
         self._waiting_scope: trio.CancelScope | None = None
+        self._answered: set[Topic] = set()
         self.is_reachable = False
 
+    @property
+    def lacks_answers(self) -> bool:
+        """Return whether the store has not told the documents since the start."""
+        return not self._answered.issuperset(DOCUMENT_TOPICS)
+
     async def follow_targets(self) -> None:
         """Keep the list of targets fresh for as long as the process runs."""
         state = self._state
@@ -154,6 +162,7 @@
             part: NewestPage = page.unwrap()
             records += part.records
             if not part.has_more or not part.records:
+                self._answered.add(topic)
                 return Success(NewestPage(records, False, part.end))
             after = part.records[-1].key
         return Failure("too many pages")
@@ -230,18 +239,13 @@
         client.drop()
         return not isinstance(answer, Failure)
 
-    async def announce(self, key: str, value: bytes) -> None:
-        """Write where this router is, until the store has taken it."""
-        while not await self.append(Topic.ROUTERS, key, value):
-            await trio.sleep(self._state.settings.platform.list_poll_s)
-
-    async def read_records(self, topic: Topic) -> list[StoredRecord]:
-        """Return the newest records of `topic`; none if the store did not answer."""
+    async def read_records(self, topic: Topic) -> list[StoredRecord] | None:
+        """Return the newest records of `topic`, or None if the store did not answer."""
         client = self._new_client()
         reading = await self._read_newest(client, topic)
         client.drop()
         page: NewestPage | None = reading.value_or(None)
-        return page.records if page is not None else []
+        return page.records if page is not None else None
 
     def _new_client(self) -> StoreClient:
         """Return a client for a call now and then."""
--- /dev/null
+++ b/tests/gateway/test_start_calls.py
@@ -0,0 +1,66 @@
+"""Tests of what a fleet asks of the store while it starts."""
+
+import trio
+
+from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
+    Site,
+    config,
+    eventually,
+    running_site,
+)
+
+COPIES_TOPIC = "keyed.scaleloom-copies"
+HOLDERS_TOPIC = "keyed.scaleloom-holders"
+ROUTERS_TOPIC = "keyed.scaleloom-routers"
+ROUTER_COUNT = 5
+COPY_TOPIC_COUNT = 3
+# Longer than any reading at a start is repeated.
+START_S = 2.2
+# Before any router has heard of another.
+FIRST_CONFIG_S = 0.1
+
+
+async def _start_without_config(site: Site, seconds: float) -> None:
+    """Start routers, and wait some seconds without a configuration."""
+    site.store.topics.pop(CONFIG_TOPIC)
+    for _ in range(ROUTER_COUNT):
+        site.start_gateway(site.store_port)
+    await trio.sleep(seconds)
+
+
+@runs_in_trio
+async def test_what_the_store_answered_is_not_looked_for_elsewhere():
+    async with running_site(gateway_count=0) as site:
+        await _start_without_config(site, START_S)
+        assert site.store.whole_readings[COPIES_TOPIC] == 0
+        assert site.store.whole_readings[HOLDERS_TOPIC] == ROUTER_COUNT
+
+
+@runs_in_trio
+async def test_one_router_alone_writes_the_first_copies():
+    async with running_site(gateway_count=0) as site:
+        await _start_without_config(site, FIRST_CONFIG_S)
+        site.store.put(CONFIG_TOPIC, "config", config(1))
+
+        async def are_written() -> bool:
+            return len(site.store.topic(COPIES_TOPIC).records) >= 2 * COPY_TOPIC_COUNT
+
+        await eventually(are_written)
+        await trio.sleep(START_S)
+        assert len(site.store.topic(COPIES_TOPIC).records) == 2 * COPY_TOPIC_COUNT
+
+
+@runs_in_trio
+async def test_a_router_that_the_store_knows_does_not_announce_itself_again():
+    async with running_site() as site:
+        first = site.gateways[0]
+        first.stop.set()
+        await first.stopped.wait()
+        announced = len(site.store.topic(ROUTERS_TOPIC).records)
+        site.gateways.clear()
+        again = site.start_gateway(site.store_port)
+        await again.wait_ready()
+        await trio.sleep(START_S)
+        assert len(site.store.topic(ROUTERS_TOPIC).records) == announced
