Let routers report in groups, and a few follow the store for all

Cause: every router told every other, at 68 routers each 0.84 s, at 300 each 2.4 s, which is longer than a report counts (1.5 s); each version of the configuration ended one call of each router, and beyond the third rank all read the list in the same moment.

Change: the routers of a data centre report to each other, one of them tells each router outside what the group holds (FleetRoster); ranks are drawn by address, those with thin links or without the store last; six routers follow the store, the others take configurations from peers, who tell news at once; where the store is lost, routers try it in turn. Load sums are kept up to date instead of being added anew for each report.

A check changed: a router with a wide link and rank 20 follows peers now; the check on it names the last rank that does not.

--- a/packages/scaleloom-core/scaleloom_core/catching_up.py
+++ b/packages/scaleloom-core/scaleloom_core/catching_up.py
@@ -13,6 +13,10 @@
 HEAVY_TRANSFER_S = 0.1
 # One peer may be cut from the store and not know it yet.
 LEAST_FOLLOWED = 2
+# So many routers follow the store for a whole fleet. Each change ends one call
+# of each; that all of them are cut off at once, by a fault that takes a third
+# of the routers, happens once in 700 times.
+FOLLOWERS = 6
 BITS_PER_BYTE = 8
 
 
@@ -29,6 +33,22 @@
     return transfer_s > HEAVY_TRANSFER_S
 
 
+def is_follower(document_bytes: int, link_mbps: float, rank: int) -> bool:
+    """
+    Return whether the router at `rank` follows the store for the others.
+
+    Parameters
+    ----------
+    document_bytes : int
+        The length of the configuration in force; 0 if none is.
+    rank : int
+        The own place among the routers that are heard. The first ones always
+        follow the store, or a fleet of thin links alone would leave it together.
+    """
+    wanted = LEAST_FOLLOWED if is_heavy(document_bytes, link_mbps) else FOLLOWERS
+    return rank < wanted
+
+
 def follows_peers(
     document_bytes: int, link_mbps: float, followed_peers: int, rank: int
 ) -> bool:
@@ -45,11 +65,10 @@
     followed_peers : int
         How many peers are heard that follow the store themselves.
     rank : int
-        The own place among the routers that are heard. The first ones always
-        follow the store, or a fleet of thin links alone would leave it together.
+        The own place among the routers that are heard.
     """
-    is_needed = rank < LEAST_FOLLOWED or followed_peers < LEAST_FOLLOWED
-    return not is_needed and is_heavy(document_bytes, link_mbps)
+    is_told = followed_peers >= LEAST_FOLLOWED
+    return is_told and not is_follower(document_bytes, link_mbps, rank)
 
 
 class Knowledge(msgspec.Struct, frozen=True):
--- a/packages/scaleloom-core/scaleloom_core/list_freshness.py
+++ b/packages/scaleloom-core/scaleloom_core/list_freshness.py
@@ -2,10 +2,14 @@
 
 import msgspec
 
-# Ranks beyond the last step wait no longer, or a large fleet would be slow to
-# replace its readers.
 RANK_STEP_S = 0.15
 LAST_STEP = 3
+# Beyond the last step ranks follow closely, or a large fleet would be slow to
+# replace its readers; without any step all of them would read in one moment.
+LATE_STEP_S = 0.02
+LONGEST_LATE_S = 1.0
+# A confirmation takes a report to the reader's group and one from its relays.
+REPORTS_ON_THE_WAY = 1.5
 NEVER_S = float("-inf")
 # No entry lapses in an outage that is shorter.
 AWAY_AGE_S = 2.0
@@ -27,10 +31,13 @@
     confirmed_s : float
         The moment at which the list is known to have been right, on the
         runtime's clock.
+    report_pause_s : float
+        The time between two reports of a router to its peers, in seconds.
     """
 
     poll_s: float
     confirmed_s: float = NEVER_S
+    report_pause_s: float = 0.0
 
     def confirm(self, at_s: float) -> None:
         """Note that the list was right at `at_s`."""
@@ -50,4 +57,9 @@
 
     def due_s(self, rank: int) -> float:
         """Return when the router at `rank` among its peers has to read."""
-        return self.confirmed_s + self.poll_s + RANK_STEP_S * min(rank, LAST_STEP)
+        due_s = self.confirmed_s + self.poll_s
+        if rank == 0:
+            return due_s
+        late_s = min(LONGEST_LATE_S, LATE_STEP_S * max(0, rank - LAST_STEP))
+        told_s = REPORTS_ON_THE_WAY * self.report_pause_s
+        return due_s + told_s + RANK_STEP_S * min(rank, LAST_STEP) + late_s
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -7,8 +7,8 @@
 import msgspec
 import trio
 
+from scaleloom_core.fleet_roster import SETTLES_S
 from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
-from scaleloom_fleet.gateway.peer_table import RANK_SETTLES_S
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_watch import (
     StoreWatch,
@@ -16,7 +16,9 @@
     apply_target_documents,
 )
 
-WRITE_INTERVAL_S = 0.5
+# Halves the calls of a storm of changes against 0.5 s; a fleet that loses all
+# power while a part of the store is down may be this far behind.
+WRITE_INTERVAL_S = 1.0
 WRITE_RETRY_S = 3.0
 FIRST_READING_S = 0.15
 READ_RETRY_S = 0.5
@@ -65,7 +67,7 @@
 
     async def write_forever(self) -> None:
         """Keep the copies up to date while this router is the first in rank."""
-        await trio.sleep(RANK_SETTLES_S)
+        await trio.sleep(SETTLES_S)
         while True:
             await trio.sleep(WRITE_INTERVAL_S)
             if self._state.rank == 0 and self._watch.is_reachable:
@@ -116,7 +118,7 @@
                 await trio.sleep(NEXT_TOPIC_S)
 
     async def _read(self, topic: Topic, scope: trio.CancelScope) -> None:
-        """Take in one topic's copies; end `scope` if that is enough or there is none."""
+        """Take in one topic's copies; end `scope` if they suffice or there are none."""
         records = await self._watch.read_records(topic)
         if records is None:
             return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/holder_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/holder_copies.py
@@ -6,9 +6,9 @@
 import msgspec
 import trio
 
+from scaleloom_core.fleet_roster import SETTLES_S
 from scaleloom_core.prefix_holders import HoldingAge
 from scaleloom_fleet.gateway.interfaces import Topic
-from scaleloom_fleet.gateway.peer_table import RANK_SETTLES_S
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_watch import StoreWatch
 
@@ -46,7 +46,7 @@
 
     async def write_forever(self) -> None:
         """Write what changed while this router is the first in rank."""
-        await trio.sleep(RANK_SETTLES_S)
+        await trio.sleep(SETTLES_S)
         while True:
             await trio.sleep(await self._write_changed())
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -2,15 +2,19 @@
 
 import msgspec
 
+from scaleloom_core.fleet_roster import FleetMember, GroupId
+
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True):
     """
-    One router's report, sent in a datagram.
+    One router's report of itself or of its group, sent in a datagram.
 
     Parameters
     ----------
-    sender : str
-        Its control address, as ``host:port``.
+    sender : FleetMember
+        The router, by its control address as ``host:port``.
+    group : GroupId
+        The group to which the sender reports.
     config_version : int
         The configuration in force there; -1 if none is.
     list_position : int
@@ -20,21 +24,26 @@
     list_age_ms : int
         How old its list may be, in milliseconds.
     held : dict of int to int
-        Requests that it holds, by the target's number.
+        Requests held, by the target's number.
     holdings : list of tuple of int
-        Prompt parts that it saw targets read lately, by their numbers.
-    follows_store : bool
-        Whether it would learn of a newer configuration from the store at once.
+        Prompt parts that targets were seen to read lately, by their numbers.
+    others : list of FleetMember
+        The other members of the group, if the report speaks for all of them:
+        then what is held and was seen is the group's. Empty otherwise.
+    speaks_for_group : bool
+        Whether it does.
     """
 
-    sender: str
+    sender: FleetMember
+    group: GroupId
     config_version: int
     list_position: int
     list_digest: int
     list_age_ms: int
     held: dict[int, int]
     holdings: list[tuple[int, int]] = []
-    follows_store: bool = False
+    others: list[FleetMember] = []
+    speaks_for_group: bool = False
 
 
 class PeerQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from scaleloom_core.catching_up import follows_peers
+from scaleloom_core.catching_up import follows_peers, is_follower, is_heavy
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.retry_windows import RetryWindows
@@ -20,6 +20,8 @@
 from scaleloom_fleet.utils.metrics import Metrics
 
 _NO_LIMITS = RequestLimits()
+# The configurations of the users' grown sites are about this long.
+LARGE_CONFIG_BYTES = 500_000
 
 
 class PackedConfig(msgspec.Struct):
@@ -51,6 +53,8 @@
         When a stopping process ends; a request that may take longer is not begun.
     rank : int
         This router's place among those that are heard.
+    report_is_due : trio.Event
+        Set when peers are to be told something before the next round.
     """
 
     settings: GatewaySettings
@@ -72,6 +76,7 @@
     rank: int = 0
     is_stopping: bool = False
     last_answer_s: float = float("inf")
+    report_is_due: trio.Event = msgspec.field(default_factory=trio.Event)
     _packed_config: PackedConfig = msgspec.field(default_factory=PackedConfig)
     connections: set[CallerConnection] = msgspec.field(default_factory=set)
     known: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -102,6 +107,21 @@
         self.pools.configure(settings.targets)
         self.freshness.poll_s = settings.platform.list_poll_s
 
+    @property
+    def has_thin_link(self) -> bool:
+        """Return whether a large configuration fills the own link for too long."""
+        return is_heavy(LARGE_CONFIG_BYTES, self.settings.instance.link_mbps)
+
+    def report_soon(self) -> None:
+        """Tell peers what is known now, without waiting for the next round."""
+        self.report_is_due.set()
+
+    @property
+    def is_follower(self) -> bool:
+        """Return whether this router follows the store for others."""
+        link_mbps = self.settings.instance.link_mbps
+        return is_follower(len(self.config_document), link_mbps, self.rank)
+
     @property
     def follows_peers(self) -> bool:
         """Return whether configurations are taken from peers."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -1,12 +1,13 @@
 """The configuration and the list of targets, followed in the platform's store."""
 
 import logging
+import random
 
 import msgspec
 import trio
 from returns.result import Failure, Result, Success
 
-from scaleloom_core.catching_up import is_heavy
+from scaleloom_core.catching_up import FOLLOWERS
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
 from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
@@ -24,10 +25,15 @@
 ANSWER_LIMIT_BYTES = 1 << 26
 PAGE_LIMIT = 1000
 FOLLOWING_CHECK_S = 0.1
-# The configurations of the users' grown sites are about this long.
-LARGE_CONFIG_BYTES = 500_000
 # A copy or a peer that runs on answers within this after a start.
 THIN_LINK_PATIENCE_S = 0.6
+# The store has answered by then, and peers that it named have been greeted.
+OTHERS_KNOWN_S = 0.2
+RETRY_GROWTH = 2.0
+# Less than the second within which a change is asked for after an outage.
+LONGEST_RETRY_S = 0.9
+# A router that the store failed works for others again after this, unasked.
+CUT_LIFE_S = 10.0
 # Without these nothing can be served.
 DOCUMENT_TOPICS = frozenset({Topic.CONFIG, Topic.TARGETS})
 _logger = logging.getLogger("scaleloom.store")
@@ -108,8 +114,19 @@
         self._config_client = StoreClient(address, settings.timeout_s)
         self._waiting_scope: trio.CancelScope | None = None
         self._answered: set[Topic] = set()
+        self._failed_s: dict[Topic, float] = {}
         self.is_reachable = False
 
+    def is_cut(self, now_s: float) -> bool:
+        """Return whether the store lately failed this router on a document."""
+        horizon_s = now_s - CUT_LIFE_S
+        return any(failed_s > horizon_s for failed_s in self._failed_s.values())
+
+    def _note_failure(self, topic: Topic) -> None:
+        """Note that the store did not tell a document, if `topic` is one."""
+        if topic in DOCUMENT_TOPICS:
+            self._failed_s[topic] = trio.current_time()
+
     @property
     def lacks_answers(self) -> bool:
         """Return whether the store has not told the documents since the start."""
@@ -126,8 +143,17 @@
                 continue
             is_read = await self._read_targets()
             self._note_reading(is_read)
-            if not is_read:
-                await trio.sleep_until(now_s + state.settings.platform.retry_s)
+            if is_read:
+                state.report_soon()
+            else:
+                await trio.sleep_until(now_s + self._list_retry_s())
+
+    def _list_retry_s(self) -> float:
+        """Return how long to wait after a reading of the list that failed."""
+        state = self._state
+        if state.rank < FOLLOWERS or not state.view.records:
+            return state.settings.platform.retry_s
+        return random.uniform(0.5, 1.5) * self._turn_s()
 
     def _note_reading(self, is_read: bool) -> None:
         """Note whether the store answered, and log when that changes."""
@@ -158,42 +184,83 @@
             answer = await client.call(adapter.newest_request(topic, after))
             page = answer.bind(adapter.decode_newest)
             if isinstance(page, Failure):
+                self._note_failure(topic)
                 return page
             part: NewestPage = page.unwrap()
             records += part.records
             if not part.has_more or not part.records:
                 self._answered.add(topic)
+                self._failed_s.pop(topic, None)
                 return Success(NewestPage(records, False, part.end))
             after = part.records[-1].key
         return Failure("too many pages")
 
     async def follow_config(self) -> None:
         """Follow the configuration for as long as the process runs."""
-        retry_s = self._state.settings.platform.retry_s
+        first_retry_s = retry_s = self._state.settings.platform.retry_s
         await self._let_others_tell_first()
+        position = await self._read_config()
+        await trio.sleep(OTHERS_KNOWN_S)
         while True:
-            while self._state.follows_peers:
-                await trio.sleep(FOLLOWING_CHECK_S)
-            position = await self._read_config()
-            if position is not None:
-                await self._follow_from(position)
+            if not self._is_needed:
+                await self._wait_for_need()
+                position = None
+            if position is None:
+                position = await self._read_config()
+            if position is None:
+                await trio.sleep(retry_s)
+                retry_s = min(LONGEST_RETRY_S, RETRY_GROWTH * retry_s)
+                continue
+            retry_s = first_retry_s
+            await self._follow_from(position)
+            position = None
             await trio.sleep(retry_s)
 
+    @property
+    def _is_needed(self) -> bool:
+        """Return whether no other router can follow the store for this one."""
+        is_told = Topic.CONFIG in self._answered or self._state.routing is not None
+        return self._state.is_follower or not is_told
+
+    async def _wait_for_need(self) -> None:
+        """
+        Wait while others follow the store for this router.
+
+        Where too few do, the routers that should not follow it try it in turn,
+        so that a fleet that lost it does not ask more often than its followers.
+        """
+        state = self._state
+        patience_s = OTHERS_KNOWN_S + random.uniform(0.0, self._turn_s())
+        while not self._is_needed:
+            if not state.follows_peers:
+                patience_s -= FOLLOWING_CHECK_S
+            if patience_s < 0.0:
+                return
+            await trio.sleep(FOLLOWING_CHECK_S)
+
+    def _turn_s(self) -> float:
+        """Return the time in which every router may try a lost store once."""
+        state = self._state
+        turns = max(1.0, state.router_count / FOLLOWERS)
+        return turns * state.settings.platform.retry_s
+
     async def _let_others_tell_first(self) -> None:
         """Wait for a packed configuration if the own link is thin."""
-        if is_heavy(LARGE_CONFIG_BYTES, self._state.settings.instance.link_mbps):
+        if self._state.has_thin_link:
             with trio.move_on_after(THIN_LINK_PATIENCE_S):
                 await self._state.known.wait()
 
     async def _follow_from(self, position: int) -> None:
         """Wait for newer configurations until the store or the link forbids it."""
         self._state.follows_store = True
+        self._state.report_soon()
         try:
             with trio.CancelScope() as self._waiting_scope:
                 await self._wait_changes(position)
         finally:
             self._waiting_scope = None
             self._state.follows_store = False
+            self._state.report_soon()
 
     async def _read_config(self) -> int | None:
         """Read the configuration once and return how far the topic goes."""
@@ -213,12 +280,14 @@
             answer = await self._config_client.call(request, wait_s)
             body = answer.value_or(None)
             if body is None:
+                self._note_failure(Topic.CONFIG)
                 return
             batch = adapter.decode_batch(body, position)
             if isinstance(batch, Failure):
                 return
             records = batch.unwrap().records
             self._apply(records)
+            self._state.report_soon()
             position += len(records)
             if batch.unwrap().end > position or self._state.follows_peers:
                 # More changes wait than one answer holds and only the last
--- a/tests/core/test_catching_up.py
+++ b/tests/core/test_catching_up.py
@@ -3,10 +3,12 @@
 from nose2.tools import params
 
 from scaleloom_core.catching_up import (
+    FOLLOWERS,
     LEAST_FOLLOWED,
     CatchUp,
     Knowledge,
     follows_peers,
+    is_follower,
     is_heavy,
 )
 from scaleloom_core.ids import InstanceId
@@ -69,7 +71,14 @@
 def test_peers_are_followed_only_if_enough_of_them_follow_the_store():
     assert follows_peers(800_000, 10.0, LEAST_FOLLOWED, LEAST_FOLLOWED)
     assert not follows_peers(800_000, 10.0, LEAST_FOLLOWED - 1, LEAST_FOLLOWED)
-    assert not follows_peers(800_000, 1000.0, 30, 20)
+    assert not follows_peers(800_000, 1000.0, 30, FOLLOWERS - 1)
+    assert follows_peers(800_000, 1000.0, 30, FOLLOWERS)
+
+
+@params(4, 30, 68, 420)
+def test_a_fleet_of_any_size_has_the_same_few_followers(router_count):
+    following = {rank for rank in range(router_count) if is_follower(0, 1000.0, rank)}
+    assert len(following) == min(router_count, FOLLOWERS)
 
 
 def test_a_fleet_of_thin_links_alone_never_leaves_the_store_together():
--- /dev/null
+++ b/tests/core/test_fleet_roster.py
@@ -0,0 +1,230 @@
+"""Tests of how routers of a fleet tell each other of themselves, in groups."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from nose2.tools import params
+
+from scaleloom_core.fleet_load import FleetLoad, target_key
+from scaleloom_core.fleet_roster import (
+    COUNTED_S,
+    FORGOTTEN_S,
+    LIVELY_S,
+    MOST_IN_GROUP,
+    SETTLES_S,
+    FleetMember,
+    FleetRoster,
+    precedence,
+)
+from scaleloom_core.ids import DataCentreName, InstanceId, TargetId
+
+ROUND_S = 0.2
+TARGET = TargetId("i-1")
+HELD_EACH = 2
+ROUNDS_TO_KNOW_ALL = 8
+# Reports of groups from before a split are forgotten by then.
+ROUNDS_TO_SPLIT = 16
+
+
+@dataclass
+class _Router:
+    """One router of a simulated fleet, and how many messages it sent."""
+
+    id: InstanceId
+    roster: FleetRoster
+    load: FleetLoad = field(default_factory=FleetLoad)
+    sent: int = 0
+
+    @property
+    def member(self) -> FleetMember:
+        """Return what the fleet knows of this router."""
+        return FleetMember(self.id, precedence(self.id, False, False), True)
+
+
+class _Fleet:
+    """
+    Routers that tell each other of themselves, in rounds.
+
+    Parameters
+    ----------
+    lost_share : float
+        The share of messages that never arrive.
+    """
+
+    def __init__(self, sizes: list[int], lost_share: float = 0.0) -> None:
+        self.now_s = 0.0
+        self.lost_share = lost_share
+        self.random = random.Random(7)
+        self.routers: dict[InstanceId, _Router] = {}
+        for number, size in enumerate(sizes):
+            for place in range(size):
+                router = InstanceId(f"10.{number}.0.{place}:7000")
+                roster = FleetRoster(router, DataCentreName(f"dc-{number}"), 0.0)
+                self.routers[router] = _Router(router, roster)
+        for router in self.routers.values():
+            for other in self.routers:
+                router.roster.add(other, 0.0)
+            for _ in range(HELD_EACH):
+                router.load.take(TARGET)
+
+    def play(self, rounds: int) -> None:
+        """Let every router report once a round."""
+        for _ in range(rounds):
+            self.now_s += ROUND_S
+            for router in list(self.routers.values()):
+                self._report(router)
+
+    def _report(self, router: _Router) -> None:
+        """Let one router report to its group and for its group."""
+        roster, now_s = router.roster, self.now_s
+        roster.regroup(now_s)
+        router.load.forget_silent(now_s)
+        near = [member.router for member in roster.near(now_s)]
+        told = roster.relayed_to(now_s)
+        tried = roster.silent(now_s)
+        router.sent += len(near) + len(told)
+        own = router.load.own_report(now_s)
+        group = router.load.group_report()
+        others = roster.near(now_s)
+        for receiver in self._reached(near + tried):
+            receiver.roster.note(router.member, roster.group, now_s)
+            if receiver.roster.group == roster.group:
+                receiver.load.note_report(router.id, own, now_s)
+        for receiver in self._reached(told):
+            for member in (router.member, *others):
+                receiver.roster.note(member, roster.group, now_s)
+            key = InstanceId(repr(roster.group))
+            receiver.load.note_group(key, group, 1 + len(others), now_s)
+
+    def _reached(self, receivers: list[InstanceId]) -> list[_Router]:
+        """Return the routers among `receivers` that a message reaches."""
+        return [
+            self.routers[receiver]
+            for receiver in receivers
+            if receiver in self.routers and self.random.random() >= self.lost_share
+        ]
+
+
+@params([4], [1, 1, 1, 1], [11] * 6, [60, 60], [20] * 21)
+def test_every_router_learns_what_all_others_hold(sizes):
+    fleet = _Fleet(sizes)
+    fleet.play(ROUNDS_TO_SPLIT)
+    total = HELD_EACH * len(fleet.routers)
+    for router in fleet.routers.values():
+        assert router.load.held(TARGET) == total
+        assert router.roster.count(fleet.now_s) == len(fleet.routers)
+
+
+@params([11] * 6, [60, 60, 60], [20] * 21)
+def test_a_round_costs_far_less_than_telling_everybody(sizes):
+    fleet = _Fleet(sizes)
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    before = {router.id: router.sent for router in fleet.routers.values()}
+    fleet.play(1)
+    sent = [router.sent - before[router.id] for router in fleet.routers.values()]
+    assert max(sent) <= 4 * len(fleet.routers) ** 0.5
+
+
+def test_each_router_is_told_of_each_group_by_one_member():
+    fleet = _Fleet([5, 5, 5])
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    told = Counter(
+        (receiver, router.roster.group)
+        for router in fleet.routers.values()
+        for receiver in router.roster.relayed_to(fleet.now_s)
+    )
+    assert set(told.values()) == {1}
+    assert len(told) == 15 * 2
+
+
+def test_the_end_of_any_router_is_made_good_by_the_others():
+    fleet = _Fleet([6, 6, 6])
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    for lost in list(fleet.routers)[:9]:
+        del fleet.routers[lost]
+        fleet.play(int(2 * LIVELY_S / ROUND_S) + 2)
+        total = HELD_EACH * len(fleet.routers)
+        for router in fleet.routers.values():
+            assert router.load.held(TARGET) == total
+
+
+def test_lost_messages_seldom_hide_what_others_hold():
+    fleet = _Fleet([11] * 6, lost_share=0.05)
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    total = HELD_EACH * len(fleet.routers)
+    short = checks = 0
+    for _ in range(20):
+        fleet.play(1)
+        for router in fleet.routers.values():
+            checks += 1
+            short += router.load.held(TARGET) < 0.95 * total
+    assert short <= 0.02 * checks
+
+
+@params(4, 68, 420)
+def test_ranks_are_agreed_once_routers_have_heard_of_each_other(router_count):
+    fleet = _Fleet([router_count // 4] * 4)
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    ranks = [
+        router.roster.rank(router.member.precedence, fleet.now_s)
+        for router in fleet.routers.values()
+    ]
+    assert sorted(ranks) == list(range(router_count))
+
+
+def test_routers_that_start_together_do_not_all_come_first():
+    fleet = _Fleet([10, 10])
+    ranks = [
+        router.roster.rank(router.member.precedence, 0.0)
+        for router in fleet.routers.values()
+    ]
+    assert sorted(ranks) == list(range(20))
+    (alone,) = _Fleet([1]).routers.values()
+    assert alone.roster.rank(alone.member.precedence, 0.0) == 0
+
+
+def test_a_router_that_the_store_fails_comes_behind_all_others():
+    usual = [precedence(InstanceId(f"r-{n}"), False, False) for n in range(50)]
+    thin = [precedence(InstanceId(f"r-{n}"), True, False) for n in range(50)]
+    cut = [precedence(InstanceId(f"r-{n}"), False, True) for n in range(50)]
+    assert max(usual) < min(thin) <= max(thin) < min(cut)
+
+
+def test_what_is_shared_counts_the_living_and_the_lately_lost():
+    fleet = _Fleet([3])
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    first, second, lost = fleet.routers.values()
+    del fleet.routers[lost.id]
+    fleet.play(int(LIVELY_S / ROUND_S) + 1)
+    assert first.roster.count(fleet.now_s) == 3
+    fleet.play(int(COUNTED_S / ROUND_S) + 1)
+    assert first.roster.count(fleet.now_s) == 2
+    assert first.roster.silent(fleet.now_s) == [lost.id]
+    first.roster.forget(fleet.now_s + FORGOTTEN_S)
+    assert first.roster.silent(fleet.now_s) == []
+    assert second.roster.count(fleet.now_s) == 2
+
+
+def test_a_large_data_centre_is_split_and_joined_again():
+    fleet = _Fleet([3 * MOST_IN_GROUP])
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    groups = Counter(router.roster.group for router in fleet.routers.values())
+    assert len(groups) > 1
+    assert max(groups.values()) <= 1.5 * MOST_IN_GROUP
+    for lost in list(fleet.routers)[4:]:
+        del fleet.routers[lost]
+    fleet.play(int((SETTLES_S + LIVELY_S) / ROUND_S) + 5)
+    assert len({router.roster.group for router in fleet.routers.values()}) == 1
+
+
+def test_a_repeated_report_is_counted_once():
+    load = FleetLoad()
+    key = target_key(TARGET)
+    for held in (4, 1, 3):
+        load.note_report(InstanceId("peer"), {key: held}, 0.0)
+        load.note_group(InstanceId("group"), {key: 2 * held}, 5, 0.0)
+    assert load.held(TARGET) == 9
+    assert load.group_report() == {key: 3}
+    load.forget_silent(60.0)
+    assert (load.held(TARGET), load.group_report()) == (0, {})
--- a/tests/core/test_list_freshness.py
+++ b/tests/core/test_list_freshness.py
@@ -1,6 +1,12 @@
 """Tests of how a fleet shares the reading of one list."""
 
-from scaleloom_core.list_freshness import LAST_STEP, RANK_STEP_S, ListFreshness
+from scaleloom_core.list_freshness import (
+    LAST_STEP,
+    LONGEST_LATE_S,
+    RANK_STEP_S,
+    REPORTS_ON_THE_WAY,
+    ListFreshness,
+)
 
 POLL_S = 0.7
 STEP_S = 0.05
@@ -37,13 +43,24 @@
     assert next_s - last_s <= POLL_S + RANK_STEP_S + 2 * STEP_S
 
 
-def test_no_rank_waits_longer_than_the_last_step():
+def test_ranks_beyond_the_last_step_follow_closely_and_not_all_at_once():
     freshness = ListFreshness(POLL_S, confirmed_s=3.0)
-    assert freshness.due_s(420) == 3.0 + POLL_S + LAST_STEP * RANK_STEP_S
+    last_step_s = 3.0 + POLL_S + LAST_STEP * RANK_STEP_S
+    due_s = [freshness.due_s(rank) for rank in range(LAST_STEP, 420)]
+    assert due_s[0] == last_step_s
+    assert due_s[-1] <= last_step_s + LONGEST_LATE_S
+    assert all(later - sooner > 0.01 for sooner, later in zip(due_s[:40], due_s[1:41]))
     freshness.confirm(2.0)
     assert freshness.age_s(4.0) == 1.0
 
 
+def test_whoever_is_told_by_reports_waits_until_they_can_have_come():
+    freshness = ListFreshness(POLL_S, confirmed_s=3.0, report_pause_s=0.5)
+    assert freshness.due_s(0) == 3.0 + POLL_S
+    told_s = REPORTS_ON_THE_WAY * freshness.report_pause_s
+    assert freshness.due_s(1) == 3.0 + POLL_S + told_s + RANK_STEP_S
+
+
 def test_a_list_that_was_read_in_time_or_never_was_not_away():
     freshness = ListFreshness(0.7)
     assert not freshness.was_away(100.0)
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -95,11 +95,11 @@
         chooser.load = load
         for peer in range(4):
             load.note_report(InstanceId(f"p-{peer}"), {}, 0.0)
-        for _ in range(60):
+        for report in range(60):
             for _ in range(sends_per_interval):
                 load.take(home)
                 load.release(home)
-            load.own_report()
+            load.own_report(report * load.report_pause_s)
         for record in view.records.values():
             for _ in range(6):
                 load.take(record.listed.id)
@@ -186,7 +186,7 @@
     load.take(target)
     load.take(target)
     load.release(target)
-    assert (load.held(target), load.own_report()) == (1, {target_key(target): 1})
+    assert (load.held(target), load.own_report(0.0)) == (1, {target_key(target): 1})
 
 
 def test_a_full_service_has_no_choice():
--- a/tests/gateway/test_own_faults.py
+++ b/tests/gateway/test_own_faults.py
@@ -5,6 +5,8 @@
 import msgspec
 from nose2.tools import params
 
+from scaleloom_core.fleet_roster import FleetMember, GroupId
+from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway import accepting
 from scaleloom_fleet.gateway.peer_messages import PeerReport
 from tests.fixtures.fleets import runs_in_trio
@@ -50,10 +52,11 @@
         assert await refuses_for_want_of_targets()
 
 
-def _report(**fields) -> bytes:
-    """Return a report with `fields`."""
+def _report(sender: str = "127.0.0.9:1", **fields) -> bytes:
+    """Return a report of `sender` with `fields`."""
     given = {
-        "sender": "127.0.0.9:1",
+        "sender": FleetMember(InstanceId(sender), 0, False),
+        "group": GroupId(DataCentreName("a")),
         "config_version": -1,
         "list_position": -1,
         "list_digest": 0,
