Judge targets by what all routers see: failures and delays

Cause: 68 routers with 20 requests a second each send one request to a target in four seconds, so that none of them sees a target fail or turn slow before it is over; and one target more than half failing meant that all were used, none left out.

Change: reports carry how requests fared at each target and how long answers took to begin against the usual of their routes. A target is left out by its ratio near or in the whole fleet, against the better quarter of its peers, and where too many fail those that fail least are used. A target that is slow against the better quarter takes less, by the square of its slowness, at least one; it is tried again as what was seen fades within seconds.

--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -19,6 +19,8 @@
 # The part of that difference which covers what reports do not show yet.
 BOUND_SLACK = 1.0
 QUEUE_PER_SLOT = 2.0
+# What a slow target still gets shows when it is well again.
+LEAST_AT_SLOW = 1.0
 OTHER_DATA_CENTRE_LOAD = 0.75
 
 
@@ -44,6 +46,7 @@
     data_centre: DataCentreName
     bound_multiple: float
     holders: PrefixHolders = msgspec.field(default_factory=PrefixHolders)
+    _slow: dict[TargetId, float] = msgspec.field(default_factory=dict)
 
     def choose(
         self,
@@ -65,6 +68,7 @@
         open_to_it = [r for r in usable if r.listed.id not in tried]
         if not open_to_it:
             return None
+        self._slow = self.view.slownesses(usable, now_s)
         if policy.is_engine:
             fits = self._fits_within(self._bound(usable))
         else:
@@ -144,6 +148,10 @@
             target = record.listed.id
             unseen = max(0.0, self.load.uncertainty(target) - BOUND_SLACK)
             limit = min(bound - unseen, record.listed.slots)
+            slow = self._slow.get(target, 1.0)
+            if slow > 1.0:
+                # It holds each request longer, and each waits for the others.
+                limit = max(LEAST_AT_SLOW, limit / slow**2)
             return self.load.held(target) < limit
 
         return fits
@@ -172,4 +180,7 @@
         if record.listed.data_centre != self.data_centre:
             held += OTHER_DATA_CENTRE_LOAD
         order = hash_text(self.data_centre, record.listed.id)
-        return held / max(1, record.listed.slots), order
+        slow = self._slow.get(record.listed.id, 1.0)
+        # One more request counts too, or an idle target would never be slow.
+        waited = (held + 1) * slow if slow > 1.0 else held
+        return waited / max(1, record.listed.slots), order
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -1,5 +1,7 @@
 """The targets that the platform lists, and what is known of each one's state."""
 
+import math
+
 import msgspec
 
 from scaleloom_core.fleet_load import TargetKey, target_key
@@ -7,6 +9,8 @@
 from scaleloom_core.ids import ChatId, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
 from scaleloom_core.placement import PlacementTable, PoolMember
+from scaleloom_core.target_delays import PERCENT, DelayRatio, slowness
+from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 
 FIRST_ABSENCE_S = 0.5
 LONGEST_ABSENCE_S = 4.0
@@ -25,14 +29,39 @@
 NEVER_S = float("inf")
 
 
+class FailureRatio(msgspec.Struct):
+    """A moving mean of the share of requests that fail, and how many it rests on."""
+
+    ratio: float = 0.0
+    samples: int = 0
+
+    def note(self, outcomes: Outcomes) -> None:
+        """Take in how some requests fared."""
+        count = outcomes.answered + outcomes.failed
+        if count > 0:
+            self.samples += count
+            weight = 1.0 - (1.0 - FAILURE_WEIGHT) ** count
+            self.ratio += (outcomes.failed / count - self.ratio) * weight
+
+    @property
+    def told(self) -> float:
+        """Return the ratio, or nothing while it rests on too few requests."""
+        return self.ratio if self.samples >= FAILURE_SAMPLES else 0.0
+
+
 class TargetRecord(msgspec.Struct):
     """
     What this process knows of one target.
 
     Parameters
     ----------
-    failure_ratio : float
-        A moving mean of the share of requests that failed there.
+    near_failures : FailureRatio
+        Of the requests that this router and its group sent there. A target may
+        fail the callers of one data centre only.
+    fleet_failures : FailureRatio
+        Of the requests of all routers.
+    delays : DelayRatio
+        How long its answers take to begin, over the usual.
     lapses_at_s : float
         When the target counts as gone because its entry is missing.
     ends_at_s : float
@@ -40,8 +69,9 @@
     """
 
     listed: ListedTarget
-    failure_ratio: float = 0.0
-    samples: int = 0
+    near_failures: FailureRatio = msgspec.field(default_factory=FailureRatio)
+    fleet_failures: FailureRatio = msgspec.field(default_factory=FailureRatio)
+    delays: DelayRatio = msgspec.field(default_factory=DelayRatio)
     absence_s: float = 0.0
     away_until_s: float = 0.0
     failing_until_s: float = 0.0
@@ -50,15 +80,36 @@
 
     def note_answer(self) -> None:
         """Count an answer that shows the target well."""
-        self.samples += 1
         self.absence_s = 0.0
         self.away_until_s = 0.0
-        self.failure_ratio -= self.failure_ratio * FAILURE_WEIGHT
+        self.note_outcomes(ONE_ANSWERED, is_near=True)
 
     def note_failure(self) -> None:
         """Count a request that failed at the target."""
-        self.samples += 1
-        self.failure_ratio += (1.0 - self.failure_ratio) * FAILURE_WEIGHT
+        self.note_outcomes(ONE_FAILED, is_near=True)
+
+    def note_outcomes(
+        self, outcomes: Outcomes, is_near: bool, now_s: float = 0.0
+    ) -> None:
+        """Count requests that were sent to the target, by the own group or not."""
+        self.fleet_failures.note(outcomes)
+        if is_near:
+            self.near_failures.note(outcomes)
+        if outcomes.begun > 0:
+            mean_ratio = outcomes.delays_pct / PERCENT / outcomes.begun
+            self.delays.note(outcomes.begun, mean_ratio, now_s)
+
+    @property
+    def failure_ratio(self) -> float:
+        """Return the share of requests that lately failed, near or everywhere."""
+        return max(self.near_failures.told, self.fleet_failures.told)
+
+    def leave_out_until(self, until_s: float) -> None:
+        """Offer the target nothing until `until_s`, and little failure then."""
+        self.failing_until_s = until_s
+        returning = FAILURE_EXCESS * (1.0 - FAILURE_WEIGHT)
+        for failures in (self.near_failures, self.fleet_failures):
+            failures.ratio = min(failures.ratio, returning)
 
     def note_unreachable(self, now_s: float) -> None:
         """Offer the target nothing for a while, longer each time in a row."""
@@ -188,6 +239,15 @@
             self._former_tables[service] = table
         self._tables[service] = PlacementTable(members)
 
+    def note_outcomes(
+        self, counts: dict[TargetKey, Outcomes], is_near: bool, now_s: float = 0.0
+    ) -> None:
+        """Take in how the requests of other routers fared, of the own group or not."""
+        for key, outcomes in counts.items():
+            record = self.records.get(self._ids_by_key.get(key, TargetId("")))
+            if record is not None:
+                record.note_outcomes(outcomes, is_near, now_s)
+
     def find_key(self, key: TargetKey) -> TargetId | None:
         """Return the listed target that `key` stands for."""
         return self._ids_by_key.get(key)
@@ -202,23 +262,33 @@
         table = self._former_tables.get(service)
         return table.candidates(ChatId(part))[0] if table and table.members else None
 
+    def slownesses(
+        self, records: list[TargetRecord], now_s: float
+    ) -> dict[TargetId, float]:
+        """Return those of `records` that are slow against the better ones."""
+        ratios = {r.listed.id: r.delays.ratio(now_s) for r in records}
+        usual = _quartile(list(ratios.values()))
+        found = {target: slowness(ratio, usual) for target, ratio in ratios.items()}
+        return {target: times for target, times in found.items() if times > 1.0}
+
     def usable(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """
         Return the targets of `service` to which new work may be sent.
 
-        Targets that fail far more often than the others are left out for a
-        while, but never so many that less than half remain; then all that can
-        be reached are returned.
+        Targets that fail far more often than the better ones are left out for a
+        while, but never so many that less than half remain: those that fail
+        least stay.
         """
         listed = self.by_service.get(service, [])
         reachable = [r for r in listed if r.away_until_s <= now_s < r.lapses_at_s]
         if not reachable:
             return []
-        mean = sum(record.failure_ratio for record in reachable) / len(reachable)
-        well = [r for r in reachable if not _is_failing(r, mean, now_s)]
-        if len(well) < LEAST_USABLE_SHARE * len(reachable):
-            return reachable
-        return well
+        usual = _quartile([record.failure_ratio for record in reachable])
+        well = [r for r in reachable if not _is_failing(r, usual, now_s)]
+        least = math.ceil(LEAST_USABLE_SHARE * len(reachable))
+        if len(well) >= least:
+            return well
+        return sorted(reachable, key=_failure_ratio)[:least]
 
 
 def _digest(listed: list[ListedTarget]) -> int:
@@ -230,13 +300,21 @@
     return hash_text(*rows)
 
 
-def _is_failing(record: TargetRecord, mean: float, now_s: float) -> bool:
+def _failure_ratio(record: TargetRecord) -> float:
+    """Return the share of requests that lately failed at `record`."""
+    return record.failure_ratio
+
+
+def _quartile(values: list[float]) -> float:
+    """Return what a quarter of `values` does not exceed, whatever the others are."""
+    return sorted(values)[len(values) // 4]
+
+
+def _is_failing(record: TargetRecord, usual: float, now_s: float) -> bool:
     """Return whether `record` is left out for its failures at `now_s`."""
     if record.failing_until_s > now_s:
         return True
-    bound = max(FAILURE_EXCESS, FAILURE_MULTIPLE * min(mean, FAILURE_EXCESS))
-    if record.samples < FAILURE_SAMPLES or record.failure_ratio < bound:
+    if record.failure_ratio < max(FAILURE_EXCESS, FAILURE_MULTIPLE * usual):
         return False
-    record.failing_until_s = now_s + FAILING_ABSENCE_S
-    record.failure_ratio = FAILURE_EXCESS * (1.0 - FAILURE_WEIGHT)
+    record.leave_out_until(now_s + FAILING_ABSENCE_S)
     return True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -1,13 +1,17 @@
 """One request at one target: sent once, its answer passed on or judged."""
 
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
 import trio
 
+from scaleloom_core.fleet_load import target_key
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
 from scaleloom_core.routing import RequestKind
+from scaleloom_core.target_delays import PERCENT
+from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 from scaleloom_core.targets import TargetRecord
 from scaleloom_fleet.gateway.answering import closing_headers
 from scaleloom_fleet.gateway.events import EventSplitter
@@ -98,18 +102,22 @@
             state.pools.put_back(target.id, link)
         else:
             link.close()
-    _judge(record, verdict)
+    _judge(state, record, verdict)
     return verdict
 
 
-def _judge(record: TargetRecord, verdict: Verdict) -> None:
-    """Take what `verdict` tells of the target into its record."""
+def _judge(state: GatewayState, record: TargetRecord, verdict: Verdict) -> None:
+    """Take what `verdict` tells of the target into its record, and tell peers."""
+    if verdict is Verdict.MISPLACED:
+        record.note_misplaced(trio.current_time())
+        return
     if verdict is Verdict.ANSWERED:
         record.note_answer()
-    elif verdict is Verdict.MISPLACED:
-        record.note_misplaced(trio.current_time())
+        outcomes = ONE_ANSWERED
     else:
         record.note_failure()
+        outcomes = ONE_FAILED
+    state.outcomes.note(target_key(record.listed.id), outcomes)
 
 
 async def _exchange(
@@ -145,9 +153,25 @@
         work.failure = (head, body)
         return Verdict.FAILED if head.status >= 500 else Verdict.ANSWERED
     _note_read(state, work, record.listed.id)
-    if work.match.route.kind is RequestKind.STREAM:
-        return await _pass_stream(state, work, link, head, can_repeat)
-    return await _pass_whole(state, work, link, head)
+    if work.match.route.kind is not RequestKind.STREAM:
+        _note_begun(state, work, record, now_s)
+        return await _pass_whole(state, work, link, head)
+
+    def note_first_data() -> None:
+        _note_begun(state, work, record, now_s)
+
+    return await _pass_stream(state, work, link, head, can_repeat, note_first_data)
+
+
+def _note_begun(
+    state: GatewayState, work: Work, record: TargetRecord, sent_s: float
+) -> None:
+    """Take in how long the target took to begin its answer, and tell peers."""
+    now_s = trio.current_time()
+    ratio = state.usual_delays.ratio(work.match.route.name, now_s - sent_s)
+    outcomes = Outcomes(begun=1, delays_pct=int(ratio * PERCENT))
+    record.note_outcomes(outcomes, is_near=True, now_s=now_s)
+    state.outcomes.note(target_key(record.listed.id), outcomes)
 
 
 def _cache_source(
@@ -237,9 +261,15 @@
 
 
 async def _pass_stream(
-    state: GatewayState, work: Work, link: Link, head: AnswerHead, can_repeat: bool
+    state: GatewayState,
+    work: Work,
+    link: Link,
+    head: AnswerHead,
+    can_repeat: bool,
+    note_first_data: Callable[[], None],
 ) -> Verdict:
     """Pass a stream's events on as they arrive."""
+    is_first = True
     splitter = work.splitter
     patience_s = _head_patience_s(work, can_repeat)
     while True:
@@ -249,6 +279,9 @@
             return Verdict.SILENT
         if part is None:
             break
+        if is_first:
+            note_first_data()
+            is_first = False
         ready = part if splitter is None else splitter.take(part)
         if not ready:
             continue
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from scaleloom_core.fleet_roster import FleetMember, GroupId
+from scaleloom_core.target_outcomes import Outcomes
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True):
@@ -27,6 +28,8 @@
         Requests held, by the target's number.
     holdings : list of tuple of int
         Prompt parts that targets were seen to read lately, by their numbers.
+    outcomes : dict of int to Outcomes
+        How requests fared since the last report, by the target's number.
     others : list of FleetMember
         The other members of the group, if the report speaks for all of them:
         then what is held and was seen is the group's. Empty otherwise.
@@ -42,6 +45,7 @@
     list_age_ms: int
     held: dict[int, int]
     holdings: list[tuple[int, int]] = []
+    outcomes: dict[int, Outcomes] = {}
     others: list[FleetMember] = []
     speaks_for_group: bool = False
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -7,6 +7,7 @@
 import trio
 
 from scaleloom_core.catching_up import CatchUp, Knowledge
+from scaleloom_core.fleet_load import TargetKey
 from scaleloom_core.fleet_roster import (
     TRIED_AGAIN,
     FleetMember,
@@ -15,6 +16,7 @@
 )
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_core.prefix_holders import Holding
+from scaleloom_core.target_outcomes import OutcomeCounts, Outcomes
 from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.peer_documents import (
     DocumentServer,
@@ -64,6 +66,7 @@
         self._addresses: dict[InstanceId, Address] = {}
         self._to_greet: list[InstanceId] = []
         self._group_news: list[Holding] = []
+        self._group_outcomes = OutcomeCounts()
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
         self._someone_is_ahead = trio.Event()
@@ -142,6 +145,8 @@
         holders = self._state.chooser.holders
         for part, target in report.holdings:
             holders.note(part, target, now_s)
+        is_near = report.group == self._roster.group
+        self._state.view.note_outcomes(report.outcomes, is_near, now_s)
         self._note_freshness(report, now_s)
         self._note_knowledge(report, now_s)
 
@@ -156,6 +161,7 @@
             load.note_report(report.sender.router, report.held, now_s)
             room = GROUP_NEWS_LIMIT - len(self._group_news)
             self._group_news += report.holdings[:room]
+            self._group_outcomes.note_all(report.outcomes)
 
     def _note_freshness(self, report: PeerReport, now_s: float) -> None:
         """Take a peer's list that says the same as a confirmation of this one."""
@@ -223,11 +229,15 @@
         """Send the own report to `near`, and the group's to `told`."""
         load = self._state.load
         news = self._state.chooser.holders.take_news()
-        report = self._report(load.own_report(now_s), news, now_s)
+        outcomes = self._state.outcomes.take()
+        report = self._report(load.own_report(now_s), news, outcomes, now_s)
         self._send_to(near, report)
         group_news, self._group_news = self._group_news + news, []
+        self._group_outcomes.note_all(outcomes)
+        group_outcomes = self._group_outcomes.take()
         if told:
-            summary = self._report(load.group_report(), group_news, now_s)
+            held = load.group_report()
+            summary = self._report(held, group_news, group_outcomes, now_s)
             others = self._roster.near(now_s)
             self._send_to(
                 told,
@@ -235,7 +245,11 @@
             )
 
     def _report(
-        self, held: dict[int, int], news: list[Holding], now_s: float
+        self,
+        held: dict[TargetKey, int],
+        news: list[Holding],
+        outcomes: dict[TargetKey, Outcomes],
+        now_s: float,
     ) -> PeerReport:
         """Return a report of what is held and seen, with what this router knows."""
         state = self._state
@@ -249,6 +263,7 @@
             state.freshness.age_ms(now_s),
             held,
             news,
+            outcomes,
         )
 
     def _send_to(self, routers: list[InstanceId], report: PeerReport) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -11,6 +11,8 @@
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.routing import RequestLimits, RoutingTable
 from scaleloom_core.target_choice import TargetChooser
+from scaleloom_core.target_delays import UsualDelays
+from scaleloom_core.target_outcomes import OutcomeCounts
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
@@ -51,6 +53,8 @@
         Set once a configuration and some targets are known.
     last_answer_s : float
         When a stopping process ends; a request that may take longer is not begun.
+    outcomes : OutcomeCounts
+        How the own requests fared, for peers.
     rank : int
         This router's place among those that are heard.
     report_is_due : trio.Event
@@ -67,6 +71,8 @@
     pools: LinkPools
     metrics: Metrics
     freshness: ListFreshness
+    outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
+    usual_delays: UsualDelays = msgspec.field(default_factory=UsualDelays)
     routing: RoutingTable | None = None
     config_document: bytes = b""
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -1,5 +1,7 @@
 """Tests of what is known of targets, and of the load bound's choice."""
 
+import random
+
 from nose2.tools import params
 
 from scaleloom_core.fleet_load import PEER_REPORT_LIFE_S, FleetLoad, target_key
@@ -8,6 +10,8 @@
 from scaleloom_core.prefix_holders import PrefixHolders, part_key
 from scaleloom_core.routing import ServicePolicy
 from scaleloom_core.target_choice import PlacementKey, TargetChooser
+from scaleloom_core.target_delays import LONGEST_RATIO, UsualDelays
+from scaleloom_core.target_outcomes import Outcomes
 from scaleloom_core.targets import (
     DEPARTED_SOURCE_S,
     FAILING_ABSENCE_S,
@@ -141,6 +145,110 @@
     assert record not in view.usable(SERVICE, FAILING_ABSENCE_S + 0.2)
 
 
+GREY_SHARE = 0.45
+GREY_COUNT = 10
+ROUTER_COUNT = 68
+SECONDS = 1.5
+REPORT_S = 0.2
+
+
+def _play_grey(view: TargetView, grey: set[TargetId], is_told: bool) -> None:
+    """Let requests fail at `grey`, seen by one router or told by all of them."""
+    drawn = random.Random(5)
+    for _ in range(int(SECONDS / REPORT_S)):
+        counts: dict[int, Outcomes] = {}
+        for target in view.records:
+            sent = 3 if is_told else drawn.random() < 3 / ROUTER_COUNT
+            share = GREY_SHARE if target in grey else 0.0
+            failed = sum(drawn.random() < share for _ in range(sent))
+            counts[target_key(target)] = Outcomes(sent - failed, failed)
+        view.note_outcomes(counts, is_near=not is_told)
+
+
+def test_targets_that_fail_the_fleet_are_seen_by_routers_that_send_little():
+    grey = {TargetId(f"i-{number}") for number in range(GREY_COUNT)}
+    alone, told = _view(70), _view(70)
+    _play_grey(alone, grey, is_told=False)
+    _play_grey(told, grey, is_told=True)
+    used_alone = {record.listed.id for record in alone.usable(SERVICE, 2.0)}
+    used_told = {record.listed.id for record in told.usable(SERVICE, 2.0)}
+    assert grey <= used_alone
+    assert len(grey & used_told) <= 2
+    assert used_told >= set(told.records) - grey
+
+
+def _play_slow(view: TargetView, slow: set[TargetId], times: float, now_s: float):
+    """Let answers begin `times` later at `slow` than elsewhere, as routers tell."""
+    for target in view.records:
+        ratio = times if target in slow else 1.0
+        counts = {target_key(target): Outcomes(10, 0, 10, int(1000 * ratio))}
+        for _ in range(3):
+            view.note_outcomes(counts, is_near=False, now_s=now_s)
+
+
+@params(1, 6, 12)
+def test_slow_targets_take_little_until_they_are_well(slow_count):
+    slow = {TargetId(f"i-{number}") for number in range(slow_count)}
+    view = _view(24)
+    chooser = _chooser(view)
+    _play_slow(view, slow, 3.5, 10.0)
+    for number in range(100):
+        record = chooser.choose(_key(f"part-{number}"), ENGINE, set(), 10.0)
+        chooser.load.take(record.listed.id)
+    assert all(chooser.load.held(target) <= 1 for target in slow)
+    assert view.slownesses(view.usable(SERVICE, 30.0), 30.0) == {}
+
+
+def test_when_all_targets_turn_slow_none_is_passed_over():
+    view = _view(6)
+    _play_slow(view, set(view.records), 3.5, 10.0)
+    assert view.slownesses(view.usable(SERVICE, 10.0), 10.0) == {}
+
+
+def test_targets_that_differ_a_little_are_not_slow():
+    view = _view(6)
+    _play_slow(view, {TargetId("i-0")}, 1.4, 10.0)
+    assert view.slownesses(view.usable(SERVICE, 10.0), 10.0) == {}
+
+
+def test_a_slow_target_is_not_the_least_loaded_though_it_is_idle():
+    view = _view(3)
+    chooser = _chooser(view)
+    _play_slow(view, {TargetId("i-0")}, 4.0, 10.0)
+    chosen = [chooser.choose(_key(None), PLAIN, set(), 10.0) for _ in range(2)]
+    for record in chosen:
+        chooser.load.take(record.listed.id)
+    assert TargetId("i-0") not in {record.listed.id for record in chosen}
+
+
+def test_delays_are_compared_within_a_route():
+    delays = UsualDelays()
+    for _ in range(200):
+        assert 0.9 < delays.ratio("long", 0.4) < 1.1
+        assert 0.9 < delays.ratio("short", 0.05) < 1.1
+    assert 2.9 < delays.ratio("short", 0.15) < 3.1
+    assert delays.ratio("long", 60.0) == LONGEST_RATIO
+
+
+def test_a_target_that_fails_one_data_centre_is_left_out_there():
+    view = _view(6)
+    key = target_key(TargetId("i-0"))
+    for _ in range(10):
+        view.note_outcomes({key: Outcomes(answered=20)}, is_near=False)
+        view.note_outcomes({key: Outcomes(answered=1, failed=1)}, is_near=True)
+    assert view.records[TargetId("i-0")] not in view.usable(SERVICE, 0.0)
+
+
+def test_of_many_failing_targets_those_that_fail_least_are_used():
+    view = _view(10)
+    for number in range(6):
+        for _ in range(30):
+            view.records[TargetId(f"i-{number}")].note_failure()
+    used = {record.listed.id for record in view.usable(SERVICE, 0.0)}
+    assert used >= {TargetId(f"i-{number}") for number in range(6, 10)}
+    assert len(used) == 5
+
+
 def test_failures_of_all_targets_leave_none_out():
     view = _view(6)
     for record in view.records.values():
