Let refused callers come back as places become free

Cause: all were told the same 0.3 s and came back together.

Change: each is told a time of its own, paced by half the rate at which this router frees places of the service.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -61,7 +61,7 @@
         state.metrics.count("left")
         raise CallerGone
     if scope.cancelled_caught:
-        error = _late(work)
+        error = _late(state, work)
     state.metrics.timing("request", trio.current_time() - match.received_s)
     if error is None:
         state.metrics.count("served")
@@ -77,11 +77,12 @@
     await answer_error(connection, error, state.is_stopping)
 
 
-def _late(work: Work) -> FleetError:
+def _late(state: GatewayState, work: Work) -> FleetError:
     """Return the error of a request whose time ran out."""
     if work.may_have_run:
         return FleetError(_K.DEADLINE_PASSED, "The time for the answer ran out.")
-    return FleetError(_K.OVERLOADED, "No place became free in time.")
+    wait_s = state.returns.book(work.match.service, trio.current_time())
+    return FleetError(_K.OVERLOADED, "No place became free in time.", wait_s)
 
 
 async def _conclude(state: GatewayState, work: Work, error: FleetError) -> None:
@@ -127,6 +128,7 @@
             verdict = await send_to(state, work, record, can_repeat)
         finally:
             state.waiting.release(record, work.match.customer)
+            state.returns.note_freed(work.match.service, trio.current_time())
         if verdict is Verdict.ANSWERED:
             return _client_error(work)
         if not _goes_on(state, work, verdict):
@@ -169,6 +171,7 @@
     return FleetError(
         _K.OVERLOADED,
         "Every target of the service is full or away.",
+        retry_after_s=state.returns.book(work.match.service, trio.current_time()),
         outcome=Outcome.NOT_RUN,
     )
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -9,6 +9,7 @@
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.retry_windows import RetryWindows
+from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.routing import RequestLimits, RoutingTable
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.target_delays import UsualDelays
@@ -72,6 +73,7 @@
     metrics: Metrics
     freshness: ListFreshness
     outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
+    returns: ReturnTimes = msgspec.field(default_factory=ReturnTimes)
     usual_delays: UsualDelays = msgspec.field(default_factory=UsualDelays)
     routing: RoutingTable | None = None
     config_document: bytes = b""
