--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -21,6 +21,11 @@
 QUEUE_PER_SLOT = 2.0
 # What a slow target still gets shows when it is well again.
 LEAST_AT_SLOW = 1.0
+# Looking through a pool takes about 2 us a target, so that this keeps it under a
+# tenth of a core; peers' reports are older than this in a fleet of that size.
+LARGE_POOL = 128
+LIFE_FOR_EACH_S = 2e-5
+LONGEST_LIFE_S = 0.1
 OTHER_DATA_CENTRE_LOAD = 0.75
 
 
@@ -31,6 +36,35 @@
     shared_part: str | None
 
 
+class ServicePool(msgspec.Struct):
+    """
+    The targets of one service that may be chosen, as they stood a moment ago.
+
+    Parameters
+    ----------
+    slow : dict of TargetId to float
+        How many times slower than usual those are that are slow.
+    mean_held : float
+        The requests that one of them holds on average.
+    digest : int
+        Stands for the list of targets from which this was made.
+    """
+
+    records: list[TargetRecord]
+    by_id: dict[TargetId, TargetRecord]
+    slow: dict[TargetId, float]
+    mean_held: float
+    made_s: float
+    digest: int
+
+    @property
+    def life_s(self) -> float:
+        """Return for how long this is used, which is no time for a small pool."""
+        if len(self.records) < LARGE_POOL:
+            return 0.0
+        return min(LONGEST_LIFE_S, LIFE_FOR_EACH_S * len(self.records))
+
+
 class TargetChooser(msgspec.Struct):
     """
     Picks targets by the view and the load that it is given.
@@ -46,7 +80,7 @@
     data_centre: DataCentreName
     bound_multiple: float
     holders: PrefixHolders = msgspec.field(default_factory=PrefixHolders)
-    _slow: dict[TargetId, float] = msgspec.field(default_factory=dict)
+    _pools: dict[ServiceName, ServicePool] = msgspec.field(default_factory=dict)
 
     def choose(
         self,
@@ -64,34 +98,61 @@
         all routers agree on the home and on where its overflow goes. Any other
         goes where the least is held, the own data centre first.
         """
-        usable = self.view.usable(key.service, now_s)
-        open_to_it = [r for r in usable if r.listed.id not in tried]
-        if not open_to_it:
-            return None
-        self._slow = self.view.slownesses(usable, now_s)
+        pool = self._pool(key.service, now_s)
         if policy.is_engine:
-            fits = self._fits_within(self._bound(usable))
+            bound = BOUND_HEADROOM + self.bound_multiple * BOUND_MARGIN * pool.mean_held
+            has_room = self._fits_within(bound, pool)
         else:
-            fits = self._has_place
+            has_room = self._has_place
+
+        def is_open(record: TargetRecord) -> bool:
+            return record.listed.id not in tried and record.away_until_s <= now_s
+
+        def fits(record: TargetRecord) -> bool:
+            return is_open(record) and has_room(record)
+
         if key.shared_part is None:
-            return self._least_loaded(open_to_it, fits)
-        by_id = {record.listed.id: record for record in open_to_it}
-        holder = self._least_loaded(self._holding(key.shared_part, by_id, now_s), fits)
+            return self._least_loaded(pool.records, fits, pool)
+        holding = self._holding(key.shared_part, pool, now_s)
+        holder = self._least_loaded(holding, fits, pool)
         if holder is not None:
             return holder
         for candidate in self.view.candidates(key.service, key.shared_part):
-            record = by_id.get(candidate)
+            record = pool.by_id.get(candidate)
             if record is not None and fits(record):
                 return record
-        return self._least_loaded(open_to_it, self._has_place)
+
+        def is_not_full(record: TargetRecord) -> bool:
+            return is_open(record) and self._has_place(record)
+
+        return self._least_loaded(pool.records, is_not_full, pool)
+
+    def _pool(self, service: ServiceName, now_s: float) -> ServicePool:
+        """Return the targets of `service`, looked through anew unless they are many."""
+        pool = self._pools.get(service)
+        if pool is not None and pool.digest == self.view.digest:
+            if now_s - pool.made_s < pool.life_s:
+                return pool
+        usable = self.view.usable(service, now_s)
+        total = sum(self.load.held(record.listed.id) for record in usable)
+        pool = ServicePool(
+            records=usable,
+            by_id={record.listed.id: record for record in usable},
+            slow=self.view.slownesses(usable, now_s),
+            mean_held=total / max(1, len(usable)),
+            made_s=now_s,
+            digest=self.view.digest,
+        )
+        self._pools[service] = pool
+        return pool
 
     def _holding(
-        self, part: str, by_id: dict[TargetId, TargetRecord], now_s: float
+        self, part: str, pool: ServicePool, now_s: float
     ) -> list[TargetRecord]:
-        """Return those of `by_id` that hold `part`."""
+        """Return those of `pool` that hold `part`."""
         keys = self.holders.latest(part_key(part), now_s)
         found = map(self.view.find_key, keys)
-        return [by_id[target] for target in found if target in by_id]
+        return [pool.by_id[target] for target in found if target in pool.by_id]
 
     def cache_source(
         self, key: PlacementKey, chosen: TargetId, now_s: float
@@ -141,14 +202,16 @@
         """Return whether some target of `service` could take a request."""
         return any(map(self._has_place, self.view.usable(service, now_s)))
 
-    def _fits_within(self, bound: float) -> Callable[[TargetRecord], bool]:
+    def _fits_within(
+        self, bound: float, pool: ServicePool
+    ) -> Callable[[TargetRecord], bool]:
         """Return whether a target may take one more within `bound`."""
 
         def fits(record: TargetRecord) -> bool:
             target = record.listed.id
             unseen = max(0.0, self.load.uncertainty(target) - BOUND_SLACK)
             limit = min(bound - unseen, record.listed.slots)
-            slow = self._slow.get(target, 1.0)
+            slow = pool.slow.get(target, 1.0)
             if slow > 1.0:
                 # It holds each request longer, and each waits for the others.
                 limit = max(LEAST_AT_SLOW, limit / slow**2)
@@ -161,26 +224,25 @@
         limit = record.listed.slots * QUEUE_PER_SLOT
         return self.load.held(record.listed.id) < limit
 
-    def _bound(self, usable: list[TargetRecord]) -> float:
-        """Return how many requests one of `usable` may hold."""
-        total = sum(self.load.held(record.listed.id) for record in usable)
-        mean = total / len(usable)
-        return BOUND_HEADROOM + self.bound_multiple * BOUND_MARGIN * mean
-
     def _least_loaded(
-        self, records: list[TargetRecord], fits: Callable[[TargetRecord], bool]
+        self,
+        records: list[TargetRecord],
+        fits: Callable[[TargetRecord], bool],
+        pool: ServicePool,
     ) -> TargetRecord | None:
         """Return the one of `records` that holds the least for its slots."""
-        fitting = list(filter(fits, records))
-        return min(fitting, key=self._cost, default=None)
 
-    def _cost(self, record: TargetRecord) -> tuple[float, int]:
+        def cost(record: TargetRecord) -> tuple[float, int]:
+            return self._cost(record, pool.slow.get(record.listed.id, 1.0))
+
+        return min(filter(fits, records), key=cost, default=None)
+
+    def _cost(self, record: TargetRecord, slow: float) -> tuple[float, int]:
         """Return how loaded `record` is, with a fixed order among equals."""
         held = self.load.held(record.listed.id)
         if record.listed.data_centre != self.data_centre:
             held += OTHER_DATA_CENTRE_LOAD
         order = hash_text(self.data_centre, record.listed.id)
-        slow = self._slow.get(record.listed.id, 1.0)
         # One more request counts too, or an idle target would never be slow.
         waited = (held + 1) * slow if slow > 1.0 else held
         return waited / max(1, record.listed.slots), order
--- a/packages/scaleloom-core/scaleloom_core/target_delays.py
+++ b/packages/scaleloom-core/scaleloom_core/target_delays.py
@@ -51,6 +51,11 @@
         self._noted_s = now_s
         self.samples += count
 
+    @property
+    def may_be_slow(self) -> bool:
+        """Return whether the target was slow when it was heard of last."""
+        return self._excess >= NOTICED_RATIO - 1.0
+
     def excess(self, now_s: float) -> float:
         """Return by how many times the usual an answer takes longer."""
         return self._excess * math.exp((self._noted_s - now_s) / FORGOTTEN_S)
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -266,6 +266,8 @@
         self, records: list[TargetRecord], now_s: float
     ) -> dict[TargetId, float]:
         """Return those of `records` that are slow against the better ones."""
+        if not any(record.delays.may_be_slow for record in records):
+            return {}
         ratios = {r.listed.id: r.delays.ratio(now_s) for r in records}
         usual = _quartile(list(ratios.values()))
         found = {target: slowness(ratio, usual) for target, ratio in ratios.items()}
@@ -283,6 +285,8 @@
         reachable = [r for r in listed if r.away_until_s <= now_s < r.lapses_at_s]
         if not reachable:
             return []
+        if not any(_may_be_failing(record, now_s) for record in reachable):
+            return reachable
         usual = _quartile([record.failure_ratio for record in reachable])
         well = [r for r in reachable if not _is_failing(r, usual, now_s)]
         least = math.ceil(LEAST_USABLE_SHARE * len(reachable))
@@ -310,6 +314,12 @@
     return sorted(values)[len(values) // 4]
 
 
+def _may_be_failing(record: TargetRecord, now_s: float) -> bool:
+    """Return whether `record` is to be compared with the others."""
+    is_left_out = record.failing_until_s > now_s
+    return is_left_out or record.failure_ratio >= FAILURE_EXCESS
+
+
 def _is_failing(record: TargetRecord, usual: float, now_s: float) -> bool:
     """Return whether `record` is left out for its failures at `now_s`."""
     if record.failing_until_s > now_s:
