--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -9,7 +9,7 @@
 
 from scaleloom_core.catching_up import Knowledge
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
-from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.state import GatewayState, pack_entries
 from scaleloom_fleet.gateway.store_watch import (
     apply_config_document,
     apply_target_documents,
@@ -24,6 +24,8 @@
 QUERY_LIMIT_BYTES = 256
 # More would share one thin link until none of them ends in time.
 GIVE_LIMIT = 4
+_decoder = msgspec.msgpack.Decoder(PeerDocuments)
+_entries_decoder = msgspec.msgpack.Decoder(dict[str, bytes])
 _logger = logging.getLogger("scaleloom.peers")
 
 
@@ -41,22 +43,40 @@
     with trio.move_on_after(FETCH_TIMEOUT_S):
         data = await _ask(peer, msgspec.msgpack.encode(query))
     try:
-        documents = msgspec.msgpack.decode(data, type=PeerDocuments)
+        documents = _decoder.decode(data)
         config = zlib.decompress(documents.config) if documents.config else b""
     except (msgspec.DecodeError, zlib.error):
         _logger.info("no documents from a peer", extra={"peer": str(peer)})
         return
     if config:
         apply_config_document(state, config)
-    if documents.targets is not None:
-        confirmed_s = trio.current_time() - documents.list_age_ms / 1000.0
-        apply_target_documents(
-            state, documents.targets, documents.list_position, confirmed_s
-        )
+    if documents.targets:
+        _apply_targets(state, documents, own)
     fields = {"peer": str(peer), "bytes": len(data)}
     _logger.info("documents taken from a peer", extra=fields)
 
 
+def _apply_targets(
+    state: GatewayState, documents: PeerDocuments, asked_with: Knowledge
+) -> None:
+    """Take in a peer's list of targets, or what changed since the own one."""
+    try:
+        entries = _entries_decoder.decode(zlib.decompress(documents.targets))
+    except (msgspec.DecodeError, zlib.error) as error:
+        _logger.error("list of a peer unreadable", extra={"why": str(error)})
+        return
+    if documents.is_change:
+        if state.view.digest != asked_with.list_digest:
+            # Another reading came first; its report will be followed again.
+            _logger.info("change of another list than the own one")
+            return
+        entries = {**state.listed_documents, **entries}
+        for key in documents.gone:
+            entries.pop(key, None)
+    confirmed_s = trio.current_time() - documents.list_age_ms / 1000.0
+    apply_target_documents(state, entries, documents.list_position, confirmed_s)
+
+
 async def _ask(peer: Address, query: bytes) -> bytes:
     """Return everything that `peer` answers to `query`."""
     connection = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_MS)
@@ -126,12 +146,22 @@
         state = self._state
         theirs = Knowledge(query.config_version, query.list_position, query.list_digest)
         own = own_knowledge(state)
-        is_list_newer = own.list_position > theirs.list_position
-        return PeerDocuments(
+        documents = PeerDocuments(
             state.packed_config() if own.has_newer_config(theirs) else b"",
             state.view.list_position,
             state.freshness.age_ms(trio.current_time()),
-            state.listed_documents if is_list_newer else None,
+        )
+        if own.list_position <= theirs.list_position:
+            return documents
+        change = state.list_history.change_since(theirs.list_digest)
+        if change is None:
+            return msgspec.structs.replace(documents, targets=state.packed_targets())
+        changed = {key: state.listed_documents[key] for key in change.changed}
+        return msgspec.structs.replace(
+            documents,
+            targets=pack_entries(changed),
+            is_change=True,
+            gone=sorted(change.gone),
         )
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -66,11 +66,18 @@
     ----------
     config : bytes
         The configuration, compressed; empty if the asking router knows it.
-    targets : dict of str to bytes, or None
-        The list of targets; None if the asking router knows it.
+    targets : bytes
+        Entries of the list of targets by their keys, compressed; empty if the
+        asking router knows the list.
+    is_change : bool
+        Whether these are only the entries that differ from what it knows.
+    gone : list of str
+        The keys that it knows and that are listed no more.
     """
 
     config: bytes
     list_position: int
     list_age_ms: int
-    targets: dict[str, bytes] | None
+    targets: bytes = b""
+    is_change: bool = False
+    gone: list[str] = []
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -7,7 +7,9 @@
 
 from scaleloom_core.catching_up import follows_peers, is_follower, is_heavy
 from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.ids import TargetId
 from scaleloom_core.list_freshness import ListFreshness
+from scaleloom_core.list_history import ListHistory
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.routing import RequestLimits, RoutingTable
@@ -34,6 +36,18 @@
     data: bytes = b""
 
 
+class PackedTargets(msgspec.Struct):
+    """A list of targets as it is sent to peers, kept since packing takes time."""
+
+    digest: int = 0
+    data: bytes = b""
+
+
+def pack_entries(documents: dict[str, bytes]) -> bytes:
+    """Return entries of the list of targets, compressed."""
+    return zlib.compress(msgspec.msgpack.encode(documents))
+
+
 class GatewayState(msgspec.Struct):
     """
     The state of one gateway process.
@@ -85,7 +99,9 @@
     is_stopping: bool = False
     last_answer_s: float = float("inf")
     report_is_due: trio.Event = msgspec.field(default_factory=trio.Event)
+    list_history: ListHistory = msgspec.field(default_factory=ListHistory)
     _packed_config: PackedConfig = msgspec.field(default_factory=PackedConfig)
+    _packed_targets: PackedTargets = msgspec.field(default_factory=PackedTargets)
     connections: set[CallerConnection] = msgspec.field(default_factory=set)
     known: trio.Event = msgspec.field(default_factory=trio.Event)
 
@@ -148,6 +164,22 @@
             self._packed_config = PackedConfig(version, data)
         return self._packed_config.data
 
+    def packed_targets(self) -> bytes:
+        """Return the whole list of targets, compressed."""
+        digest = self.view.digest
+        if self._packed_targets.digest != digest:
+            data = pack_entries(self.listed_documents)
+            self._packed_targets = PackedTargets(digest, data)
+        return self._packed_targets.data
+
+    def note_listed(self, documents: dict[str, bytes]) -> None:
+        """Keep the entries of the list just taken in, for peers that lack them."""
+        self.listed_documents = documents
+        records = self.view.records
+        keys = map(TargetId, documents)
+        listed = {key: records[key].listed for key in keys if key in records}
+        self.list_history.note(self.view.digest, listed)
+
     def caller_limits(self) -> CallerLimits:
         """Return the limits that the configuration in force sets."""
         limits = self.routing.limits if self.routing else _NO_LIMITS
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -352,18 +352,30 @@
     bool
         Whether it is as new as what was known.
     """
-    listed: list[ListedTarget] = []
-    for key, document in documents.items():
-        decoded = state.adapter.decode_target(TargetId(key), document)
-        target = decoded.value_or(None)
-        if target is not None:
-            listed.append(target)
+    listed = _decode_entries(state, documents)
     now_s = trio.current_time()
     if state.freshness.was_away(now_s):
         state.view.allow_lapses(now_s)
     if not state.view.apply_list(listed, position, now_s):
         return False
     state.note_knowledge()
-    state.listed_documents = documents
+    state.note_listed(documents)
     state.freshness.confirm(at_s)
     return True
+
+
+def _decode_entries(
+    state: GatewayState, documents: dict[str, bytes]
+) -> list[ListedTarget]:
+    """Return the targets of a list; entries that are known are not read again."""
+    listed: list[ListedTarget] = []
+    for key, document in documents.items():
+        target = TargetId(key)
+        known = state.view.records.get(target)
+        if known is not None and state.listed_documents.get(key) == document:
+            listed.append(known.listed)
+            continue
+        entry = state.adapter.decode_target(target, document).value_or(None)
+        if entry is not None:
+            listed.append(entry)
+    return listed
--- /dev/null
+++ b/tests/core/test_list_history.py
@@ -0,0 +1,48 @@
+"""Tests of the changes of the list of targets that routers tell each other."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+from scaleloom_core.list_history import ListHistory
+from scaleloom_core.listed import ListedTarget
+
+LISTS = st.lists(
+    st.dictionaries(st.sampled_from("abcdef"), st.integers(1, 3), max_size=6),
+    min_size=1,
+    max_size=12,
+)
+
+
+def _listed(slots: dict[str, int]) -> dict[TargetId, ListedTarget]:
+    """Return a list whose targets differ by their slots."""
+    service, here = ServiceName("llm"), DataCentreName("here")
+    return {
+        TargetId(name): ListedTarget(TargetId(name), service, "h", 1, here, count)
+        for name, count in slots.items()
+    }
+
+
+@given(LISTS)
+def test_a_change_makes_the_newest_state_of_any_that_is_remembered(lists):
+    history = ListHistory(states_kept=4)
+    states = [_listed(slots) for slots in lists]
+    for digest, state in enumerate(states):
+        history.note(digest, state)
+    newest = states[-1]
+    for digest, state in enumerate(states):
+        change = history.change_since(digest)
+        if digest < len(states) - 4:
+            assert change is None
+            continue
+        kept = {t: listed for t, listed in state.items() if t not in change.gone}
+        assert {**kept, **{t: newest[t] for t in change.changed}} == newest
+        assert not change.changed & change.gone
+
+
+def test_nothing_is_known_of_a_state_that_never_was():
+    history = ListHistory()
+    assert history.change_since(1) is None
+    history.note(1, _listed({"a": 1}))
+    assert history.change_since(2) is None
+    assert history.change_since(1).changed == frozenset()
--- a/tests/gateway/test_peer_documents.py
+++ b/tests/gateway/test_peer_documents.py
@@ -1,22 +1,34 @@
 """Tests of the documents that routers hand each other."""
 
+import zlib
+
 import msgspec
 import trio
 from nose2.tools import params
 
+from scaleloom_core.ids import TargetId
+from scaleloom_core.targets import TargetView
 from scaleloom_fleet.gateway.peer_documents import GIVE_LIMIT
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
+from scaleloom_platform.documents import decode_target
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
+    TARGETS_TOPIC,
+    Site,
     config,
+    entry,
     eventually,
+    request_bytes,
     route,
     running_site,
 )
+from tests.fixtures.platform_store import StoreFault
 
 LARGE_DOCUMENT_BYTES = 40_000
 STORM_LENGTH = 30
+# Some readings of the list, and reports of them.
+SETTLE_S = 0.6
 
 
 async def _open(gateway) -> trio.SocketStream:
@@ -49,7 +61,54 @@
     async with running_site() as site:
         given = await _ask(site.gateways[0], version, position, 0)
     assert bool(given.config) is config_too
-    assert (given.targets is not None) is list_too
+    assert bool(given.targets) is list_too
+    assert not given.is_change
+
+
+def _digest(site: Site) -> int:
+    """Return the number that stands for the site's list of targets."""
+    documents = site.store.topic(TARGETS_TOPIC).newest(1 << 30).items()
+    decoded = [decode_target(TargetId(key), data) for key, (_, data) in documents]
+    view = TargetView()
+    view.apply_list([target.unwrap() for target in decoded], 1)
+    return view.digest
+
+
+@runs_in_trio
+async def test_a_peer_that_knows_a_former_list_is_told_what_changed():
+    async with running_site(runner_count=6) as site:
+        before = _digest(site)
+        first, second, *_ = site.runners
+        site.store.put(TARGETS_TOPIC, first.id, entry(first, state="draining"))
+        site.store.drop(TARGETS_TOPIC, second.id)
+
+        async def is_told() -> bool:
+            given = await _ask(site.gateways[0], 1, 1, before)
+            return given.is_change and given.gone == [second.id]
+
+        await eventually(is_told)
+        given = await _ask(site.gateways[0], 1, 1, before)
+        changed = msgspec.msgpack.decode(zlib.decompress(given.targets))
+        assert list(changed) == [first.id]
+        whole = await _ask(site.gateways[0], 1, 1, before + 1)
+    everything = msgspec.msgpack.decode(zlib.decompress(whole.targets))
+    assert not whole.is_change
+    assert len(everything) == 5
+
+
+@runs_in_trio
+async def test_changes_keep_a_router_up_to_date_that_reads_no_list():
+    async with running_site(runner_count=5) as site:
+        deaf = await site.start_deaf_gateway(StoreFault.NONE, site.gateways)
+        site.other_stores[-1].down_topics.add(TARGETS_TOPIC)
+        await deaf.wait_ready()
+        for number, leaving in enumerate(site.runners[:4]):
+            site.store.drop(TARGETS_TOPIC, leaving.id)
+            await trio.sleep(SETTLE_S)
+            path, request_id = "/safe/1", f"r-{number}"
+            answer = await deaf.ask(request_bytes(path, request_id))
+            assert answer.status == 200
+            assert not leaving.runs[request_id]
 
 
 @runs_in_trio
