Take a long list from a copy at a start, not page by page

Cause: hundreds of routers that start together each read every page of the list.

Change: a list of more than one page is taken from the fleet's own copy, and then read by rank. Reports for a group name its members each 0.45 s only.

--- a/packages/scaleloom-core/scaleloom_core/list_freshness.py
+++ b/packages/scaleloom-core/scaleloom_core/list_freshness.py
@@ -31,12 +31,16 @@
     confirmed_s : float
         The moment at which the list is known to have been right, on the
         runtime's clock.
+    first_due_s : float
+        Before when a router that has just started does not read it, since the
+        copy of a long list tells it as much for far fewer bytes.
     report_pause_s : float
         The time between two reports of a router to its peers, in seconds.
     """
 
     poll_s: float
     confirmed_s: float = NEVER_S
+    first_due_s: float = NEVER_S
     report_pause_s: float = 0.0
 
     def confirm(self, at_s: float) -> None:
@@ -57,7 +61,7 @@
 
     def due_s(self, rank: int) -> float:
         """Return when the router at `rank` among its peers has to read."""
-        due_s = self.confirmed_s + self.poll_s
+        due_s = max(self.confirmed_s + self.poll_s, self.first_due_s)
         if rank == 0:
             return due_s
         late_s = min(LONGEST_LATE_S, LATE_STEP_S * max(0, rank - LAST_STEP))
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -30,11 +30,11 @@
         Prompt parts that targets were seen to read lately, by their numbers.
     outcomes : dict of int to Outcomes
         How requests fared since the last report, by the target's number.
+    speaks_for : int
+        The routers of the group if the report speaks for all of them: then what
+        is held and was seen is the group's. 0 if it speaks for the sender.
     others : list of FleetMember
-        The other members of the group, if the report speaks for all of them:
-        then what is held and was seen is the group's. Empty otherwise.
-    speaks_for_group : bool
-        Whether it does.
+        The other members of the group, now and then in a report for all of them.
     """
 
     sender: FleetMember
@@ -46,8 +46,8 @@
     held: dict[int, int]
     holdings: list[tuple[int, int]] = []
     outcomes: dict[int, Outcomes] = {}
+    speaks_for: int = 0
     others: list[FleetMember] = []
-    speaks_for_group: bool = False
 
 
 class PeerQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -35,6 +35,9 @@
 # News from the store goes out at once, but a storm of them in rounds of this.
 LEAST_PAUSE_S = 0.05
 SILENT_INTERVAL_S = 1.0
+# Three of these fit into the time after which a router counts as silent; naming
+# all members each time would make a third of what data centres tell each other.
+OTHERS_INTERVAL_S = 0.45
 ROUTERS_INTERVAL_S = 60.0
 RECEIVE_LIMIT_BYTES = 65535
 READ_BATCH = 64
@@ -67,6 +70,7 @@
         self._to_greet: list[InstanceId] = []
         self._group_news: list[Holding] = []
         self._group_outcomes = OutcomeCounts()
+        self._others_due_s = 0.0
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
         self._someone_is_ahead = trio.Event()
@@ -154,10 +158,10 @@
         """Take in what a peer or its group holds, unless that is counted already."""
         load = self._state.load
         is_near = report.group == self._roster.group
-        if report.speaks_for_group and not is_near:
+        if report.speaks_for and not is_near:
             group = InstanceId(repr(report.group))
-            load.note_group(group, report.held, 1 + len(report.others), now_s)
-        if is_near and not report.speaks_for_group:
+            load.note_group(group, report.held, report.speaks_for, now_s)
+        if is_near and not report.speaks_for:
             load.note_report(report.sender.router, report.held, now_s)
             room = GROUP_NEWS_LIMIT - len(self._group_news)
             self._group_news += report.holdings[:room]
@@ -239,10 +243,11 @@
             held = load.group_report()
             summary = self._report(held, group_news, group_outcomes, now_s)
             others = self._roster.near(now_s)
-            self._send_to(
-                told,
-                msgspec.structs.replace(summary, others=others, speaks_for_group=True),
-            )
+            summary = msgspec.structs.replace(summary, speaks_for=1 + len(others))
+            if now_s >= self._others_due_s:
+                self._others_due_s = now_s + OTHERS_INTERVAL_S
+                summary = msgspec.structs.replace(summary, others=others)
+            self._send_to(told, summary)
 
     def _report(
         self,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_watch.py
@@ -27,6 +27,8 @@
 FOLLOWING_CHECK_S = 0.1
 # A copy or a peer that runs on answers within this after a start.
 THIN_LINK_PATIENCE_S = 0.6
+# A copy is asked for after a part of this and takes one call.
+LONG_LIST_PATIENCE_S = 0.6
 # The store has answered by then, and peers that it named have been greeted.
 OTHERS_KNOWN_S = 0.2
 RETRY_GROWTH = 2.0
@@ -135,6 +137,7 @@
     async def follow_targets(self) -> None:
         """Keep the list of targets fresh for as long as the process runs."""
         state = self._state
+        await self._begin_list()
         while True:
             now_s = trio.current_time()
             due_s = state.freshness.due_s(state.rank)
@@ -148,6 +151,27 @@
             else:
                 await trio.sleep_until(now_s + self._list_retry_s())
 
+    async def _begin_list(self) -> None:
+        """
+        Read a list of one page, or wait for a copy of a longer one.
+
+        Hundreds of routers that start at once and each read several pages fill
+        the store's links until no reading ends in time, and begin again.
+        """
+        state = self._state
+        asked_s = trio.current_time()
+        page = await self._read_page(self._list_client, Topic.TARGETS, None)
+        first: NewestPage | None = page.value_or(None)
+        if first is None:
+            return
+        if not first.has_more:
+            self._answered.add(Topic.TARGETS)
+            self._note_reading(self._take_list(first, asked_s))
+            return
+        state.freshness.first_due_s = trio.current_time()
+        with trio.move_on_after(LONG_LIST_PATIENCE_S):
+            await state.known.wait()
+
     def _list_retry_s(self) -> float:
         """Return how long to wait after a reading of the list that failed."""
         state = self._state
@@ -168,8 +192,10 @@
         asked_s = trio.current_time()
         reading = await self._read_newest(self._list_client, Topic.TARGETS)
         page: NewestPage | None = reading.value_or(None)
-        if page is None:
-            return False
+        return page is not None and self._take_list(page, asked_s)
+
+    def _take_list(self, page: NewestPage, asked_s: float) -> bool:
+        """Take in a whole list; return whether it is as new as what is known."""
         documents = {record.key: record.value for record in page.records}
         return apply_target_documents(self._state, documents, page.end, asked_s)
 
@@ -177,12 +203,10 @@
         self, client: StoreClient, topic: Topic
     ) -> Result[NewestPage, str]:
         """Return the newest records of `topic`, all pages as one."""
-        adapter = self._state.adapter
         records: list[StoredRecord] = []
         after: str | None = None
         for _ in range(PAGE_LIMIT):
-            answer = await client.call(adapter.newest_request(topic, after))
-            page = answer.bind(adapter.decode_newest)
+            page = await self._read_page(client, topic, after)
             if isinstance(page, Failure):
                 self._note_failure(topic)
                 return page
@@ -195,6 +219,14 @@
             after = part.records[-1].key
         return Failure("too many pages")
 
+    async def _read_page(
+        self, client: StoreClient, topic: Topic, after: str | None
+    ) -> Result[NewestPage, str]:
+        """Return the newest records of `topic` behind the key `after`, one page."""
+        adapter = self._state.adapter
+        answer = await client.call(adapter.newest_request(topic, after))
+        return answer.bind(adapter.decode_newest)
+
     async def follow_config(self) -> None:
         """Follow the configuration for as long as the process runs."""
         first_retry_s = retry_s = self._state.settings.platform.retry_s
--- a/tests/gateway/test_start_calls.py
+++ b/tests/gateway/test_start_calls.py
@@ -2,12 +2,15 @@
 
 import trio
 
+from scaleloom_fleet.conf.gateway_schema import StoreSection
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
+    TARGETS_TOPIC,
     Site,
     config,
     eventually,
+    request_bytes,
     running_site,
 )
 
@@ -18,10 +21,19 @@
 COPY_TOPIC_COUNT = 3
 # Longer than any reading at a start is repeated.
 START_S = 2.2
+STARTED_TOGETHER = 8
+# Of two entries each.
+PAGES = 3
 # Before any router has heard of another.
 FIRST_CONFIG_S = 0.1
 
 
+def _slow_polling(site: Site) -> StoreSection:
+    """Return settings by which the list is read as often as by default."""
+    store = f"127.0.0.1:{site.store_port}"
+    return StoreSection(adapter="scaleloom_platform", store=store)
+
+
 async def _start_without_config(site: Site, seconds: float) -> None:
     """Start routers, and wait some seconds without a configuration."""
     site.store.topics.pop(CONFIG_TOPIC)
@@ -64,3 +76,28 @@
         await again.wait_ready()
         await trio.sleep(START_S)
         assert len(site.store.topic(ROUTERS_TOPIC).records) == announced
+
+
+@runs_in_trio
+async def test_a_long_list_is_not_read_whole_by_every_router_that_starts():
+    async with running_site(runner_count=6) as site:
+        site.store.page_limit = 2
+
+        async def are_written() -> bool:
+            return len(site.store.topic(COPIES_TOPIC).records) >= 2 * COPY_TOPIC_COUNT
+
+        await eventually(are_written)
+        first = site.gateways[0]
+        first.stop.set()
+        await first.stopped.wait()
+        site.gateways.clear()
+        pages_before = site.store.whole_readings[TARGETS_TOPIC]
+        for _ in range(STARTED_TOGETHER):
+            site.start_gateway(site.store_port, platform=_slow_polling(site))
+        for gateway in site.gateways:
+            await gateway.wait_ready()
+        pages = site.store.whole_readings[TARGETS_TOPIC] - pages_before
+        assert pages <= STARTED_TOGETHER + 2 * PAGES
+        for gateway in site.gateways:
+            answer = await gateway.ask(request_bytes("/safe/1"))
+            assert answer.status == 200
