Split the store's watch by its jobs

Now: store_client (one connection), store_access (topics, and what they tell of the store), list_watch, config_watch, documents. The soak and the ablation switch off what they switched off before; the load bound is a method again, so that the soak's switch reaches it. No behaviour changes.

--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -100,8 +100,7 @@
         """
         pool = self._pool(key.service, now_s)
         if policy.is_engine:
-            bound = BOUND_HEADROOM + self.bound_multiple * BOUND_MARGIN * pool.mean_held
-            has_room = self._fits_within(bound, pool)
+            has_room = self._fits_within(self._bound(pool), pool)
         else:
             has_room = self._has_place
 
@@ -202,6 +201,10 @@
         """Return whether some target of `service` could take a request."""
         return any(map(self._has_place, self.view.usable(service, now_s)))
 
+    def _bound(self, pool: ServicePool) -> float:
+        """Return how many requests one target of `pool` may hold."""
+        return BOUND_HEADROOM + self.bound_multiple * BOUND_MARGIN * pool.mean_held
+
     def _fits_within(
         self, bound: float, pool: ServicePool
     ) -> Callable[[TargetRecord], bool]:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -8,13 +8,13 @@
 import trio
 
 from scaleloom_core.fleet_roster import SETTLES_S
-from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
-from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.store_watch import (
-    StoreWatch,
+from scaleloom_fleet.gateway.documents import (
     apply_config_document,
     apply_target_documents,
 )
+from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.store_access import StoreAccess
 
 # Halves the calls of a storm of changes against 0.5 s; a fleet that loses all
 # power while a part of the store is down may be this far behind.
@@ -56,13 +56,13 @@
 
     Parameters
     ----------
-    watch : StoreWatch
+    access : StoreAccess
         Reaches the store.
     """
 
-    def __init__(self, state: GatewayState, watch: StoreWatch) -> None:
+    def __init__(self, state: GatewayState, access: StoreAccess) -> None:
         self._state = state
-        self._watch = watch
+        self._access = access
         self._written = {topic: WrittenCopy() for topic in COPY_TOPICS}
 
     async def write_forever(self) -> None:
@@ -70,7 +70,7 @@
         await trio.sleep(SETTLES_S)
         while True:
             await trio.sleep(WRITE_INTERVAL_S)
-            if self._state.rank == 0 and self._watch.is_reachable:
+            if self._state.rank == 0 and self._access.is_reachable:
                 for topic, written in self._written.items():
                     await self._write_changed(topic, written)
 
@@ -99,13 +99,13 @@
             fields = {"key": key, "bytes": len(packed)}
             _logger.warning("document too large to be copied", extra=fields)
             return True
-        return await self._watch.append(topic, key, packed)
+        return await self._access.append(topic, key, packed)
 
     async def read_until_known(self) -> None:
         """Read the copies if neither the store nor a peer told enough."""
         await trio.sleep(FIRST_READING_S)
         while not self._state.knows_enough:
-            if self._watch.lacks_answers:
+            if self._access.lacks_answers:
                 await self._read_first_to_answer()
             if not self._state.knows_enough:
                 await trio.sleep(READ_RETRY_S)
@@ -119,7 +119,7 @@
 
     async def _read(self, topic: Topic, scope: trio.CancelScope) -> None:
         """Take in one topic's copies; end `scope` if they suffice or there are none."""
-        records = await self._watch.read_records(topic)
+        records = await self._access.read_records(topic)
         if records is None:
             return
         for record in records:
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -0,0 +1,71 @@
+"""The store's documents, taken in from wherever they come."""
+
+import logging
+
+import trio
+from returns.result import Failure
+
+from scaleloom_core.ids import TargetId
+from scaleloom_core.listed import ListedTarget
+from scaleloom_fleet.gateway.state import GatewayState
+
+_logger = logging.getLogger("scaleloom.store")
+
+
+def apply_config_document(state: GatewayState, document: bytes) -> None:
+    """Take a configuration into force, or report why it cannot be read."""
+    if document == state.config_document:
+        return
+    decoded = state.adapter.decode_routing(document)
+    if isinstance(decoded, Failure):
+        _logger.error("configuration unreadable", extra={"why": decoded.failure()})
+        return
+    routing = decoded.unwrap()
+    if state.apply_routing(routing, document):
+        state.note_knowledge()
+        _logger.info("configuration in force", extra={"version": routing.version})
+
+
+def apply_target_documents(
+    state: GatewayState, documents: dict[str, bytes], position: int, at_s: float
+) -> bool:
+    """
+    Take in a whole reading of the list of targets.
+
+    Parameters
+    ----------
+    at_s : float
+        When the reading was right, on the runtime's clock.
+
+    Returns
+    -------
+    bool
+        Whether it is as new as what was known.
+    """
+    listed = _decode_entries(state, documents)
+    now_s = trio.current_time()
+    if state.freshness.was_away(now_s):
+        state.view.allow_lapses(now_s)
+    if not state.view.apply_list(listed, position, now_s):
+        return False
+    state.note_knowledge()
+    state.note_listed(documents)
+    state.freshness.confirm(at_s)
+    return True
+
+
+def _decode_entries(
+    state: GatewayState, documents: dict[str, bytes]
+) -> list[ListedTarget]:
+    """Return the targets of a list; entries that are known are not read again."""
+    listed: list[ListedTarget] = []
+    for key, document in documents.items():
+        target = TargetId(key)
+        known = state.view.records.get(target)
+        if known is not None and state.listed_documents.get(key) == document:
+            listed.append(known.listed)
+            continue
+        entry = state.adapter.decode_target(target, document).value_or(None)
+        if entry is not None:
+            listed.append(entry)
+    return listed
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/holder_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/holder_copies.py
@@ -10,7 +10,7 @@
 from scaleloom_core.prefix_holders import HoldingAge
 from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.store_watch import StoreWatch
+from scaleloom_fleet.gateway.store_access import StoreAccess
 
 HOLDERS_KEY = "holders"
 # A fleet that loses power forgets at most what it learned in this time.
@@ -35,13 +35,13 @@
 
     Parameters
     ----------
-    watch : StoreWatch
+    access : StoreAccess
         Reaches the store.
     """
 
-    def __init__(self, state: GatewayState, watch: StoreWatch) -> None:
+    def __init__(self, state: GatewayState, access: StoreAccess) -> None:
         self._state = state
-        self._watch = watch
+        self._access = access
         self._written_version = 0
 
     async def write_forever(self) -> None:
@@ -54,19 +54,19 @@
         """Write once if there is anything new; return how long to wait then."""
         holders = self._state.chooser.holders
         is_due = holders.version != self._written_version
-        if not is_due or self._state.rank != 0 or not self._watch.is_reachable:
+        if not is_due or self._state.rank != 0 or not self._access.is_reachable:
             return LEAST_INTERVAL_S
         version = holders.version
         rows = holders.newest(ROW_LIMIT, trio.current_time())
         document = zlib.compress(msgspec.msgpack.encode(rows))
-        if await self._watch.append(Topic.HOLDERS, HOLDERS_KEY, document):
+        if await self._access.append(Topic.HOLDERS, HOLDERS_KEY, document):
             self._written_version = version
         return max(LEAST_INTERVAL_S, len(document) / RATE_BYTES_PER_S)
 
     async def read(self) -> None:
         """Take in what was written last, trying a few times to reach the store."""
         for _ in range(READ_TRIES):
-            records = await self._watch.read_records(Topic.HOLDERS)
+            records = await self._access.read_records(Topic.HOLDERS)
             if records is not None:
                 for record in records:
                     self._adopt(record.value)
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/list_watch.py
@@ -0,0 +1,103 @@
+"""The list of targets, read from the platform's store when no peer confirms it."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from scaleloom_core.catching_up import FOLLOWERS
+from scaleloom_fleet.gateway.documents import apply_target_documents
+from scaleloom_fleet.gateway.interfaces import NewestPage, Topic
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.store_access import StoreAccess
+
+# A copy is asked for after a part of this and takes one call.
+LONG_LIST_PATIENCE_S = 0.6
+
+
+class ListWatch:
+    """
+    Keeps the list of targets fresh.
+
+    Parameters
+    ----------
+    state : GatewayState
+        Told of every change.
+    drop_config_call : callable
+        Ends the open call for a configuration, since a lost path to the store
+        says nothing.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        access: StoreAccess,
+        drop_config_call: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._access = access
+        self._drop_config_call = drop_config_call
+        self._client = access.new_client()
+
+    async def follow(self) -> None:
+        """Keep the list of targets fresh for as long as the process runs."""
+        state = self._state
+        await self._begin_list()
+        while True:
+            now_s = trio.current_time()
+            due_s = state.freshness.due_s(state.rank)
+            if now_s < due_s:
+                await trio.sleep_until(due_s)
+                continue
+            is_read = await self._read_targets()
+            self._note_reading(is_read)
+            if is_read:
+                state.report_soon()
+            else:
+                await trio.sleep_until(now_s + self._retry_s())
+
+    async def _begin_list(self) -> None:
+        """
+        Read a list of one page, or wait for a copy of a longer one.
+
+        Hundreds of routers that start at once and each read several pages fill
+        the store's links until no reading ends in time, and begin again.
+        """
+        state = self._state
+        asked_s = trio.current_time()
+        page = await self._access.read_page(self._client, Topic.TARGETS, None)
+        first: NewestPage | None = page.value_or(None)
+        if first is None:
+            return
+        if not first.has_more:
+            self._access.note_answer(Topic.TARGETS)
+            self._note_reading(self._take_list(first, asked_s))
+            return
+        state.freshness.first_due_s = trio.current_time()
+        with trio.move_on_after(LONG_LIST_PATIENCE_S):
+            await state.known.wait()
+
+    def _retry_s(self) -> float:
+        """Return how long to wait after a reading of the list that failed."""
+        state = self._state
+        if state.rank < FOLLOWERS or not state.view.records:
+            return state.settings.platform.retry_s
+        return random.uniform(0.5, 1.5) * self._access.turn_s()
+
+    def _note_reading(self, is_read: bool) -> None:
+        """Note whether the store answered."""
+        if not is_read:
+            self._drop_config_call()
+        self._access.note_reached(is_read)
+
+    async def _read_targets(self) -> bool:
+        """Read the whole list once; return whether it is as new as what is known."""
+        asked_s = trio.current_time()
+        reading = await self._access.read_newest(self._client, Topic.TARGETS)
+        page: NewestPage | None = reading.value_or(None)
+        return page is not None and self._take_list(page, asked_s)
+
+    def _take_list(self, page: NewestPage, asked_s: float) -> bool:
+        """Take in a whole list; return whether it is as new as what is known."""
+        documents = {record.key: record.value for record in page.records}
+        return apply_target_documents(self._state, documents, page.end, asked_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -8,12 +8,12 @@
 import trio
 
 from scaleloom_core.catching_up import Knowledge
-from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
-from scaleloom_fleet.gateway.state import GatewayState, pack_entries
-from scaleloom_fleet.gateway.store_watch import (
+from scaleloom_fleet.gateway.documents import (
     apply_config_document,
     apply_target_documents,
 )
+from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
+from scaleloom_fleet.gateway.state import GatewayState, pack_entries
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -25,7 +25,7 @@
 )
 from scaleloom_fleet.gateway.peer_messages import PeerReport
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.store_watch import StoreWatch
+from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.utils.addresses import Address, parse_address
 
@@ -52,13 +52,13 @@
 
     Parameters
     ----------
-    watch : StoreWatch
+    access : StoreAccess
         Tells whether the store can be reached from here.
     """
 
-    def __init__(self, state: GatewayState, watch: StoreWatch) -> None:
+    def __init__(self, state: GatewayState, access: StoreAccess) -> None:
         self._state = state
-        self._watch = watch
+        self._access = access
         self._own = state.settings.peer_address
         self._own_id = InstanceId(str(self._own))
         data_centre = DataCentreName(state.settings.instance.data_centre)
@@ -224,7 +224,7 @@
     def _own_member(self, now_s: float) -> FleetMember:
         """Return what the fleet is to know of this router."""
         state = self._state
-        own = precedence(self._own_id, state.has_thin_link, self._watch.is_cut(now_s))
+        own = precedence(self._own_id, state.has_thin_link, self._access.is_cut(now_s))
         return FleetMember(self._own_id, own, state.follows_store)
 
     def _send(
@@ -297,13 +297,13 @@
 
     def _peer_to_ask(self, now_s: float) -> InstanceId | None:
         """Return a peer that is ahead, or any while nothing at all is known."""
-        is_told = self._watch.is_reachable and self._state.follows_store
+        is_told = self._access.is_reachable and self._state.follows_store
         own = own_knowledge(self._state)
         ahead = self._catch_up.peers_to_ask(own, not is_told, now_s)
         if ahead:
             # Whoever is first ahead must not be asked by everybody.
             return random.choice(ahead)
-        if self._state.knows_enough or self._watch.is_reachable:
+        if self._state.knows_enough or self._access.is_reachable:
             return None
         peers = self._roster.lively(now_s) or self._roster.silent(now_s)
         return random.choice(peers) if peers else None
@@ -313,13 +313,13 @@
         value = self._state.settings.instance.data_centre.encode()
         while True:
             pause_s = SILENT_INTERVAL_S
-            routers = await self._watch.read_records(Topic.ROUTERS)
+            routers = await self._access.read_records(Topic.ROUTERS)
             if routers is not None:
                 for record in routers:
                     self._add(record.key)
                 if any(record.key == self._own_id for record in routers):
                     pause_s = ROUTERS_INTERVAL_S
-                elif await self._watch.append(Topic.ROUTERS, self._own_id, value):
+                elif await self._access.append(Topic.ROUTERS, self._own_id, value):
                     # Whoever started in the same moment is there by now.
                     pause_s = 0.0
             await trio.sleep(pause_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -14,14 +14,16 @@
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway import accepting, readiness
+from scaleloom_fleet.gateway.config_watch import ConfigWatch
 from scaleloom_fleet.gateway.copies import DocumentCopies
 from scaleloom_fleet.gateway.holder_copies import HolderCopies
 from scaleloom_fleet.gateway.interfaces import load_adapter
+from scaleloom_fleet.gateway.list_watch import ListWatch
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.reloading import reload_at_signals
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.store_watch import StoreWatch
+from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.gateway.waiting import WaitingRoom
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.utils.metrics import FLUSH_INTERVAL_S, make_metrics
@@ -48,10 +50,12 @@
         Read again at a hang-up signal.
     """
     state = make_state(settings)
-    watch = StoreWatch(state)
-    peers = PeerExchange(state, watch)
-    copies = DocumentCopies(state, watch)
-    holder_copies = HolderCopies(state, watch)
+    access = StoreAccess(state)
+    config = ConfigWatch(state, access)
+    targets = ListWatch(state, access, config.drop_call)
+    peers = PeerExchange(state, access)
+    copies = DocumentCopies(state, access)
+    holder_copies = HolderCopies(state, access)
     front = sockets.listen(settings.front_address)
     ready = sockets.listen(settings.ready_address)
     documents = peers.bind()
@@ -61,8 +65,8 @@
         nursery.start_soon(readiness.answer_forever, state, ready, nursery)
         nursery.start_soon(peers.serve_documents, documents, nursery)
         for task in (
-            watch.follow_targets,
-            watch.follow_config,
+            targets.follow,
+            config.follow,
             peers.receive_forever,
             peers.report_forever,
             peers.fetch_forever,
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
@@ -0,0 +1,70 @@
+"""One connection to the platform's store."""
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from scaleloom_fleet.http1.links import (
+    AnswerBroken,
+    Link,
+    OutgoingRequest,
+    exchange,
+    open_link,
+)
+from scaleloom_fleet.http1.sockets import ConnectionLost
+from scaleloom_fleet.utils.addresses import Address
+
+ANSWER_LIMIT_BYTES = 1 << 26
+
+
+class StoreClient(msgspec.Struct):
+    """
+    One connection to the store, opened anew after each failure.
+
+    Parameters
+    ----------
+    timeout_s : float
+        How long a call may take, in seconds.
+    """
+
+    address: Address
+    timeout_s: float
+    _link: Link | None = None
+
+    async def call(
+        self, request: OutgoingRequest, wait_s: float = 0.0
+    ) -> Result[bytes, str]:
+        """Return the body of a 200, or what came instead; `wait_s` is added."""
+        with trio.move_on_after(self.timeout_s + wait_s):
+            return await self._call(request)
+        self.drop()
+        return Failure("no answer in time")
+
+    async def _call(self, request: OutgoingRequest) -> Result[bytes, str]:
+        """Return the body of a 200, or what came instead."""
+        try:
+            if self._link is None or not self._link.is_quiet():
+                self.drop()
+                silence_ms = int(self.timeout_s * 1000)
+                self._link = await open_link(self.address, self.timeout_s, silence_ms)
+            link = self._link
+            if link is None:
+                return Failure("not reached")
+            head, body = await exchange(link, request, ANSWER_LIMIT_BYTES)
+        except (AnswerBroken, ConnectionLost) as error:
+            self.drop()
+            return Failure(str(error))
+        except trio.Cancelled:
+            self.drop()
+            raise
+        if not link.finish():
+            self.drop()
+        if head.status != 200:
+            return Failure(f"status {head.status}")
+        return Success(body)
+
+    def drop(self) -> None:
+        """Close the connection."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -8,7 +8,7 @@
 from scaleloom_core.listed import ListedState
 from scaleloom_core.retry_windows import RetryWindow
 from scaleloom_core.target_choice import TargetChooser
-from scaleloom_fleet.gateway import attempts, exchanges, process, state, store_watch
+from scaleloom_fleet.gateway import attempts, exchanges, list_watch, process, state
 from scaleloom_fleet.http1 import links
 from scaleloom_fleet.main import main
 
@@ -68,7 +68,7 @@
 
 def _ignore_leaving() -> None:
     """Take leaving targets for ready ones."""
-    apply_documents = store_watch.apply_target_documents
+    apply_documents = list_watch.apply_target_documents
 
     def apply_as_ready(gateway_state, documents, position, at_s):
         adapter = gateway_state.adapter
@@ -84,7 +84,7 @@
         finally:
             gateway_state.adapter = adapter
 
-    store_watch.apply_target_documents = apply_as_ready
+    list_watch.apply_target_documents = apply_as_ready
 
 
 def _stop_at_once() -> None:
@@ -98,7 +98,7 @@
 
 def _lift_the_bound() -> None:
     """Let a home take everything that is sent to it."""
-    TargetChooser._bound = lambda self, usable: float("inf")
+    TargetChooser._bound = lambda self, pool: float("inf")
 
 
 def _lift_the_budget() -> None:
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -8,11 +8,11 @@
 
 from scaleloom_fleet.conf.gateway_schema import GatewayStopSection
 from scaleloom_fleet.gateway.accepting import serve_connection
-from scaleloom_fleet.gateway.process import make_state
-from scaleloom_fleet.gateway.store_watch import (
+from scaleloom_fleet.gateway.documents import (
     apply_config_document,
     apply_target_documents,
 )
+from scaleloom_fleet.gateway.process import make_state
 from scaleloom_fleet.http1.callers import CallerConnection
 from scaleloom_standins.ports import free_port
 from tests.fixtures import runners
