Let callers of a router that holds nothing come back soon

Change: a router that holds no request tells the usual 0.3 s; no caller is told more than 0.3 of the time that it has left.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -23,6 +23,8 @@
 HOP_LIMIT = 6
 STOPPING_RETRY_AFTER_S = 0.05
 QUEUE_SHARE_OF_OBJECTIVE = 0.22
+# A caller that came back later would have too little time for the answer.
+RETURN_SHARE_OF_TIME_LEFT = 0.3
 _K = ErrorKind
 _STOPPING = FleetError(
     _K.NOT_READY, "This router is stopping.", retry_after_s=STOPPING_RETRY_AFTER_S
@@ -61,7 +63,7 @@
         state.metrics.count("left")
         raise CallerGone
     if scope.cancelled_caught:
-        error = _late(state, work)
+        error = _late(work)
     state.metrics.timing("request", trio.current_time() - match.received_s)
     if error is None:
         state.metrics.count("served")
@@ -77,12 +79,25 @@
     await answer_error(connection, error, state.is_stopping)
 
 
-def _late(state: GatewayState, work: Work) -> FleetError:
+def _late(work: Work) -> FleetError:
     """Return the error of a request whose time ran out."""
     if work.may_have_run:
         return FleetError(_K.DEADLINE_PASSED, "The time for the answer ran out.")
-    wait_s = state.returns.book(work.match.service, trio.current_time())
-    return FleetError(_K.OVERLOADED, "No place became free in time.", wait_s)
+    return FleetError(_K.OVERLOADED, "No place became free in time.")
+
+
+def _return_after_s(state: GatewayState, work: Work) -> float | None:
+    """
+    Return when the caller should come back, or None for the usual time.
+
+    A router that holds nothing is not busy: it has just started, or reaches no
+    target for a moment, and both end sooner than places become free.
+    """
+    if not state.load.own:
+        return None
+    now_s = trio.current_time()
+    latest_s = RETURN_SHARE_OF_TIME_LEFT * (work.match.deadline_s - now_s)
+    return min(latest_s, state.returns.book(work.match.service, now_s))
 
 
 async def _conclude(state: GatewayState, work: Work, error: FleetError) -> None:
@@ -171,7 +186,7 @@
     return FleetError(
         _K.OVERLOADED,
         "Every target of the service is full or away.",
-        retry_after_s=state.returns.book(work.match.service, trio.current_time()),
+        retry_after_s=_return_after_s(state, work),
         outcome=Outcome.NOT_RUN,
     )
 
