--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -1,5 +1,6 @@
 """The choice of a target for one request, within the load bound of its service."""
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -19,8 +20,6 @@
 # The part of that difference which covers what reports do not show yet.
 BOUND_SLACK = 1.0
 QUEUE_PER_SLOT = 2.0
-# What a slow target still gets shows when it is well again.
-LEAST_AT_SLOW = 1.0
 # Looking through a pool takes about 2 us a target, so that this keeps it under a
 # tenth of a core; peers' reports are older than this in a fleet of that size.
 LARGE_POOL = 128
@@ -153,6 +152,13 @@
         found = map(self.view.find_key, keys)
         return [pool.by_id[target] for target in found if target in pool.by_id]
 
+    def is_warm(self, key: PlacementKey, target: TargetId, now_s: float) -> bool:
+        """Return whether `target` need not read the request's shared part first."""
+        if key.shared_part is None:
+            return True
+        part = part_key(key.shared_part)
+        return self.holders.holds(part, target_key(target), now_s)
+
     def cache_source(
         self, key: PlacementKey, chosen: TargetId, now_s: float
     ) -> ListedTarget | None:
@@ -166,11 +172,9 @@
         does, and nothing if the source does not keep the part.
         """
         part = key.shared_part
-        if part is None:
+        if part is None or self.is_warm(key, chosen, now_s):
             return None
         number = part_key(part)
-        if self.holders.holds(number, target_key(chosen), now_s):
-            return None
         holders = self.holders.latest(number, now_s)
         likely = [
             *filter(None, map(self.view.find_key, holders)),
@@ -217,7 +221,9 @@
             slow = pool.slow.get(target, 1.0)
             if slow > 1.0:
                 # It holds each request longer, and each waits for the others.
-                limit = max(LEAST_AT_SLOW, limit / slow**2)
+                # Where that leaves it nothing, it is tried again once what was
+                # seen of it has faded.
+                limit = math.floor(limit / slow**2)
             return self.load.held(target) < limit
 
         return fits
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -135,6 +135,7 @@
     outgoing = request_for(
         record.listed, work.match, work.request, names, last_id, source, now_s
     )
+    is_warm = state.chooser.is_warm(work.match.placement, record.listed.id, now_s)
     work.sends += 1
     may_have_run_before = work.may_have_run
     work.may_have_run = True
@@ -158,7 +159,9 @@
         return await _pass_whole(state, work, link, head)
 
     def note_first_data() -> None:
-        _note_begun(state, work, record, now_s)
+        # A target that has to read a long prompt first is late and not slow.
+        if is_warm:
+            _note_begun(state, work, record, now_s)
 
     return await _pass_stream(state, work, link, head, can_repeat, note_first_data)
 
