--- a/packages/scaleloom-core/scaleloom_core/fleet_roster.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_roster.py
@@ -25,8 +25,6 @@
 # A group of this size and its relaying cost about the same at 420 routers.
 MOST_IN_GROUP = 24
 LEAST_IN_GROUP = 6
-# Routers that are not heard are tried again, this many at a time.
-TRIED_AGAIN = 24
 HASH_BITS = 32
 NEVER_S = float("-inf")
 
