--- a/tests/core/test_fleet_roster.py
+++ b/tests/core/test_fleet_roster.py
@@ -126,6 +126,18 @@
     assert max(sent) <= 4 * len(fleet.routers) ** 0.5
 
 
+@params([4], [11] * 6, [30] * 6)
+def test_a_new_load_is_known_everywhere_within_two_rounds(sizes):
+    fleet = _Fleet(sizes)
+    fleet.play(ROUNDS_TO_SPLIT)
+    total = HELD_EACH * len(fleet.routers)
+    for router in list(fleet.routers.values())[::7]:
+        router.load.take(TARGET)
+        total += 1
+        fleet.play(2)
+        assert {r.load.held(TARGET) for r in fleet.routers.values()} == {total}
+
+
 def test_each_router_is_told_of_each_group_by_one_member():
     fleet = _Fleet([5, 5, 5])
     fleet.play(ROUNDS_TO_KNOW_ALL)
--- a/tests/gateway/test_own_faults.py
+++ b/tests/gateway/test_own_faults.py
@@ -3,6 +3,7 @@
 import socket
 
 import msgspec
+import trio
 from nose2.tools import params
 
 from scaleloom_core.fleet_roster import FleetMember, GroupId
@@ -20,6 +21,10 @@
 )
 from tests.fixtures.platform_store import StoreFault
 
+ROUTERS_TOPIC = "keyed.scaleloom-routers"
+# The list of routers has been read by then.
+READ_S = 0.2
+
 
 @runs_in_trio
 async def test_a_fault_of_our_own_ends_one_request_only():
@@ -84,3 +89,15 @@
             sender.sendto(data, (address.host, address.port))
         for number in range(3):
             assert (await site.ask("/safe/1", f"r-{number}")).status == 200
+
+
+@params("nowhere", "127.0.0.9:port", "")
+@runs_in_trio
+async def test_a_router_whose_name_is_no_address_is_passed_over(name):
+    async with running_site() as site:
+        site.store.topic(ROUTERS_TOPIC).append(name, b"a")
+        started = site.start_gateway(site.store_port)
+        await started.wait_ready()
+        await trio.sleep(READ_S)
+        assert (await started.ask(request_bytes("/safe/1"))).status == 200
+        assert not started.stopped.is_set()
