Let the gateway's tests run on a clock that waits for the tasks

The gateways, targets and store of such a test share one process and one core, on the real clock; on a busy machine 0.6 s pass before any of them has answered, and the test then judges the machine. No check changed.

--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -4,7 +4,7 @@
 from nose2.tools import params
 
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     ask_on,
     eventually,
@@ -18,7 +18,7 @@
 
 
 @params("/safe/1", "/once/1?a=%2F&b")
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_request_reaches_one_target_unchanged(path):
     async with running_site() as site:
         answer = await site.ask(path, method="POST", body=b"what is asked", X_Own="1")
@@ -34,7 +34,7 @@
 
 
 @params("/stream/1", "/stream-once/1")
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_stream_arrives_whole(path):
     async with running_site() as site:
         answer = await site.ask(path)
@@ -48,7 +48,7 @@
     ("/safe/1", "wrong", 401),
     ("/safe/1", None, 401),
 )
-@runs_in_trio
+@runs_on_paused_clock
 async def test_what_is_not_allowed_is_refused(path, key, status):
     async with running_site() as site:
         answer = await site.ask(path, key=key)
@@ -81,7 +81,7 @@
 
 
 @params(*FAULTS_OF_ALL)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_fault_of_every_target(path, behaviour, status, run_limit):
     async with running_site() as site:
         for runner in site.runners:
@@ -112,7 +112,7 @@
 
 
 @params(*FAULTS_OF_ONE)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_repeatable_request_gets_past_one_bad_target(behaviour):
     async with running_site() as site:
         site.runners[0].behaviour = behaviour
@@ -122,7 +122,7 @@
             assert answer.body == f"body of r-{number}".encode()
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_refusal_after_a_broken_try_does_not_say_not_run():
     async with running_site() as site:
 
@@ -138,7 +138,7 @@
 
 
 @params(runners.cut_body, runners.stall_stream)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_resumable_stream_goes_on_at_another_target(behaviour):
     async with running_site() as site:
         site.runners[0].behaviour = behaviour
@@ -149,7 +149,7 @@
     assert any("last-event-id" in asked.headers for asked in resumed)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_stream_that_may_not_be_repeated_is_cut_and_looks_cut():
     async with running_site() as site:
         for runner in site.runners:
@@ -160,7 +160,7 @@
 
 
 @params("/safe/1", "/stream-once/1", "/once/1")
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_caller_that_leaves_ends_the_work_at_the_target(path):
     async with running_site(runner_count=1) as site:
         (runner,) = site.runners
@@ -179,7 +179,7 @@
         await eventually(is_broken_off, limit_s=0.4)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_caller_that_left_is_not_logged_as_late():
     with ListHandler.listening("scaleloom.gateway") as messages:
         async with running_site(runner_count=1) as site:
@@ -201,7 +201,7 @@
     assert "request not served" not in messages
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_connection_carries_many_requests():
     async with running_site() as site:
         port = site.gateways[0].front_port
@@ -212,7 +212,7 @@
                 assert answer.body == f"body of r-{number}".encode()
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_another_target_at_the_address_runs_nothing():
     async with running_site(runner_count=1) as site:
         site.runners[0].id = "i-new"
@@ -221,7 +221,7 @@
     assert answer.status == 503
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_target_that_is_gone_costs_nothing_but_a_hop():
     async with running_site() as site:
         gone = site.store.topic("keyed.servers")
--- a/tests/gateway/test_cache_sources.py
+++ b/tests/gateway/test_cache_sources.py
@@ -3,7 +3,7 @@
 import trio
 
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     Site,
     eventually,
@@ -24,7 +24,7 @@
     ]
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_part_that_is_still_being_read_is_copied_by_a_second_request():
     may_answer = trio.Event()
 
--- a/tests/gateway/test_caller_headers.py
+++ b/tests/gateway/test_caller_headers.py
@@ -7,7 +7,7 @@
 from scaleloom_fleet.gateway.matching import match_request
 from scaleloom_fleet.http1.callers import CallerRequest
 from scaleloom_platform import ADAPTER
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     HOST,
     KEY,
@@ -31,7 +31,7 @@
 
 
 @params(*RESERVED)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_callers_own_value_of_a_reserved_header_reaches_no_target(name):
     forged = [f"{spell(name)}: forged" for spell in SPELLINGS]
     async with running_site() as site:
@@ -43,7 +43,7 @@
     assert "forged" not in folded.values()
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_reserved_header_in_a_trailer_reaches_no_target():
     head = raw_request(
         "/safe/1", "Request-Id: r-1", "Transfer-Encoding: chunked", "Trailer: Hold"
@@ -60,7 +60,7 @@
     ("/stream-once/1", 0),
     ("/stream/1", 2),
 )
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_caller_resumes_only_where_the_route_allows_it(path, skipped):
     async with running_site() as site:
         answer = await site.ask(path, Last_Event_Id="2")
@@ -69,7 +69,7 @@
 
 
 @params("-1", "+5", "1.5", "soon", "", HUGE, "99999999999")
-@runs_in_trio
+@runs_on_paused_clock
 async def test_an_odd_deadline_leaves_the_routes_own(stated):
     async with running_site() as site:
         data = raw_request("/safe/1", "Request-Id: r-1", f"Deadline-Ms: {stated}")
@@ -92,7 +92,7 @@
     assert match.deadline_s == 3.0
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_deadline_that_has_passed_is_refused_as_not_run():
     async with running_site() as site:
         data = raw_request("/once/1", "Request-Id: r-1", "Deadline-Ms: 0")
@@ -109,7 +109,7 @@
     (("Request-Id: r-1", "request-id: r-1"), 400),
     (("REQUEST-ID: r-1",), 200),
 )
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_request_needs_exactly_one_id(lines, status):
     async with running_site() as site:
         data = raw_request("/once/1", *lines)
@@ -125,7 +125,7 @@
     "abc:1,abc:-5,abc:x",
     HUGE,
 )
-@runs_in_trio
+@runs_on_paused_clock
 async def test_odd_prompt_parts_pass_unchanged(parts):
     async with running_site() as site:
         data = raw_request(
@@ -138,7 +138,7 @@
     assert asked.headers["token-count"] == "-1,x"
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_forged_customer_is_replaced_by_the_keys_own():
     async with running_site() as site:
         await site.ask("/once/1", Tenant="someone-else", TENANT="another")
@@ -146,7 +146,7 @@
     assert asked.headers["tenant"] == "desk"
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_connection_header_names_nothing_that_the_gateway_sets():
     async with running_site() as site:
         await site.ask("/once/1", Connection="Request-Id, Tenant, Expect-Instance")
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     TARGETS_TOPIC,
@@ -32,7 +32,7 @@
     {CONFIG_TOPIC},
     {CONFIG_TOPIC, TARGETS_TOPIC},
 )
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_fleet_without_memory_reads_the_copies(down):
     async with running_site() as site:
         await _wait_copies(site, 6)
@@ -42,7 +42,7 @@
         assert (await started.ask(request_bytes("/safe/1"))).status == 200
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_change_is_copied():
     async with running_site() as site:
         await _wait_copies(site, 6)
@@ -54,7 +54,7 @@
         assert (await started.ask(request_bytes("/added/1"))).status == 200
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_nothing_is_written_while_nothing_changes():
     async with running_site() as site:
         await _wait_copies(site, 6)
@@ -68,7 +68,7 @@
         assert site.store.calls.count("log-append") == calls_before
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_copy_that_cannot_be_read_changes_nothing():
     async with running_site() as site:
         await _wait_copies(site, 6)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -3,7 +3,7 @@
 import trio
 
 from scaleloom_core.catching_up import FOLLOWERS
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     GatewayFixture,
@@ -42,7 +42,7 @@
     site.store.put(CONFIG_TOPIC, "config", config(version, added))
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_change_reaches_every_router_and_ends_the_calls_of_a_few():
     async with running_site(gateway_count=ROUTER_COUNT) as site:
         await trio.sleep(SETTLED_S)
@@ -53,7 +53,7 @@
             assert site.store.calls.count(STORE_CALL) - asked_before <= FOLLOWERS
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_others_follow_the_store_when_those_who_did_are_gone():
     async with running_site(gateway_count=ROUTER_COUNT) as site:
         await trio.sleep(SETTLED_S)
@@ -67,7 +67,7 @@
             await eventually(lambda g=gateway: _serves(g, 2))
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_store_that_fails_everybody_is_not_asked_by_everybody():
     async with running_site(gateway_count=ROUTER_COUNT) as site:
         await trio.sleep(SETTLED_S)
--- a/tests/gateway/test_holder_copies.py
+++ b/tests/gateway/test_holder_copies.py
@@ -5,7 +5,7 @@
 
 from scaleloom_core.prefix_holders import HoldingAge, PrefixHolders, part_key
 from scaleloom_fleet.gateway.holder_copies import LEAST_INTERVAL_S
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     Site,
     eventually,
@@ -24,7 +24,7 @@
     return runner.id
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_fleet_that_lost_its_memory_finds_a_part_where_it_was_read():
     async with running_site(runner_count=4) as site:
         await serve_engines(site)
@@ -60,7 +60,7 @@
 
 
 @params(b"", b"not compressed", b"x\x9c\x03\x00\x00\x00\x00\x01")
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_document_that_cannot_be_read_harms_nothing(document):
     async with running_site() as site:
         site.store.topic(TOPIC).append("holders", document or b"\x00")
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -3,7 +3,7 @@
 import trio
 
 from scaleloom_fleet.conf.fields import ObserveSection
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import running_site
 
 
@@ -18,7 +18,7 @@
     return found
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_counters_and_gauges_reach_the_statsd_server():
     with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as receiver:
         await receiver.bind(("127.0.0.1", 0))
--- a/tests/gateway/test_own_faults.py
+++ b/tests/gateway/test_own_faults.py
@@ -10,7 +10,7 @@
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway import accepting
 from scaleloom_fleet.gateway.peer_messages import PeerReport
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     TARGETS_TOPIC,
@@ -26,7 +26,7 @@
 READ_S = 0.2
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_fault_of_our_own_ends_one_request_only():
     async def fail(*_) -> None:
         raise RuntimeError("a fault that nobody thought of")
@@ -41,7 +41,7 @@
         assert (await site.ask("/safe/1")).status == 200
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_gateway_that_knows_a_configuration_and_no_list_lives_on():
     async with running_site() as site:
         alone = await site.start_deaf_gateway(StoreFault.NONE, [])
@@ -81,7 +81,7 @@
     _report(config_version=9, list_position=99),
     _report()[:-3],
 )
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_datagram_that_makes_no_sense_changes_nothing(data):
     async with running_site() as site:
         address = site.gateways[0].settings.peer_address
@@ -92,7 +92,7 @@
 
 
 @params("nowhere", "127.0.0.9:port", "")
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_router_whose_name_is_no_address_is_passed_over(name):
     async with running_site() as site:
         site.store.topic(ROUTERS_TOPIC).append(name, b"a")
--- a/tests/gateway/test_peer_documents.py
+++ b/tests/gateway/test_peer_documents.py
@@ -11,7 +11,7 @@
 from scaleloom_fleet.gateway.peer_documents import GIVE_LIMIT
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_platform.documents import decode_target
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     TARGETS_TOPIC,
@@ -54,7 +54,7 @@
 
 
 @params((-1, -1, True, True), (1, -1, False, True), (-1, 10_000, True, False))
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_peer_is_given_only_what_it_lacks(
     version, position, config_too, list_too
 ):
@@ -74,7 +74,7 @@
     return view.digest
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_peer_that_knows_a_former_list_is_told_what_changed():
     async with running_site(runner_count=6) as site:
         before = _digest(site)
@@ -96,7 +96,7 @@
     assert len(everything) == 5
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_changes_keep_a_router_up_to_date_that_reads_no_list():
     async with running_site(runner_count=5) as site:
         deaf = await site.start_deaf_gateway(StoreFault.NONE, site.gateways)
@@ -111,7 +111,7 @@
             assert not leaving.runs[request_id]
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_only_a_few_peers_are_answered_at_a_time():
     async with running_site() as site:
         waiting = [await _open(site.gateways[0]) for _ in range(GIVE_LIMIT)]
@@ -128,7 +128,7 @@
         await eventually(is_answered)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_question_that_cannot_be_read_is_closed():
     async with running_site() as site:
         async with await _open(site.gateways[0]) as stream:
@@ -137,7 +137,7 @@
                 assert await stream.receive_some() == b""
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_large_changes_in_quick_succession_are_not_all_read():
     filler = "x" * LARGE_DOCUMENT_BYTES
     async with running_site() as site:
--- a/tests/gateway/test_promises.py
+++ b/tests/gateway/test_promises.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, Site, ask_raw, request_bytes, running_site
 from tests.fixtures.platform_store import StoreFault
 from tests.fixtures.runners import EVENT_COUNT, event
@@ -102,7 +102,7 @@
 
 
 @params(1, 2, 3, 4)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_no_promise_is_broken_under_mixed_faults(seed):
     draw = random.Random(seed)
     asked: list[tuple[str, str, Answer]] = []
--- a/tests/gateway/test_refusals.py
+++ b/tests/gateway/test_refusals.py
@@ -6,7 +6,7 @@
 from scaleloom_fleet.gateway.answering import DEFAULT_RETRY_AFTER_S
 from scaleloom_fleet.gateway.attempts import RETURN_SHARE_OF_TIME_LEFT
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     TARGETS_TOPIC,
     Answer,
@@ -31,7 +31,7 @@
         await trio.lowlevel.checkpoint()
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_refused_callers_are_not_all_told_to_come_back_in_one_moment():
     answers: list[Answer] = []
 
@@ -51,7 +51,7 @@
     assert len(set(waits_s)) > 1
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_router_that_holds_nothing_lets_callers_come_back_soon():
     async with running_site(runner_count=1) as site:
         site.store.drop(TARGETS_TOPIC, site.runners[0].id)
--- a/tests/gateway/test_shared_outcomes.py
+++ b/tests/gateway/test_shared_outcomes.py
@@ -3,7 +3,7 @@
 import trio
 
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import request_bytes, running_site
 
 REQUESTS = 60
@@ -12,7 +12,7 @@
 TOLD_S = 0.5
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_target_that_failed_other_routers_is_not_tried():
     async with running_site(runner_count=5, gateway_count=3) as site:
         await trio.sleep(TOLD_S)
--- a/tests/gateway/test_slow_targets.py
+++ b/tests/gateway/test_slow_targets.py
@@ -3,7 +3,7 @@
 import trio
 
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Site, running_site, serve_engines
 from tests.fixtures.http_standin import Asked
 
@@ -38,7 +38,7 @@
     return (len(slow.asked) - before) / REQUESTS
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_target_that_turned_slow_loses_its_chats_until_it_is_well():
     async with running_site(runner_count=4) as site:
         await serve_engines(site)
@@ -51,7 +51,7 @@
     assert slow < usual / 2
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_target_that_must_read_prompts_first_is_not_taken_for_slow():
     async def read_first(runner: runners.Runner, asked: Asked) -> bool:
         part = asked.headers["prompt-prefix"].split(",")[1]
--- a/tests/gateway/test_starting.py
+++ b/tests/gateway/test_starting.py
@@ -3,14 +3,14 @@
 import trio
 
 from scaleloom_fleet.gateway.accepting import KNOWLEDGE_PATIENCE_S
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import request_bytes, running_site
 from tests.fixtures.platform_store import StoreFault
 
 HEALED_AFTER_S = KNOWLEDGE_PATIENCE_S / 3
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_caller_waits_for_what_the_store_is_about_to_tell():
     async with running_site() as site:
         site.store.fault = StoreFault.BUSY
@@ -26,7 +26,7 @@
     assert answer.status == 200
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_gateway_that_learns_nothing_refuses_soon():
     async with running_site() as site:
         site.store.fault = StoreFault.BUSY
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -16,7 +16,7 @@
 from scaleloom_fleet.http1.callers import CallerConnection
 from scaleloom_standins.ports import free_port
 from tests.fixtures import runners
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     Answer,
     ask_on,
@@ -32,7 +32,7 @@
 from tests.fixtures.runners import Runner
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_stopping_gateway_is_not_ready_and_serves_on():
     async with running_site() as site:
         (gateway,) = site.gateways
@@ -46,7 +46,7 @@
     assert (answer.status, answer.headers["connection"]) == (200, "close")
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_stop_ends_by_itself_and_closes_idle_connections():
     async with running_site() as site:
         (gateway,) = site.gateways
@@ -59,7 +59,7 @@
                 await gateway.stopped.wait()
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_requests_that_arrive_as_connections_end_are_answered_or_unread():
     """Hit the moment at which idle connections are ended, over and over."""
     outcomes: list[tuple[Answer, int]] = []
@@ -99,7 +99,7 @@
     caller._tell = tell_and_leave
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_connection_is_not_ended_under_a_request_that_just_arrived():
     """Ask a connection to leave in the very step in which bytes have arrived."""
     runner = Runner("i-1")
@@ -125,7 +125,7 @@
     assert (answer.status, answer.is_whole) == (200, True)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_stop_waits_for_an_answer_in_flight():
     async with running_site(runner_count=1) as site:
         (gateway,) = site.gateways
@@ -160,7 +160,7 @@
     assert (answers[0].status, answers[0].is_whole) == (200, True)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_late_request_is_refused_if_it_may_outlast_the_stop():
     """Send on a connection that was busy when idle ones were ended."""
     stop = GatewayStopSection(notice_s=0.1, grace_s=1.5)
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -4,7 +4,7 @@
 from nose2.tools import params
 
 from scaleloom_core.list_freshness import AWAY_AGE_S
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     TARGETS_TOPIC,
@@ -37,7 +37,7 @@
 
 
 @params(*OUTAGES)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_change_made_in_an_outage_is_in_force_after_it(fault):
     async with running_site() as site:
         site.store.fault = fault
@@ -52,7 +52,7 @@
 
 
 @params(*OUTAGES)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_gateway_serves_on_through_an_outage(fault):
     async with running_site() as site:
         site.store.fault = fault
@@ -63,7 +63,7 @@
             assert set(runner.runs.values()) <= {1}
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_configuration_never_goes_back():
     async with running_site() as site:
         site.store.put(CONFIG_TOPIC, "config", _new_route(5))
@@ -82,7 +82,7 @@
         await eventually(is_read)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_configuration_that_cannot_be_read_changes_nothing():
     async with running_site() as site:
         site.store.topic(CONFIG_TOPIC).append("config", b'{"version": 9, "rou')
@@ -96,7 +96,7 @@
         await eventually(is_read)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_forgotten_history_loses_nothing():
     async with running_site() as site:
         site.store.put(CONFIG_TOPIC, "other", {})
@@ -121,7 +121,7 @@
     await eventually(is_read)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_draining_target_gets_nothing_new():
     async with running_site() as site:
         leaving, staying = site.runners
@@ -132,7 +132,7 @@
 
 
 @params(*OUTAGES)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_draining_target_gets_nothing_new_while_the_store_is_away(fault):
     async with running_site() as site:
         leaving, staying = site.runners
@@ -144,7 +144,7 @@
     assert (sum(leaving.runs.values()), sum(staying.runs.values())) == (0, 8)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_list_of_many_pages_is_read_whole():
     async with running_site(runner_count=5) as site:
         site.store.page_limit = 2
@@ -168,7 +168,7 @@
 
 
 @params(StoreFault.BUSY, StoreFault.SILENT, StoreFault.RESET)
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_gateway_that_the_store_turns_away_asks_its_peers(fault):
     async with running_site() as site:
         deaf = await site.start_deaf_gateway(fault, site.gateways)
@@ -182,7 +182,7 @@
         await eventually(is_served)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_gateway_that_learnt_nothing_is_not_ready_and_refuses():
     async with running_site() as site:
         lonely = await site.start_deaf_gateway(StoreFault.BUSY, [])
@@ -195,7 +195,7 @@
         assert not await lonely.is_ready()
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_targets_whose_entries_lapsed_in_an_outage_are_used_on():
     async with running_site() as site:
         site.store.fault = StoreFault.BUSY
--- a/tests/gateway/test_thin_links.py
+++ b/tests/gateway/test_thin_links.py
@@ -3,7 +3,7 @@
 import trio
 
 from scaleloom_fleet.conf.gateway_schema import GatewayInstanceSection
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
     TARGETS_TOPIC,
@@ -44,7 +44,7 @@
     return (await gateway.ask(request_bytes(path))).status == 200
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_thin_gateway_takes_a_configuration_from_peers_that_follow_the_store():
     async with running_site(gateway_count=2) as site:
         await _start_thin(site, site.gateways[:2])
@@ -53,7 +53,7 @@
         await eventually(lambda: _serves(thin, "/added/1"))
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_thin_gateway_whose_peers_are_gone_follows_the_store_again():
     async with running_site(gateway_count=2) as site:
         store = await _start_thin(site, site.gateways[:2])
@@ -66,7 +66,7 @@
         await eventually(lambda: _serves(thin, "/later/1"), limit_s=8.0)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_fleet_of_thin_links_reads_each_configuration_once_each():
     async with running_site(gateway_count=4, instance=THIN_LINK) as site:
         for version in (2, 3):
@@ -80,7 +80,7 @@
     assert whole_readings <= len(site.gateways)
 
 
-@runs_in_trio
+@runs_on_paused_clock
 async def test_a_thin_gateway_lets_its_own_store_rest():
     async with running_site(gateway_count=2) as site:
         store = await _start_thin(site, site.gateways[:2])
