Split the tests of targets by their subject

Change: a file for each, mirroring the modules; the fixtures that they share stand in tests/fixtures/targets.py.

--- /dev/null
+++ b/tests/core/test_prefix_holders.py
@@ -0,0 +1,202 @@
+"""Tests of who holds a shared prompt part, and whose cache is copied."""
+
+from scaleloom_core.fleet_load import FleetLoad
+from scaleloom_core.ids import TargetId
+from scaleloom_core.listed import ListedState
+from scaleloom_core.prefix_holders import PrefixHolders, part_key
+from scaleloom_core.target_choice import TargetChooser
+from scaleloom_core.targets import DEPARTED_SOURCE_S, TargetView
+from tests.fixtures.targets import (
+    ENGINE,
+    SERVICE,
+    listed_target,
+    placement_key,
+    target_chooser,
+    target_view,
+)
+
+
+def test_an_overflow_copies_the_part_from_its_home():
+    chooser = target_chooser(target_view(6))
+    home = chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id
+    other = chooser.choose(placement_key(), ENGINE, {home}, 0.0).listed.id
+    assert chooser.cache_source(placement_key(), other, 0.0).id == home
+    assert chooser.cache_source(placement_key(None), other, 0.0) is None
+
+
+def test_a_target_that_holds_the_part_goes_before_a_home_that_does_not():
+    chooser = target_chooser(target_view(6))
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(placement_key(), other, 5.0)
+    assert chooser.choose(placement_key(), ENGINE, set(), 6.0).listed.id == other
+    assert chooser.choose(placement_key(), ENGINE, {other}, 6.0).listed.id == home
+
+
+def test_a_joining_target_takes_no_part_that_another_holds():
+    view = target_view(5)
+    chooser = target_chooser(view)
+    parts = [f"p-{number}" for number in range(60)]
+    held_by = {}
+    for part in parts:
+        held_by[part] = chooser.choose(
+            placement_key(part), ENGINE, set(), 0.0
+        ).listed.id
+        chooser.note_read(placement_key(part), held_by[part], 0.0)
+    view.apply_list([listed_target(n) for n in range(6)], 2)
+    after = {
+        p: chooser.choose(placement_key(p), ENGINE, set(), 1.0).listed.id for p in parts
+    }
+    assert after == held_by
+    new_homes = {view.candidates(SERVICE, part)[0] for part in parts}
+    assert TargetId("i-5") in new_homes
+
+
+def test_a_part_that_several_hold_goes_to_the_least_loaded_of_them():
+    chooser = target_chooser(target_view(6))
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(placement_key(), home, 5.0)
+    chooser.note_read(placement_key(), other, 5.0)
+    for loaded, least in ((home, other), (other, home)):
+        chooser.load = FleetLoad()
+        for _ in range(2):
+            chooser.load.take(loaded)
+        assert chooser.choose(placement_key(), ENGINE, set(), 6.0).listed.id == least
+
+
+def test_a_holder_that_is_full_sends_its_overflow_on():
+    chooser = target_chooser(target_view(6))
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(placement_key(), home, 5.0)
+    while chooser.choose(placement_key(), ENGINE, set(), 6.0).listed.id == home:
+        chooser.load.take(home)
+    assert chooser.choose(placement_key(), ENGINE, set(), 6.0).listed.id == other
+    assert chooser.load.held(home) < 64
+
+
+def test_a_home_of_which_nothing_is_known_copies_from_the_next_one():
+    chooser = target_chooser(target_view(6))
+    home, other, _ = _ranking(chooser)
+    assert chooser.cache_source(placement_key(), home, 0.0).id == other
+
+
+def test_a_router_without_memory_finds_the_home_before_a_target_joined():
+    before = target_view(5)
+    home = (
+        target_chooser(before)
+        .choose(placement_key("moved"), ENGINE, set(), 0.0)
+        .listed.id
+    )
+    joined = next(
+        number
+        for number in range(5, 200)
+        if _home_with(number, "moved") == TargetId(f"i-{number}")
+    )
+    started = TargetView()
+    started.apply_list([listed_target(n) for n in (*range(5), joined)], 1)
+    source = target_chooser(started).cache_source(
+        placement_key("moved"), TargetId(f"i-{joined}"), 0.0
+    )
+    assert source.id == home
+
+
+def test_a_target_that_holds_the_part_copies_nothing():
+    chooser = target_chooser(target_view(6))
+    home = chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id
+    other = chooser.choose(placement_key(), ENGINE, {home}, 0.0).listed.id
+    chooser.note_read(placement_key(), other, 5.0)
+    assert chooser.cache_source(placement_key(), other, 6.0) is None
+    assert chooser.cache_source(placement_key(), home, 6.0).id == other
+
+
+def test_a_new_home_copies_from_the_former_one_while_that_drains():
+    view = target_view(6)
+    chooser = target_chooser(view)
+    home = chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id
+    number = int(home.removeprefix("i-"))
+    listed = [listed_target(n) for n in range(6) if n != number]
+    view.apply_list([*listed, listed_target(number, ListedState.DRAINING)], 2)
+    new_home = chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id
+    assert new_home != home
+    assert chooser.cache_source(placement_key(), new_home, 0.0).id == home
+    view.apply_list(listed, 3, 9.0)
+    gone_s = 9.0 + DEPARTED_SOURCE_S
+    chooser.note_read(placement_key(), home, 9.0)
+    assert chooser.cache_source(placement_key(), new_home, gone_s - 0.1).id == home
+    assert chooser.cache_source(placement_key(), new_home, gone_s).id != home
+
+
+def test_a_target_that_leaves_without_a_word_is_a_source_for_a_while():
+    view = target_view(6)
+    chooser = target_chooser(view)
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(placement_key(), home, 5.0)
+    rest = [listed_target(n) for n in range(6) if TargetId(f"i-{n}") != home]
+    view.apply_list(rest, 2, 6.0)
+    assert chooser.choose(placement_key(), ENGINE, set(), 6.0).listed.id == other
+    assert chooser.cache_source(placement_key(), other, 6.0).id == home
+    view.apply_list(rest, 3, 6.0 + DEPARTED_SOURCE_S)
+    assert (
+        chooser.cache_source(placement_key(), other, 6.0 + DEPARTED_SOURCE_S).id != home
+    )
+
+
+def test_a_target_that_crashed_is_no_source():
+    view = target_view(6)
+    chooser = target_chooser(view)
+    home, other, _ = _ranking(chooser)
+    chooser.note_read(placement_key(), home, 5.0)
+    view.records[home].note_unreachable(5.5)
+    assert chooser.cache_source(placement_key(), other, 9.0) is None
+    view.apply_list([listed_target(n) for n in range(6) if f"i-{n}" != home], 2, 9.0)
+    assert chooser.cache_source(placement_key(), other, 9.1).id != home
+
+
+def test_a_peer_that_was_told_names_the_holder_as_the_source():
+    first, second = target_chooser(target_view(6)), target_chooser(target_view(6))
+    home, other, third = _ranking(first)
+    first.note_read(placement_key(), other, 5.0)
+    for part, target in first.holders.take_news():
+        second.holders.note(part, target, 5.1)
+    assert second.cache_source(placement_key(), third, 6.0).id == other
+    assert second.cache_source(placement_key(), home, 6.0).id == other
+    assert first.holders.take_news() == []
+
+
+def test_peers_are_told_again_before_they_forget_and_not_each_time():
+    chooser = target_chooser(target_view(6))
+    told_s = []
+    for second in range(25):
+        chooser.note_read(placement_key(), TargetId("i-1"), float(second))
+        if chooser.holders.take_news():
+            told_s.append(second)
+    assert told_s == [0, 10, 20]
+
+
+def _home_with(number: int, part: str) -> TargetId:
+    """Return the home of `part` once the target `number` has joined five."""
+    view = TargetView()
+    view.apply_list([listed_target(n) for n in (*range(5), number)], 1)
+    return (
+        target_chooser(view).choose(placement_key(part), ENGINE, set(), 0.0).listed.id
+    )
+
+
+def _ranking(chooser: TargetChooser) -> list[TargetId]:
+    """Return the three first choices for the part."""
+    tried: list[TargetId] = []
+    for _ in range(3):
+        record = chooser.choose(placement_key(), ENGINE, set(tried), 0.0)
+        tried.append(record.listed.id)
+    return tried
+
+
+def test_holders_are_forgotten_with_time_and_number():
+    holders = PrefixHolders(life_s=10.0, part_limit=2)
+    a, c = part_key("a"), part_key("c")
+    for second, part in enumerate((a, part_key("b"), c)):
+        holders.note(part, 1, float(second))
+    assert not holders.holds(a, 1, 3.0)
+    assert holders.holds(c, 1, 12.0)
+    assert not holders.holds(c, 1, 12.1)
+    holders.note(c, 2, 5.0)
+    assert holders.latest(c, 6.0) == [2, 1]
