Say once in the tests how copies are awaited and a gateway is ended

Cause: four files held the same wait for the first copies, and their topic's name. Change: wait_copies and GatewayFixture.end in the shared fixtures; no check changed.

--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -5,28 +5,19 @@
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
+    COPIES_TOPIC,
     TARGETS_TOPIC,
-    Site,
     config,
     eventually,
     request_bytes,
     route,
     running_site,
+    wait_copies,
 )
 
-COPIES_TOPIC = "keyed.scaleloom-copies"
 ROUTERS_TOPIC = "keyed.scaleloom-routers"
 
 
-async def _wait_copies(site: Site, count: int) -> None:
-    """Return once at least `count` records of copies were written."""
-
-    async def are_written() -> bool:
-        return len(site.store.topic(COPIES_TOPIC).records) >= count
-
-    await eventually(are_written)
-
-
 @params(
     {TARGETS_TOPIC},
     {CONFIG_TOPIC},
@@ -35,7 +26,7 @@
 @runs_on_paused_clock
 async def test_a_fleet_without_memory_reads_the_copies(down):
     async with running_site() as site:
-        await _wait_copies(site, 6)
+        await wait_copies(site)
         site.store.down_topics = {*down, ROUTERS_TOPIC}
         started = site.start_gateway(site.store_port)
         await started.wait_ready()
@@ -45,9 +36,9 @@
 @runs_on_paused_clock
 async def test_a_change_is_copied():
     async with running_site() as site:
-        await _wait_copies(site, 6)
+        await wait_copies(site)
         site.store.put(CONFIG_TOPIC, "config", config(2, route("added", "safe")))
-        await _wait_copies(site, 9)
+        await wait_copies(site, 9)
         site.store.down_topics = {CONFIG_TOPIC, ROUTERS_TOPIC}
         started = site.start_gateway(site.store_port)
         await started.wait_ready()
@@ -57,7 +48,7 @@
 @runs_on_paused_clock
 async def test_nothing_is_written_while_nothing_changes():
     async with running_site() as site:
-        await _wait_copies(site, 6)
+        await wait_copies(site)
         calls_before = site.store.calls.count("log-append")
         reads_before = len(site.store.calls)
 
@@ -71,7 +62,7 @@
 @runs_on_paused_clock
 async def test_a_copy_that_cannot_be_read_changes_nothing():
     async with running_site() as site:
-        await _wait_copies(site, 6)
+        await wait_copies(site)
         site.store.topic(COPIES_TOPIC).append("config", b"no copy")
         site.store.down_topics = {CONFIG_TOPIC, ROUTERS_TOPIC}
         started = site.start_gateway(site.store_port)
--- a/tests/gateway/test_holder_copies.py
+++ b/tests/gateway/test_holder_copies.py
@@ -32,8 +32,7 @@
         holder = _served_by(site, "r-1")
         await eventually(lambda: _is_written(site))
         before = site.gateways[0]
-        before.stop.set()
-        await before.stopped.wait()
+        await before.end()
         started = site.start_gateway(site.store_port)
         await started.wait_ready()
         await _settle()
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -16,6 +16,7 @@
 from tests.fixtures import runners
 from tests.fixtures.fleets import runs_in_trio
 from tests.fixtures.gateways import (
+    COPIES_TOPIC,
     TARGETS_TOPIC,
     Answer,
     ask_raw,
@@ -24,7 +25,6 @@
 )
 
 PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
-COPIES_TOPIC = "keyed.scaleloom-copies"
 ROUTERS_TOPIC = "keyed.scaleloom-routers"
 
 
--- a/tests/gateway/test_start_calls.py
+++ b/tests/gateway/test_start_calls.py
@@ -7,19 +7,19 @@
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
+    COPIES_TOPIC,
+    FIRST_COPIES,
     TARGETS_TOPIC,
     Site,
     config,
-    eventually,
     request_bytes,
     running_site,
+    wait_copies,
 )
 
-COPIES_TOPIC = "keyed.scaleloom-copies"
 HOLDERS_TOPIC = "keyed.scaleloom-holders"
 ROUTERS_TOPIC = "keyed.scaleloom-routers"
 ROUTER_COUNT = 5
-COPY_TOPIC_COUNT = 3
 # Longer than any reading at a start is repeated.
 START_S = 2.2
 STARTED_TOGETHER = 8
@@ -56,21 +56,15 @@
     async with running_site(gateway_count=0) as site:
         await _start_without_config(site, FIRST_CONFIG_S)
         site.store.put(CONFIG_TOPIC, "config", config(1))
-
-        async def are_written() -> bool:
-            return len(site.store.topic(COPIES_TOPIC).records) >= 2 * COPY_TOPIC_COUNT
-
-        await eventually(are_written)
+        await wait_copies(site)
         await trio.sleep(START_S)
-        assert len(site.store.topic(COPIES_TOPIC).records) == 2 * COPY_TOPIC_COUNT
+        assert len(site.store.topic(COPIES_TOPIC).records) == FIRST_COPIES
 
 
 @runs_on_paused_clock
 async def test_a_router_that_the_store_knows_does_not_announce_itself_again():
     async with running_site() as site:
-        first = site.gateways[0]
-        first.stop.set()
-        await first.stopped.wait()
+        await site.gateways[0].end()
         announced = len(site.store.topic(ROUTERS_TOPIC).records)
         site.gateways.clear()
         again = site.start_gateway(site.store_port)
@@ -82,14 +76,8 @@
 async def _start_together_with_long_list(site: Site, down: set[str]) -> int:
     """Start routers while `down` topics fail, and return how many pages were read."""
     site.store.page_limit = 2
-
-    async def are_written() -> bool:
-        return len(site.store.topic(COPIES_TOPIC).records) >= 2 * COPY_TOPIC_COUNT
-
-    await eventually(are_written)
-    first = site.gateways[0]
-    first.stop.set()
-    await first.stopped.wait()
+    await wait_copies(site)
+    await site.gateways[0].end()
     site.gateways.clear()
     site.store.down_topics = down
     pages_before = site.store.whole_readings[TARGETS_TOPIC]
--- a/tests/gateway/test_thin_links.py
+++ b/tests/gateway/test_thin_links.py
@@ -15,6 +15,7 @@
     request_bytes,
     route,
     running_site,
+    wait_copies,
 )
 from tests.fixtures.http_standin import free_listener, port_of, serve_http
 from tests.fixtures.platform_store import StoreStandin
@@ -23,8 +24,6 @@
 STORE_CALL = "log-read"
 # Longer than reports take and shorter than a gateway waits for its own call.
 SILENCE_S = 1.5
-COPIES_TOPIC = "keyed.scaleloom-copies"
-COPIES_OF_ALL = 6
 SOON_S = 0.05
 
 
@@ -102,13 +101,8 @@
 @runs_on_paused_clock
 async def test_a_thin_gateway_without_peers_starts_from_a_copy_at_once():
     async with running_site() as site:
-
-        async def are_copied() -> bool:
-            return len(site.store.topic(COPIES_TOPIC).records) >= COPIES_OF_ALL
-
-        await eventually(are_copied)
-        site.gateways[0].stop.set()
-        await site.gateways[0].stopped.wait()
+        await wait_copies(site)
+        await site.gateways[0].end()
         started_s = trio.current_time()
         thin = site.start_gateway(site.store_port, instance=THIN_LINK)
         await thin.wait_ready()
