Let two tests wait for what they need instead of for a time

Cause: the stopping program of test_signals took 0.1 s for the handler to be in place, which a busy machine need not keep. Change: it waits until every task of it waits; the pause of test_callers has a name. No check changed.

--- a/tests/fleet/test_callers.py
+++ b/tests/fleet/test_callers.py
@@ -15,6 +15,7 @@
     small_fleet,
 )
 
+ASK_AGAIN_S = 0.05
 ASKED = [{"role": "user", "content": "Draft the objection for rol 12."}]
 
 
@@ -116,7 +117,7 @@
             break
     with trio.fail_after(5):
         while await _open_loads(fleet):
-            await trio.sleep(0.05)
+            await trio.sleep(ASK_AGAIN_S)
 
 
 async def _open_loads(fleet: LocalFleet) -> int:
--- a/tests/fleet/test_signals.py
+++ b/tests/fleet/test_signals.py
@@ -19,11 +19,12 @@
 """
 STOPPING_PROGRAM = """
 import sys, trio
+from trio.testing import wait_all_tasks_blocked
 from scaleloom_fleet.utils.stopping import wait_signal
 async def run():
     async with trio.open_nursery() as nursery:
         nursery.start_soon(wait_signal)
-        await trio.sleep(0.1)
+        await wait_all_tasks_blocked()
         print('up', flush=True)
     print('stopping', flush=True)
     sys.stdin.read()
