Send nothing new to data centres that operators evacuate

Change: records of evacuations are read with the configuration, told in every report between routers, and copied with the other documents. What was read further wins, so neither a stale reading nor a late peer brings one back. An evacuated data centre's targets are left out of placement, of the load's mean and of waiting; requests that run there go on, and their caches are still copied from. Where everything that could serve is evacuated, callers are refused at once. The newest records of several pages end where the first page did: what is written meanwhile may lie behind a key already passed. The digest of the list counts the data centre: routers with another one kept it.

--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -46,8 +46,8 @@
         How many times slower than usual those are that are slow.
     mean_held : float
         The requests that one of them holds on average.
-    digest : int
-        Stands for the list of targets from which this was made.
+    generation : int
+        The view's, from which this was made.
     """
 
     records: list[TargetRecord]
@@ -55,7 +55,7 @@
     slow: dict[TargetId, float]
     mean_held: float
     made_s: float
-    digest: int
+    generation: int
 
     @property
     def life_s(self) -> float:
@@ -129,7 +129,7 @@
     def _pool(self, service: ServiceName, now_s: float) -> ServicePool:
         """Return the targets of `service`, looked through anew unless they are many."""
         pool = self._pools.get(service)
-        if pool is not None and pool.digest == self.view.digest:
+        if pool is not None and pool.generation == self.view.generation:
             if now_s - pool.made_s < pool.life_s:
                 return pool
         usable = self.view.usable(service, now_s)
@@ -140,7 +140,7 @@
             slow=self.view.slownesses(usable, now_s),
             mean_held=total / max(1, len(usable)),
             made_s=now_s,
-            digest=self.view.digest,
+            generation=self.view.generation,
         )
         self._pools[service] = pool
         return pool
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -6,7 +6,7 @@
 
 from scaleloom_core.fleet_load import TargetKey, target_key
 from scaleloom_core.hashing import hash_text
-from scaleloom_core.ids import ChatId, ServiceName, TargetId
+from scaleloom_core.ids import ChatId, DataCentreName, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
 from scaleloom_core.placement import PlacementTable, PoolMember
 from scaleloom_core.target_delays import slowness
@@ -39,6 +39,10 @@
         How far the list was read; a reading from before it is stale.
     digest : int
         Stands for the list's content, for peers to compare.
+    evacuated : frozenset of DataCentreName
+        Where targets are offered nothing new; their caches may be copied from.
+    generation : int
+        Rises whenever other targets than before may be offered work.
     """
 
     records: dict[TargetId, TargetRecord] = msgspec.field(default_factory=dict)
@@ -47,6 +51,8 @@
     )
     list_position: int = -1
     digest: int = 0
+    evacuated: frozenset[DataCentreName] = frozenset()
+    generation: int = 0
     _lapses_end_s: float = 0.0
     _departed: dict[TargetId, TargetRecord] = msgspec.field(default_factory=dict)
     _ids_by_key: dict[TargetKey, TargetId] = msgspec.field(default_factory=dict)
@@ -90,6 +96,26 @@
         self._group()
         return True
 
+    def evacuate(self, data_centres: frozenset[DataCentreName]) -> None:
+        """Offer nothing new to the targets of `data_centres`, and to no others."""
+        if data_centres != self.evacuated:
+            self.evacuated = data_centres
+            self._group()
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Return whether all that could serve `service` stands evacuated."""
+        if self.by_service.get(service):
+            return False
+        listed = (record.listed for record in self.records.values())
+        return any(
+            one.service == service and one.state is ListedState.READY for one in listed
+        )
+
+    def _takes_work(self, listed: ListedTarget) -> bool:
+        """Return whether a listed target may be offered new work at all."""
+        is_ready = listed.state is ListedState.READY
+        return is_ready and listed.data_centre not in self.evacuated
+
     def _keep_lapsed(self, before: dict[TargetId, TargetRecord]) -> None:
         """Keep for a while what took work before and is listed no more."""
         for target, record in before.items():
@@ -127,8 +153,9 @@
     def _group(self) -> None:
         """Sort the targets that take new work by service."""
         self.by_service = {}
+        self.generation += 1
         for record in self.records.values():
-            if record.listed.state is ListedState.READY:
+            if self._takes_work(record.listed):
                 group = self.by_service.setdefault(record.listed.service, [])
                 group.append(record)
         for service, group in self.by_service.items():
@@ -203,7 +230,7 @@
 def _digest(listed: list[ListedTarget]) -> int:
     """Return a number that stands for what `listed` says."""
     rows = sorted(
-        f"{t.id} {t.service} {t.host}:{t.port} {t.slots} {t.state.value}"
+        f"{t.id} {t.service} {t.host}:{t.port} {t.data_centre} {t.slots} {t.state.value}"
         for t in listed
     )
     return hash_text(*rows)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -26,6 +26,8 @@
 QUEUE_SHARE_OF_OBJECTIVE = 0.22
 # A caller that came back later would have too little time for the answer.
 RETURN_SHARE_OF_TIME_LEFT = 0.3
+# Operators take an evacuation back after seconds at the soonest.
+EVACUATED_RETURN_S = 3.0
 _K = ErrorKind
 _STOPPING = FleetError(
     _K.NOT_READY, "This router is stopping.", retry_after_s=STOPPING_RETRY_AFTER_S
@@ -94,11 +96,13 @@
     A router that holds nothing is not busy: it has just started, or reaches no
     target for a moment, and both end sooner than places become free.
     """
-    if not state.load.own:
-        return None
     now_s = trio.current_time()
     match = work.match
     latest_s = RETURN_SHARE_OF_TIME_LEFT * (match.deadline_s - now_s)
+    if state.view.is_evacuated(match.service):
+        return min(latest_s, EVACUATED_RETURN_S)
+    if not state.load.own:
+        return None
     line = ReturnLine(match.service, match.priority, match.customer)
     return min(latest_s, state.returns.book(line, now_s))
 
@@ -207,6 +211,8 @@
         if record is not None:
             state.waiting.take(record, match.customer)
             return record
+    if state.view.is_evacuated(match.service):
+        return None
     waiter = Waiter(match.priority, match.customer, match.deadline_s, choose)
     held_s = trio.current_time() - match.received_s
     limit_s = QUEUE_SHARE_OF_OBJECTIVE * match.route.objective_ms / 1000.0
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/config_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/config_watch.py
@@ -1,11 +1,12 @@
-"""The configuration, followed in the platform's store by a few routers."""
+"""Configuration and evacuations, followed in the store by a few routers."""
 
 import random
 
 import trio
 from returns.result import Failure
 
-from scaleloom_fleet.gateway.documents import apply_config_document
+from scaleloom_core.evacuations import Evacuations
+from scaleloom_fleet.gateway.documents import apply_config_document, apply_evacuations
 from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
@@ -35,6 +36,7 @@
         self._access = access
         self._client = access.new_client()
         self._waiting_scope: trio.CancelScope | None = None
+        self._followed = Evacuations()
 
     def drop_call(self) -> None:
         """End the open call, which may wait on a path that is lost."""
@@ -110,7 +112,7 @@
         page: NewestPage | None = reading.value_or(None)
         if page is None:
             return None
-        self._apply(page.records)
+        self._apply(page.records, Evacuations(), page.end)
         return page.end
 
     async def _wait_changes(self, position: int) -> None:
@@ -128,16 +130,29 @@
             if isinstance(batch, Failure):
                 return
             records = batch.unwrap().records
-            self._apply(records)
-            self._state.report_soon()
             position += len(records)
+            self._apply(records, self._followed, position)
+            self._state.report_soon()
             if batch.unwrap().end > position or self._state.follows_peers:
                 # More changes wait than one answer holds and only the last
                 # counts, or peers send them in a shorter form from now on.
                 return
 
-    def _apply(self, records: list[StoredRecord]) -> None:
-        """Take the newest configuration among `records` into force."""
+    def _apply(
+        self, records: list[StoredRecord], before: Evacuations, position: int
+    ) -> None:
+        """
+        Take `records`, which end at `position`, into force.
+
+        Parameters
+        ----------
+        before : Evacuations
+            Those that stood before the first of the records.
+        """
+        adapter = self._state.adapter
+        changes = filter(None, map(adapter.read_evacuation, records))
+        self._followed = before.followed_by(changes, position)
+        apply_evacuations(self._state, self._followed)
         for record in records:
-            if record.key == self._state.adapter.config_key and record.value:
+            if record.key == adapter.config_key and record.value:
                 apply_config_document(self._state, record.value)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -7,9 +7,12 @@
 import msgspec
 import trio
 
+from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_roster import SETTLES_S
+from scaleloom_core.ids import DataCentreName
 from scaleloom_fleet.gateway.documents import (
     apply_config_document,
+    apply_evacuations,
     apply_target_documents,
 )
 from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
@@ -28,6 +31,7 @@
 NEXT_TOPIC_S = 0.1
 CONFIG_KEY = "config"
 TARGETS_KEY = "targets"
+EVACUATIONS_KEY = "evacuations"
 COPY_LIMIT_BYTES = 200_000
 NEVER_S = float("-inf")
 _logger = logging.getLogger("scaleloom.copies")
@@ -45,6 +49,7 @@
 
     config_version: int = -1
     list_digest: int | None = None
+    evacuated: frozenset[DataCentreName] = frozenset()
     retry_at_s: float = NEVER_S
 
 
@@ -87,6 +92,12 @@
         if version != written.config_version:
             is_whole = await self._write(topic, CONFIG_KEY, state.packed_config())
             written.config_version = version if is_whole else -1
+        known = state.evacuations
+        if is_whole and known.data_centres != written.evacuated:
+            packed = zlib.compress(msgspec.msgpack.encode(known))
+            is_whole = await self._write(topic, EVACUATIONS_KEY, packed)
+            if is_whole:
+                written.evacuated = known.data_centres
         if is_whole and digest != written.list_digest:
             copy = TargetsCopy(state.view.list_position, state.listed_documents)
             packed = zlib.compress(msgspec.msgpack.encode(copy))
@@ -137,6 +148,9 @@
             document = zlib.decompress(record.value)
             if record.key == CONFIG_KEY:
                 apply_config_document(self._state, document)
+            elif record.key == EVACUATIONS_KEY:
+                told = msgspec.msgpack.decode(document, type=Evacuations)
+                apply_evacuations(self._state, told)
             elif record.key == TARGETS_KEY:
                 copy = msgspec.msgpack.decode(document, type=TargetsCopy)
                 apply_target_documents(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -5,6 +5,7 @@
 import trio
 from returns.result import Failure
 
+from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
 from scaleloom_fleet.gateway.state import GatewayState
@@ -26,6 +27,19 @@
         _logger.info("configuration in force", extra={"version": routing.version})
 
 
+def apply_evacuations(state: GatewayState, told: Evacuations) -> None:
+    """Take `told` into force, unless what is known rests on more."""
+    if not told.is_newer_than(state.evacuations):
+        return
+    before, state.evacuations = state.evacuations, told
+    if told.data_centres == before.data_centres:
+        return
+    state.view.evacuate(told.data_centres)
+    fields = {"data_centres": sorted(told.data_centres), "position": told.position}
+    _logger.info("evacuations in force", extra=fields)
+    state.report_soon()
+
+
 def apply_target_documents(
     state: GatewayState, documents: dict[str, bytes], position: int, at_s: float
 ) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Result
 
+from scaleloom_core.evacuations import EvacuationChange
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
 from scaleloom_core.routing import RoutingTable
@@ -98,6 +99,9 @@
         milliseconds if there are none.
     append_request : callable
         The call that appends a value under a key.
+    read_evacuation : callable
+        What a record of the configuration's topic says of an evacuation, if
+        it is one.
     """
 
     headers: HeaderNames
@@ -110,6 +114,7 @@
     decode_batch: Callable[[bytes, int], Result[RecordBatch, str]]
     decode_routing: Callable[[bytes], Result[RoutingTable, str]]
     decode_target: Callable[[TargetId, bytes], Result[ListedTarget, str]]
+    read_evacuation: Callable[[StoredRecord], EvacuationChange | None]
 
 
 def load_adapter(module_name: str) -> PlatformAdapter:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_roster import FleetMember, GroupId
 from scaleloom_core.target_outcomes import Outcomes
 
@@ -35,6 +36,8 @@
         is held and was seen is the group's. 0 if it speaks for the sender.
     others : list of FleetMember
         The other members of the group, now and then in a report for all of them.
+    evacuations : Evacuations
+        Those that the sender knows to stand.
     """
 
     sender: FleetMember
@@ -48,6 +51,7 @@
     outcomes: dict[int, Outcomes] = {}
     speaks_for: int = 0
     others: list[FleetMember] = []
+    evacuations: Evacuations = Evacuations()
 
 
 class PeerQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
@@ -176,6 +176,7 @@
             held,
             news,
             outcomes,
+            evacuations=state.evacuations,
         )
 
     def _send_to(self, routers: list[InstanceId], report: PeerReport) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -10,6 +10,7 @@
 from scaleloom_core.catching_up import CatchUp, Knowledge
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import DataCentreName, InstanceId
+from scaleloom_fleet.gateway.documents import apply_evacuations
 from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.peer_documents import (
     DocumentServer,
@@ -136,6 +137,7 @@
             holders.note(part, target, now_s)
         is_near = report.group == self._roster.group
         self._state.view.note_outcomes(report.outcomes, is_near, now_s)
+        apply_evacuations(self._state, report.evacuations)
         self._note_freshness(report, now_s)
         self._note_knowledge(report, now_s)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -6,6 +6,7 @@
 import trio
 
 from scaleloom_core.catching_up import follows_peers, is_follower, is_heavy
+from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.ids import TargetId
 from scaleloom_core.list_freshness import ListFreshness
@@ -58,6 +59,8 @@
         The newest configuration; None until one is known.
     config_document : bytes
         That configuration as the store gave it, for peers that ask.
+    evacuations : Evacuations
+        The data centres to which nothing new is sent.
     router_count : int
         How many routers the fleet is known to have, this one included.
     follows_store : bool
@@ -91,6 +94,7 @@
     usual_delays: UsualDelays = msgspec.field(default_factory=UsualDelays)
     routing: RoutingTable | None = None
     config_document: bytes = b""
+    evacuations: Evacuations = Evacuations()
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
     follows_store: bool = False
     followed_peers: int = 0
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -67,9 +67,15 @@
     async def read_newest(
         self, client: StoreClient, topic: Topic
     ) -> Result[NewestPage, str]:
-        """Return the newest records of `topic`, all pages as one."""
+        """
+        Return the newest records of `topic`, all pages as one.
+
+        Its end is that of the first page: what was written while the others
+        were read may lie behind a key that had been passed already.
+        """
         records: list[StoredRecord] = []
         after: str | None = None
+        end: int | None = None
         for _ in range(PAGE_LIMIT):
             page = await self.read_page(client, topic, after)
             if isinstance(page, Failure):
@@ -77,9 +83,10 @@
                 return page
             part: NewestPage = page.unwrap()
             records += part.records
+            end = part.end if end is None else end
             if not part.has_more or not part.records:
                 self.note_answer(topic)
-                return Success(NewestPage(records, False, part.end))
+                return Success(NewestPage(records, False, end))
             after = part.records[-1].key
         return Failure("too many pages")
 
--- /dev/null
+++ b/tests/core/test_evacuations.py
@@ -0,0 +1,108 @@
+"""Tests of what is known of evacuated data centres, and of their targets."""
+
+from scaleloom_core.evacuations import EvacuationChange, Evacuations
+from scaleloom_core.fleet_load import target_key
+from scaleloom_core.listed import ListedState
+from scaleloom_core.prefix_holders import part_key
+from tests.fixtures.targets import (
+    ENGINE,
+    HERE,
+    SERVICE,
+    THERE,
+    listed_target,
+    placement_key,
+    target_chooser,
+    target_view,
+)
+
+BOTH = frozenset({HERE, THERE})
+
+
+def _view_of_two_data_centres():
+    """Return a view of three targets here and three there."""
+    view = target_view(0)
+    here = [listed_target(number) for number in range(3)]
+    there = [listed_target(number, data_centre=THERE) for number in range(3, 6)]
+    view.apply_list(here + there, 2)
+    return view
+
+
+def test_changes_are_followed_in_their_order():
+    began = EvacuationChange(HERE, is_begun=True)
+    ended = EvacuationChange(HERE, is_begun=False)
+    first = Evacuations(3).followed_by([began], 4)
+    assert first.data_centres == {HERE}
+    assert first.followed_by([ended], 5).data_centres == frozenset()
+    again = first.followed_by([ended, began], 6)
+    assert again.data_centres == {HERE}
+    assert again.is_newer_than(first) and not first.is_newer_than(again)
+
+
+def test_an_evacuation_taken_back_that_was_never_heard_of_changes_nothing():
+    ended = EvacuationChange(HERE, is_begun=False)
+    assert Evacuations().followed_by([ended], 1).data_centres == frozenset()
+
+
+def test_targets_of_an_evacuated_data_centre_are_chosen_no_more():
+    view = _view_of_two_data_centres()
+    chooser = target_chooser(view)
+    keys = [placement_key(f"part-{number}") for number in range(40)]
+    keys.append(placement_key(None))
+    before = {chooser.choose(k, ENGINE, set(), 0.0).listed.data_centre for k in keys}
+    view.evacuate(frozenset({THERE}))
+    after = {chooser.choose(k, ENGINE, set(), 0.0).listed.data_centre for k in keys}
+    assert before == BOTH
+    assert after == {HERE}
+    view.evacuate(frozenset())
+    back = {chooser.choose(k, ENGINE, set(), 0.0).listed.data_centre for k in keys}
+    assert back == BOTH
+
+
+def test_a_target_that_joins_an_evacuated_data_centre_takes_nothing():
+    view = _view_of_two_data_centres()
+    view.evacuate(frozenset({THERE}))
+    listed = [record.listed for record in view.records.values()]
+    view.apply_list([*listed, listed_target(9, data_centre=THERE)], 3)
+    usable = view.usable(SERVICE, 0.0)
+    assert {record.listed.data_centre for record in usable} == {HERE}
+
+
+def test_what_an_evacuated_target_holds_does_not_count_in_the_mean():
+    view = _view_of_two_data_centres()
+    chooser = target_chooser(view)
+    for number in range(3, 6):
+        for _ in range(60):
+            chooser.load.take(listed_target(number).id)
+    view.evacuate(frozenset({THERE}))
+    home = chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id
+    taken = 0
+    while chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id == home:
+        chooser.load.take(home)
+        taken += 1
+    assert taken <= 5
+
+
+def test_an_evacuated_target_is_still_copied_from():
+    view = _view_of_two_data_centres()
+    chooser = target_chooser(view)
+    source = listed_target(4, data_centre=THERE)
+    chooser.holders.note(part_key("p"), target_key(source.id), 0.0)
+    view.evacuate(frozenset({THERE}))
+    chosen = chooser.choose(placement_key("p"), ENGINE, set(), 1.0)
+    assert chosen.listed.data_centre == HERE
+    assert chooser.cache_source(placement_key("p"), chosen.listed.id, 1.0) == source
+
+
+def test_a_service_is_evacuated_once_nothing_else_could_serve_it():
+    view = _view_of_two_data_centres()
+    view.evacuate(frozenset({THERE}))
+    assert not view.is_evacuated(SERVICE)
+    view.evacuate(BOTH)
+    assert view.is_evacuated(SERVICE)
+    assert target_chooser(view).choose(placement_key(), ENGINE, set(), 0.0) is None
+
+
+def test_a_service_whose_targets_all_leave_is_not_evacuated():
+    view = target_view(3, state=ListedState.DRAINING)
+    view.evacuate(frozenset({HERE}))
+    assert not view.is_evacuated(SERVICE)
