Hold cold targets to what they bear, from all routers together

Change: where a service names what a cold target bears, each router sends to one only in turns of its own, spread by its name, so that all of them together stay under that rate without speaking to each other; turns that are not used are lost. A target is cold for as long as its entry says, for a cold start after its data centre is taken back, and for one after it was away, since its entry tells that a heartbeat late. A router that has just started sends nothing to a cold target until it has heard who else sends. That a target became cold is a change of the list, so that routers ask for it.

--- a/packages/scaleloom-core/scaleloom_core/fleet_roster.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_roster.py
@@ -193,6 +193,20 @@
         added = {r for r, added_s in self._added_s.items() if added_s > horizon_s}
         return 1 + len(heard | added)
 
+    def senders(self, now_s: float) -> int:
+        """
+        Return how many routers may send to targets, or 0 while that is not known.
+
+        Those that fell silent count for long, since they may be cut off from
+        this router only. One that has just started has not heard of all others
+        yet; one that hears nobody may be cut off from all that it knows of.
+        """
+        if now_s < self._settled_s:
+            return 0
+        horizon_s = now_s - FORGOTTEN_S
+        heard = sum(seen.heard_s > horizon_s for seen in self._sightings.values())
+        return 1 + (heard or len(self._added_s))
+
     def regroup(self, now_s: float) -> None:
         """Split the own data centre if its groups have grown large, or join them."""
         own = self.group
--- a/packages/scaleloom-core/scaleloom_core/routing.py
+++ b/packages/scaleloom-core/scaleloom_core/routing.py
@@ -74,12 +74,24 @@
 
 
 class ServicePolicy(msgspec.Struct, frozen=True):
-    """What the configuration says of one service."""
+    """
+    What the configuration says of one service.
+
+    Parameters
+    ----------
+    cold_start_s : float
+        How long its targets stay cold after a start, in seconds.
+    cold_per_s : float
+        What a cold target bears, in requests a second; 0 if targets of the
+        service do not suffer from being cold.
+    """
 
     name: ServiceName
     health_path: str = "/health"
     connection_limit: int = 100
     token_capacity: int | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
     @property
     def is_engine(self) -> bool:
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from scaleloom_core.cold_targets import ColdShares
 from scaleloom_core.fleet_load import FleetLoad, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
@@ -80,6 +81,7 @@
     data_centre: DataCentreName
     bound_multiple: float
     holders: PrefixHolders = msgspec.field(default_factory=PrefixHolders)
+    cold: ColdShares = msgspec.field(default_factory=ColdShares)
     _pools: dict[ServiceName, ServicePool] = msgspec.field(default_factory=dict)
 
     def choose(
@@ -96,7 +98,8 @@
         the targets that hold the part and are within the bound. If there is
         none, it goes to the first target in rendezvous order that is, so that
         all routers agree on the home and on where its overflow goes. Any other
-        goes where the least is held, the own data centre first.
+        goes where the least is held, the own data centre first. Targets that
+        are cold take part while it is this router's turn to send to them.
         """
         pool = self._pool(key.service, now_s)
         if policy.is_engine:
@@ -105,7 +108,9 @@
             has_room = self._has_place
 
         def is_open(record: TargetRecord) -> bool:
-            return record.listed.id not in tried and record.away_until_s <= now_s
+            if record.listed.id in tried or record.away_until_s > now_s:
+                return False
+            return self._bears_one_more(record, policy, now_s)
 
         def fits(record: TargetRecord) -> bool:
             return is_open(record) and has_room(record)
@@ -126,6 +131,21 @@
 
         return self._least_loaded(pool.records, is_not_full, pool)
 
+    def _bears_one_more(
+        self, record: TargetRecord, policy: ServicePolicy, now_s: float
+    ) -> bool:
+        """Return whether a target that may be cold bears a request now."""
+        if not _suffers(record, policy, now_s):
+            return True
+        return self.cold.may_take(record.listed.id, policy.cold_per_s, now_s)
+
+    def note_sent(
+        self, record: TargetRecord, policy: ServicePolicy, now_s: float
+    ) -> None:
+        """Count a request that is sent to the target that was chosen."""
+        if _suffers(record, policy, now_s):
+            self.cold.note_taken(record.listed.id, policy.cold_per_s, now_s)
+
     def _pool(self, service: ServiceName, now_s: float) -> ServicePool:
         """Return the targets of `service`, looked through anew unless they are many."""
         pool = self._pools.get(service)
@@ -256,3 +276,8 @@
         # One more request counts too, or an idle target would never be slow.
         waited = (held + 1) * slow if slow > 1.0 else held
         return waited / max(1, record.listed.slots), order
+
+
+def _suffers(record: TargetRecord, policy: ServicePolicy, now_s: float) -> bool:
+    """Return whether `record` is cold and would fall over for it."""
+    return policy.cold_per_s > 0.0 and record.is_cold(policy.cold_start_s, now_s)
--- a/packages/scaleloom-core/scaleloom_core/target_records.py
+++ b/packages/scaleloom-core/scaleloom_core/target_records.py
@@ -20,7 +20,9 @@
 FAILURE_SAMPLES = 5
 # A list that names the address' new target arrives long before.
 MISPLACED_S = 30.0
+MS_PER_S = 1000.0
 NEVER_S = float("inf")
+LONG_AGO_S = float("-inf")
 
 
 class FailureRatio(msgspec.Struct):
@@ -60,6 +62,11 @@
         When the target counts as gone because its entry is missing.
     ends_at_s : float
         When a target that is listed no more has surely ended.
+    cold_until_s : float
+        Until when the target says that it is cold.
+    reopened_s : float
+        When it became open to work again after it was away or evacuated. It may
+        have become cold meanwhile, which its entry tells a heartbeat later.
     """
 
     listed: ListedTarget
@@ -71,6 +78,8 @@
     failing_until_s: float = 0.0
     lapses_at_s: float = NEVER_S
     ends_at_s: float = NEVER_S
+    cold_until_s: float = LONG_AGO_S
+    reopened_s: float = LONG_AGO_S
 
     def note_answer(self) -> None:
         """Count an answer that shows the target well."""
@@ -109,7 +118,17 @@
         """Offer the target nothing for a while, longer each time in a row."""
         doubled_s = max(FIRST_ABSENCE_S, 2 * self.absence_s)
         self.absence_s = min(LONGEST_ABSENCE_S, doubled_s)
-        self.away_until_s = now_s + self.absence_s
+        self.away_until_s = self.reopened_s = now_s + self.absence_s
+
+    def note_listed(self, listed: ListedTarget, now_s: float) -> None:
+        """Take in what the target's entry says."""
+        if listed.cold_left_ms != self.listed.cold_left_ms:
+            self.cold_until_s = now_s + listed.cold_left_ms / MS_PER_S
+        self.listed = listed
+
+    def is_cold(self, cold_start_s: float, now_s: float) -> bool:
+        """Return whether the target is cold, or may be for all that is known."""
+        return now_s < max(self.cold_until_s, self.reopened_s + cold_start_s)
 
     def note_misplaced(self, now_s: float) -> None:
         """Note that another target answers at this one's address."""
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -11,7 +11,12 @@
 from scaleloom_core.placement import PlacementTable, PoolMember
 from scaleloom_core.target_delays import slowness
 from scaleloom_core.target_outcomes import Outcomes
-from scaleloom_core.target_records import FAILURE_EXCESS, NEVER_S, TargetRecord
+from scaleloom_core.target_records import (
+    FAILURE_EXCESS,
+    MS_PER_S,
+    NEVER_S,
+    TargetRecord,
+)
 
 # Where the better targets fail too, only one that is far worse is left out.
 FAILURE_MULTIPLE = 3.0
@@ -82,8 +87,11 @@
         before = self.records
         self.records = {}
         for target in listed:
-            record = before.get(target.id) or TargetRecord(target)
-            record.listed = target
+            record = before.get(target.id)
+            if record is None:
+                cold_until_s = now_s + target.cold_left_ms / MS_PER_S
+                record = TargetRecord(target, cold_until_s=cold_until_s)
+            record.note_listed(target, now_s)
             record.lapses_at_s = NEVER_S
             record.ends_at_s = NEVER_S
             self.records[target.id] = record
@@ -96,11 +104,18 @@
         self._group()
         return True
 
-    def evacuate(self, data_centres: frozenset[DataCentreName]) -> None:
+    def evacuate(
+        self, data_centres: frozenset[DataCentreName], now_s: float = 0.0
+    ) -> None:
         """Offer nothing new to the targets of `data_centres`, and to no others."""
-        if data_centres != self.evacuated:
-            self.evacuated = data_centres
-            self._group()
+        if data_centres == self.evacuated:
+            return
+        reopened = self.evacuated - data_centres
+        for record in self.records.values():
+            if record.listed.data_centre in reopened:
+                record.reopened_s = now_s
+        self.evacuated = data_centres
+        self._group()
 
     def is_evacuated(self, service: ServiceName) -> bool:
         """Return whether all that could serve `service` stands evacuated."""
@@ -230,7 +245,8 @@
 def _digest(listed: list[ListedTarget]) -> int:
     """Return a number that stands for what `listed` says."""
     rows = sorted(
-        f"{t.id} {t.service} {t.host}:{t.port} {t.data_centre} {t.slots} {t.state.value}"
+        f"{t.id} {t.service} {t.host}:{t.port} {t.data_centre} {t.slots}"
+        f" {t.state.value} {t.cold_left_ms > 0}"
         for t in listed
     )
     return hash_text(*rows)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -204,7 +204,11 @@
 
     def choose() -> TargetRecord | None:
         now_s = trio.current_time()
-        return state.chooser.choose(match.placement, match.policy, work.tried, now_s)
+        chooser = state.chooser
+        found = chooser.choose(match.placement, match.policy, work.tried, now_s)
+        if found is not None:
+            chooser.note_sent(found, match.policy, now_s)
+        return found
 
     if state.waiting.is_empty(match.service):
         record = choose()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -34,7 +34,7 @@
     before, state.evacuations = state.evacuations, told
     if told.data_centres == before.data_centres:
         return
-    state.view.evacuate(told.data_centres)
+    state.view.evacuate(told.data_centres, trio.current_time())
     fields = {"data_centres": sorted(told.data_centres), "position": told.position}
     _logger.info("evacuations in force", extra=fields)
     state.report_soon()
@@ -62,6 +62,7 @@
         state.view.allow_lapses(now_s)
     if not state.view.apply_list(listed, position, now_s):
         return False
+    state.chooser.cold.forget_others(set(state.view.records))
     state.note_knowledge()
     state.note_listed(documents)
     state.freshness.confirm(at_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from scaleloom_core.cold_targets import ColdShares
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.ids import DataCentreName
 from scaleloom_core.list_freshness import ListFreshness
@@ -96,12 +97,13 @@
     load = FleetLoad()
     data_centre = DataCentreName(settings.instance.data_centre)
     bound = settings.bounds
+    cold = ColdShares(str(settings.peer_address))
     return GatewayState(
         settings=settings,
         adapter=load_adapter(settings.platform.adapter),
         view=view,
         load=load,
-        chooser=TargetChooser(view, load, data_centre, bound.load_multiple),
+        chooser=TargetChooser(view, load, data_centre, bound.load_multiple, cold=cold),
         windows=RetryWindows(
             bound.retry_ratio, bound.retry_extra, bound.retry_window_s
         ),
