Send nothing for a caller whose end was read with its request

Cause: read in the code. A router that stood still finds a request and its caller's end in one reading; a kept link is taken and written to without a pause between, so the request was sent before the end was acted on. The same where a place becomes free in the moment in which a waiting caller leaves.

Change: the caller's connection is looked at once more right before sending.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -18,7 +18,11 @@
 from scaleloom_fleet.gateway.headers import answer_headers, request_for
 from scaleloom_fleet.gateway.matching import Match
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
+from scaleloom_fleet.http1.callers import (
+    CallerConnection,
+    CallerGone,
+    CallerRequest,
+)
 from scaleloom_fleet.http1.links import (
     AnswerBroken,
     AnswerHead,
@@ -84,6 +88,11 @@
     ----------
     can_repeat : bool
         Whether another target may be tried if this one stays silent.
+
+    Raises
+    ------
+    CallerGone
+        If the caller has left before anything was sent.
     """
     target = record.listed
     is_repeatable = work.match.route.is_repeatable
@@ -91,6 +100,10 @@
     if link is None:
         record.note_unreachable(trio.current_time())
         return Verdict.NEVER_SENT
+    if work.connection.has_just_left():
+        # Nothing was sent yet, and nobody waits for the answer any more.
+        state.pools.put_back(target.id, link)
+        raise CallerGone
     is_whole = False
     try:
         verdict = await _exchange(state, work, record, link, can_repeat)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -258,6 +258,14 @@
         """Return whether the caller has ended the connection."""
         return self._is_ended
 
+    def has_just_left(self) -> bool:
+        """
+        Return whether the caller has ended the connection, also if just now.
+
+        A process that stood still finds a request and its caller's end at once.
+        """
+        return self._is_ended or self._is_closed or sockets.is_ended(self._connection)
+
     def watch(self, scope: trio.CancelScope) -> None:
         """Cancel `scope` as soon as the caller leaves."""
         self._working_scope = scope
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -152,6 +152,16 @@
     return False
 
 
+def is_ended(connection: socket.socket) -> bool:
+    """Return whether the other side has ended the connection, and all was read."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def close(connection: socket.socket) -> None:
     """Close the connection in order."""
     trio.lowlevel.notify_closing(connection)
