--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/list_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/list_watch.py
@@ -87,9 +87,10 @@
         is read by few, who tell the others.
         """
         state = self._state
-        pause_s = self._access.turn_s()
+        first_s = state.settings.platform.retry_s
+        pause_s = max(self._access.turn_s(), FOLLOWERS * first_s)
         if state.rank < FOLLOWERS:
-            pause_s = (1 + state.rank) * state.settings.platform.retry_s
+            pause_s = (1 + state.rank) * first_s
         return random.uniform(0.5, 1.5) * pause_s
 
     def _note_reading(self, is_read: bool) -> None:
