--- a/packages/scaleloom-core/scaleloom_core/listed.py
+++ b/packages/scaleloom-core/scaleloom_core/listed.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+from scaleloom_core.ids import DataCentreName, ServiceName, TargetId, Version
 
 
 class ListedState(Enum):
@@ -15,7 +15,14 @@
 
 
 class ListedTarget(msgspec.Struct, frozen=True):
-    """One entry of the platform's list."""
+    """
+    One entry of the platform's list.
+
+    Parameters
+    ----------
+    version : Version
+        Of the target's software; empty where it is not told.
+    """
 
     id: TargetId
     service: ServiceName
@@ -25,3 +32,4 @@
     slots: int
     state: ListedState = ListedState.READY
     cold_left_ms: int = 0
+    version: Version = Version("")
--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/course.py
@@ -0,0 +1,279 @@
+"""One roll-out as one router carries it out."""
+
+import math
+
+import msgspec
+
+from scaleloom_core.ids import ServiceName, TargetId, Version
+from scaleloom_core.rollouts.evidence import (
+    Assessment,
+    Evidence,
+    SeenAnswers,
+    Tally,
+    UntoldAnswers,
+)
+from scaleloom_core.rollouts.exposure import (
+    SHARE_IN_USE,
+    TRIAL_PART,
+    ExposureBounds,
+    ExposureBudget,
+)
+from scaleloom_core.rollouts.orders import RolloutOrder
+from scaleloom_core.rollouts.paces import UsualPaces
+from scaleloom_core.rollouts.stages import Stage, Standing
+from scaleloom_core.rollouts.versions import Track, VersionRule
+
+MS_PER_S = 1000.0
+# A router that learns of an order later than this takes no part of the slack,
+# since it may have had one before it was restarted.
+KNOWN_FROM_START_S = 1.0
+# One grey target among several is left out of the verdict; among two it can't be.
+LEAST_STAGED = 3
+# Each staged target has this part of the trial's time, so that several are tried.
+ROTATIONS = 5
+# A roll-out without a verdict goes on for this part of its time, then it ends.
+EXTENSION_PART = 0.5
+# Of the current targets' slots; the candidates must bear the traffic at once.
+LEAST_CAPACITY = 0.8
+
+
+class FleetFacts(msgspec.Struct, frozen=True):
+    """
+    What a router that decides knows besides the evidence.
+
+    Parameters
+    ----------
+    candidate_slots, current_slots : int
+        Of the targets on each track that may be offered work.
+    is_clear : bool
+        Whether every router that is heard sends nothing to the current version
+        any more and holds nothing there.
+    """
+
+    candidate_slots: int
+    current_slots: int
+    is_clear: bool
+
+
+class RolloutCourse(msgspec.Struct):
+    """
+    The state of one order at one router, and what follows from it.
+
+    Parameters
+    ----------
+    began_s : float
+        When the order was given at the latest, on the runtime's clock.
+    lateness_limit_s : float
+        How long after the deadline the end waits for requests that the current
+        version still works on.
+    """
+
+    order: RolloutOrder
+    began_s: float
+    budget: ExposureBudget
+    lateness_limit_s: float
+    stage: Stage = Stage.UNKNOWN
+    replaced: frozenset[Version] = frozenset()
+    rejected: frozenset[Version] = frozenset()
+    evidence: Evidence = msgspec.field(default_factory=Evidence)
+    paces: UsualPaces = msgspec.field(default_factory=UsualPaces)
+    untold: UntoldAnswers = msgspec.field(default_factory=UntoldAnswers)
+    is_switched: bool = False
+
+    @property
+    def service(self) -> ServiceName:
+        """Return the service that is moved."""
+        return self.order.service
+
+    def elapsed_s(self, now_s: float) -> float:
+        """Return the time since the order, never more than the true one."""
+        return max(0.0, now_s - self.began_s)
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time to the deadline, below zero after it."""
+        return self.order.duration_s - self.elapsed_s(now_s)
+
+    def standing(self, now_s: float) -> Standing:
+        """Return where the roll-out stands, for peers and for the store."""
+        return Standing(
+            self.service,
+            self.order.position,
+            self.stage,
+            int(self.elapsed_s(now_s) * MS_PER_S),
+            self.replaced,
+            self.rejected,
+        )
+
+    def take_in(self, told: Standing, now_s: float) -> bool:
+        """Take in what is told of this order; return whether the stage changed."""
+        if told.position != self.order.position:
+            return False
+        self.began_s = min(self.began_s, now_s - told.elapsed_ms / MS_PER_S)
+        before = self.stage
+        merged = self.standing(now_s).merged_with(told)
+        self.stage = merged.stage
+        self.replaced, self.rejected = merged.replaced, merged.rejected
+        return self.stage is not before
+
+    def rule(self) -> VersionRule:
+        """Return which versions take part."""
+        version = self.order.version
+        if self.stage is Stage.DONE:
+            return VersionRule(None, self.replaced - {version}, self.rejected)
+        if self.stage is Stage.ROLLED_BACK:
+            return VersionRule(None, self.replaced, self.rejected | {version})
+        return VersionRule(version, self.replaced, self.rejected)
+
+    def pick_track(self, now_s: float) -> Track:
+        """Return where a new request is sent first."""
+        if self.stage is Stage.RUNNING:
+            return self._trial_track()
+        if self.stage is Stage.PROMOTING:
+            return self._promotion_track(now_s)
+        return Track.CURRENT
+
+    def _trial_track(self) -> Track:
+        """Return the candidate for a small part of the requests."""
+        return Track.CANDIDATE if self.budget.may_try else Track.CURRENT
+
+    def _promotion_track(self, now_s: float) -> Track:
+        """Return the candidate once what it may get lasts until the deadline."""
+        if self.left_s(now_s) <= 0.0:
+            return Track.CANDIDATE
+        if self.has_switched(now_s) and self.budget.may_go_on:
+            return Track.CANDIDATE
+        self.is_switched = False
+        return self._trial_track()
+
+    def has_switched(self, now_s: float) -> bool:
+        """Return whether this router sends everything to the candidate."""
+        if self.stage is not Stage.PROMOTING:
+            return self.stage is Stage.DONE
+        if self.budget.lasts(self.left_s(now_s)):
+            self.is_switched = True
+        return self.is_switched
+
+    def note_sent(self, track: Track, now_s: float) -> None:
+        """Count a request that is sent to a target of the service."""
+        self.budget.note_sent(track is Track.CANDIDATE, now_s)
+
+    def note_answer(
+        self,
+        track: Track,
+        route: int,
+        target: int,
+        is_failed: bool,
+        pace: float | None,
+        now_s: float,
+    ) -> None:
+        """
+        Take in how a request of this router fared.
+
+        Parameters
+        ----------
+        pace : float or None
+            As in `UsualPaces`; None where it says nothing, as for a stream that
+            had to read its prompt first or broke off.
+        """
+        is_bad = is_failed
+        if pace is not None and not is_failed:
+            is_bad = self.paces.is_slow(route, pace)
+            if track is Track.CURRENT:
+                self.paces.note_current(route, pace)
+        tally = Tally(1, int(is_bad))
+        if track is Track.CURRENT:
+            seen = SeenAnswers(current={route: tally})
+        else:
+            seen = SeenAnswers(candidate={route: {target: tally}})
+        self.untold.note_all(seen)
+        self.evidence.note(seen, now_s)
+
+    def staged(
+        self, candidates: list[TargetId], currents: int, now_s: float
+    ) -> list[TargetId]:
+        """
+        Return those of `candidates` that are tried now.
+
+        As many as the trial's share loads like the targets of the current
+        version: a version may be bad under load only. They take turns.
+
+        Parameters
+        ----------
+        candidates : list of TargetId
+            In an order on which all routers agree.
+        currents : int
+            How many targets the current version has.
+        """
+        share = self.budget.bounds.share * SHARE_IN_USE * TRIAL_PART
+        count = max(LEAST_STAGED, math.ceil(share * currents))
+        if count >= len(candidates):
+            return candidates
+        part_s = max(1.0, self.order.duration_s / ROTATIONS)
+        first = int(self.elapsed_s(now_s) / part_s) * count
+        return [candidates[(first + k) % len(candidates)] for k in range(count)]
+
+    def next_stage(self, facts: FleetFacts, is_decider: bool, now_s: float) -> Stage:
+        """
+        Return the stage that follows from what is known, or the present one.
+
+        Parameters
+        ----------
+        is_decider : bool
+            Whether this router decides for those that hear it. Any router may
+            find the candidate bad.
+        """
+        if self.stage not in (Stage.RUNNING, Stage.PROMOTING):
+            return self.stage
+        assessment = self.evidence.assess(now_s)
+        if assessment is Assessment.BAD:
+            return Stage.ROLLED_BACK
+        if not is_decider:
+            return self.stage
+        if self.stage is Stage.RUNNING:
+            return self._after_running(assessment, facts, now_s)
+        return self._after_promoting(facts, now_s)
+
+    def _after_running(
+        self, assessment: Assessment, facts: FleetFacts, now_s: float
+    ) -> Stage:
+        """Return what follows a trial that shows nothing bad."""
+        has_room = facts.candidate_slots >= LEAST_CAPACITY * facts.current_slots
+        if assessment is Assessment.GOOD and has_room:
+            return Stage.PROMOTING
+        late_s = -self.left_s(now_s)
+        extension_s = EXTENSION_PART * self.order.duration_s
+        if late_s >= extension_s or (late_s >= 0.0 and facts.candidate_slots == 0):
+            return Stage.ROLLED_BACK
+        return self.stage
+
+    def _after_promoting(self, facts: FleetFacts, now_s: float) -> Stage:
+        """Return what follows once the candidate takes over."""
+        if facts.candidate_slots == 0:
+            return self.stage
+        if facts.is_clear or -self.left_s(now_s) >= self.lateness_limit_s:
+            return Stage.DONE
+        return self.stage
+
+
+def begin_course(
+    order: RolloutOrder,
+    bounds: ExposureBounds,
+    routers: int,
+    lateness_limit_s: float,
+    is_seen_given: bool,
+    now_s: float,
+) -> RolloutCourse:
+    """
+    Return the course of an order that this router has just learned of.
+
+    Parameters
+    ----------
+    routers : int
+        How many routers share the slack.
+    is_seen_given : bool
+        Whether this router knew of the operators' topic before the order.
+    """
+    extra = bounds.slack / max(1, routers) if is_seen_given else 0.0
+    stage = Stage.RUNNING if is_seen_given else Stage.UNKNOWN
+    budget = ExposureBudget(bounds, extra)
+    return RolloutCourse(order, now_s, budget, lateness_limit_s, stage)
--- /dev/null
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
@@ -0,0 +1,97 @@
+"""How many requests of a router may reach a version that is on trial."""
+
+import msgspec
+
+# The rest covers what other routers do not know yet and what is counted otherwise.
+SHARE_IN_USE = 0.8
+# Half of what is in use. The other half lets a router send everything there for
+# the last 0.04 of the time, so that what must end elsewhere ends meanwhile.
+TRIAL_PART = 0.5
+# A router that has switched goes on a little longer, since going back would send
+# requests to targets that are about to end.
+SWITCHED_SHARE_IN_USE = 0.95
+# More requests may come than in the last interval.
+RATE_MARGIN = 1.25
+RATE_TIME_S = 1.0
+
+
+class ExposureBounds(msgspec.Struct, frozen=True):
+    """
+    What a version that turns out bad may get, from all routers together.
+
+    Parameters
+    ----------
+    share : float
+        Of the requests that reach its service, from the order to its deadline.
+    slack : float
+        Requests beyond that.
+    """
+
+    share: float = 0.1
+    slack: float = 50.0
+
+
+class ExposureBudget(msgspec.Struct):
+    """
+    One router's part of the bound.
+
+    A router that gives the version no more than the share of its own requests
+    keeps the bound with all others, whoever starts, dies or is cut off, and
+    without a message. What it has not used early is there later.
+
+    Parameters
+    ----------
+    extra : float
+        This router's part of the slack; 0 for one that started after the order.
+    """
+
+    bounds: ExposureBounds
+    extra: float = 0.0
+    requests: int = 0
+    exposed: int = 0
+    _rate_per_s: float = 0.0
+    _recent: int = 0
+    _recent_since_s: float | None = None
+
+    def note_sent(self, is_exposed: bool, now_s: float) -> None:
+        """Count a request that is sent to the service, to the version or not."""
+        self.requests += 1
+        self.exposed += is_exposed
+        self._note_rate(now_s)
+
+    def _note_rate(self, now_s: float) -> None:
+        """Take a request into the rate of the last whole interval."""
+        if self._recent_since_s is None:
+            self._recent_since_s = now_s
+        since_s = now_s - self._recent_since_s
+        if since_s >= RATE_TIME_S:
+            self._rate_per_s = self._recent / since_s
+            self._recent, self._recent_since_s = 0, now_s
+        self._recent += 1
+
+    def left(self, share_in_use: float = SHARE_IN_USE) -> float:
+        """Return how many more requests the version may get now."""
+        allowed = self.bounds.share * self.requests + self.extra
+        return share_in_use * allowed - self.exposed
+
+    @property
+    def may_try(self) -> bool:
+        """Return whether the version may get one more while it is on trial."""
+        part = TRIAL_PART * self.bounds.share * self.requests
+        return SHARE_IN_USE * (part + self.extra) - self.exposed >= 1.0
+
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether a router that has switched may send one more there."""
+        return self.left(SWITCHED_SHARE_IN_USE) >= 1.0
+
+    def lasts(self, left_s: float) -> bool:
+        """
+        Return whether all requests of the next `left_s` may go to the version.
+
+        A router that has not counted for an interval does not know its rate.
+        """
+        if left_s <= 0.0:
+            return True
+        needed = RATE_MARGIN * self._rate_per_s * left_s
+        return self._rate_per_s > 0.0 and self.left() >= needed
