--- a/soak/site.py
+++ b/soak/site.py
@@ -62,11 +62,11 @@
         self.store.put(CONFIG_TOPIC, "config", document)
         self.puts_s[version] = trio.current_time()
 
-    def add_target(self, service: str) -> SoakTarget:
+    def add_target(self, service: str, version: str = "v1") -> SoakTarget:
         """Start one more target and list it."""
         self._started += 1
         name = f"i-{self._started}"
-        target = start_target(name, service, self.draw, self.nursery)
+        target = start_target(name, service, self.draw, self.nursery, version)
         target.strike()
         self.targets.append(target)
         self.store.put(TARGETS_TOPIC, name, target.entry())
@@ -80,6 +80,13 @@
         target.strike()
         self.store.put(TARGETS_TOPIC, target.runner.id, target.entry("draining"))
 
+    def stop(self, target: SoakTarget) -> None:
+        """End a target at once; its entry goes with it."""
+        self.targets.remove(target)
+        self.gone_targets.append(target)
+        target.stop_at_once()
+        self.store.drop(TARGETS_TOPIC, target.runner.id)
+
     def every_target(self) -> list[SoakTarget]:
         """Return the targets that ever were."""
         return self.targets + self.gone_targets
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -5,7 +5,8 @@
 
 import trio
 
-from soak.relays import Relay
+from soak.relays import Relay, RelayMode
+from soak.versions import FAILING_SHARE, SLOWDOWN, Badness, VersionFault
 from tests.fixtures import runners
 from tests.fixtures.http_standin import Asked, free_listener, port_of, serve_http
 from tests.fixtures.runners import Runner, request_id
@@ -13,6 +14,7 @@
 WORK_S = (0.005, 0.04)
 CHAT_WORK_S = (0.05, 0.2)
 SLOTS = 32
+RATE_SPAN_S = 1.0
 GATEWAY_HEADER = "soak-gateway"
 BAD_ANSWERS = (
     runners.shed,
@@ -48,6 +50,10 @@
         How many of its answers are bad ones.
     joined_s, left_s : float
         When its entry came, and said that it leaves, on the runtime's clock.
+    version : str
+        Of its software.
+    version_fault : VersionFault or None
+        What is wrong with that.
     strikes_s : list of float
         When it, or the way to it, began or ceased to misbehave.
     """
@@ -59,8 +65,12 @@
     bad_share: float = 0.0
     joined_s: float = field(default_factory=trio.current_time)
     left_s: float = float("inf")
+    version: str = "v1"
+    version_fault: VersionFault | None = None
     strikes_s: list[float] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    begun_s: list[float] = field(default_factory=list)
+    bad_answers_s: list[float] = field(default_factory=list)
 
     def strike(self) -> None:
         """Note that something begins or ceases to misbehave now."""
@@ -74,22 +84,44 @@
             "zone": "a",
             "slots": SLOTS,
             "state": state,
+            "version": self.version,
             "cold-left-ms": 0,
             "seq": 1,
         }
 
+    def stop_at_once(self) -> None:
+        """End without a word, with whatever it works on."""
+        self.relay.set_mode(RelayMode.RESET)
+        self.left_s = trio.current_time()
+        self.strike()
+
+    def _shows_fault(self, asked: Asked) -> bool:
+        """Return whether its version's fault shows in the answer to `asked`."""
+        if self.version_fault is None:
+            return False
+        now_s = trio.current_time()
+        since_s = now_s - RATE_SPAN_S
+        recent = sum(arrived_s > since_s for arrived_s in self.begun_s[-SLOTS:])
+        return self.version_fault.strikes(asked.target, recent / RATE_SPAN_S, now_s)
+
     async def answer(self, runner: Runner, asked: Asked) -> bool:
         """Work on one request for a while, and answer it well or badly."""
         runs_before = runner.runs[request_id(asked)]
         arrived_s = trio.current_time()
+        self.begun_s.append(arrived_s)
+        is_faulty = self._shows_fault(asked)
+        is_slow = is_faulty and self.version_fault.badness is Badness.SLOW
+        is_failing = is_faulty and not is_slow and self.draw.random() < FAILING_SHARE
         try:
             is_chat = asked.target.startswith("/chat")
             work_s = CHAT_WORK_S if is_chat else WORK_S
-            await trio.sleep(self.draw.uniform(*work_s))
+            await trio.sleep(self.draw.uniform(*work_s) * (SLOWDOWN if is_slow else 1))
             behave = runners.answer_well
             if self.draw.random() < self.bad_share:
                 behave = self.draw.choice(BAD_ANSWERS)
-            return await behave(runner, asked)
+            if is_slow or is_failing:
+                self.bad_answers_s.append(trio.current_time())
+            return await (runners.fail if is_failing else behave)(runner, asked)
         finally:
             has_run = runner.runs[request_id(asked)] > runs_before
             gateway = asked.headers.get(GATEWAY_HEADER, "")
@@ -107,12 +139,16 @@
 
 
 def start_target(
-    name: str, service: str, draw: random.Random, nursery: trio.Nursery
+    name: str,
+    service: str,
+    draw: random.Random,
+    nursery: trio.Nursery,
+    version: str = "v1",
 ) -> SoakTarget:
     """Start a target behind a relay of its own."""
     listener = free_listener()
     runner = Runner(name, port_of(listener))
-    target = SoakTarget(runner, Relay(runner.port), service, draw)
+    target = SoakTarget(runner, Relay(runner.port), service, draw, version=version)
     runner.behaviour = target.answer
     nursery.start_soon(serve_http, listener, runner.answer)
     nursery.start_soon(target.relay.run)
