--- a/packages/scaleloom-core/scaleloom_core/routing.py
+++ b/packages/scaleloom-core/scaleloom_core/routing.py
@@ -3,10 +3,18 @@
 from enum import Enum
 
 import msgspec
+import xxhash
 
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import CustomerId, ServiceName
 
+RouteKey = int
+
+
+def route_key(name: str) -> RouteKey:
+    """Return the 32-bit number that stands for a route in reports."""
+    return xxhash.xxh32_intdigest(name.encode())
+
 
 class RequestKind(Enum):
     """What may be done with a request whose outcome is not known."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -9,17 +9,15 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.waiting_order import Claim
 from scaleloom_fleet.gateway.answering import answer_error
+from scaleloom_fleet.gateway.choosing import choose_target, is_evacuated
 from scaleloom_fleet.gateway.events import EventSplitter
-from scaleloom_fleet.gateway.exchanges import (
-    PROMISES_NOT_RUN,
-    Verdict,
-    Work,
-    pass_answer,
-    send_to,
-)
+from scaleloom_fleet.gateway.exchanges import PROMISES_NOT_RUN, send_to
 from scaleloom_fleet.gateway.matching import Match, match_request
+from scaleloom_fleet.gateway.passing import pass_answer
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.verdicts import Verdict
 from scaleloom_fleet.gateway.waiting import Waiter
+from scaleloom_fleet.gateway.work import Work
 from scaleloom_fleet.http1.callers import CallerConnection, CallerGone, CallerRequest
 
 HOP_LIMIT = 6
@@ -56,7 +54,7 @@
     if match.deadline_s > state.last_answer_s:
         await _refuse(state, connection, _STOPPING)
         return
-    work = Work(connection, request, match)
+    work = Work(connection, request, match, match.placement)
     if match.route.is_resumable:
         work.splitter = EventSplitter()
     state.windows.of(match.service).note_request(trio.current_time())
@@ -100,7 +98,7 @@
     now_s = trio.current_time()
     match = work.match
     latest_s = RETURN_SHARE_OF_TIME_LEFT * (match.deadline_s - now_s)
-    if state.view.is_evacuated(match.service):
+    if is_evacuated(state, match.service):
         return min(latest_s, EVACUATED_RETURN_S)
     if not state.load.own:
         return None
@@ -204,27 +202,23 @@
     match = work.match
 
     def choose() -> TargetRecord | None:
-        now_s = trio.current_time()
-        chooser = state.chooser
-        found = chooser.choose(match.placement, match.policy, work.tried, now_s)
-        if found is not None:
-            chooser.note_sent(found, match.policy, now_s)
-        return found
+        return choose_target(state, work)
 
     if state.waiting.is_empty(match.service):
         record = choose()
         if record is not None:
             state.waiting.take(record, match.customer)
             return record
-    if state.view.is_evacuated(match.service):
+    if is_evacuated(state, match.service):
         return None
     patience_s = QUEUE_SHARE_OF_OBJECTIVE * match.route.objective_ms / 1000.0
-    waiter = Waiter(_claim(state, match), match.received_s + patience_s, choose)
+    waiter = Waiter(_claim(state, work), match.received_s + patience_s, choose)
     return await state.waiting.wait(match.service, waiter)
 
 
-def _claim(state: GatewayState, match: Match) -> Claim:
+def _claim(state: GatewayState, work: Work) -> Claim:
     """Return what a request can say for itself while it waits."""
+    match = work.match
     now_s = trio.current_time()
     return Claim(
         request_id=match.request_id,
@@ -233,5 +227,5 @@
         route_priority=match.route.priority,
         deadline_s=match.deadline_s,
         is_overdue=match.is_overdue(now_s),
-        reads_prompt=not state.chooser.is_kept(match.placement, match.policy, now_s),
+        reads_prompt=not state.chooser.is_kept(work.placement, match.policy, now_s),
     )
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -1,9 +1,5 @@
 """One request at one target: sent once, its answer passed on or judged."""
 
-from collections.abc import Callable
-from enum import Enum
-
-import msgspec
 import trio
 
 from scaleloom_core.fleet_load import target_key
@@ -13,16 +9,18 @@
 from scaleloom_core.target_delays import PERCENT
 from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 from scaleloom_core.target_records import TargetRecord
-from scaleloom_fleet.gateway.answering import closing_headers
-from scaleloom_fleet.gateway.events import EventSplitter
-from scaleloom_fleet.gateway.headers import answer_headers, request_for
-from scaleloom_fleet.gateway.matching import Match
-from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.http1.callers import (
-    CallerConnection,
-    CallerGone,
-    CallerRequest,
+from scaleloom_fleet.gateway.choosing import is_recalled
+from scaleloom_fleet.gateway.headers import request_for
+from scaleloom_fleet.gateway.observing import note_end, note_out_of_time, observe
+from scaleloom_fleet.gateway.passing import (
+    WHOLE_ANSWER_LIMIT_BYTES,
+    pass_stream,
+    pass_whole,
 )
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.verdicts import Verdict
+from scaleloom_fleet.gateway.work import Work
+from scaleloom_fleet.http1.callers import CallerGone
 from scaleloom_fleet.http1.links import (
     AnswerBroken,
     AnswerHead,
@@ -31,51 +29,12 @@
 )
 from scaleloom_fleet.http1.sockets import ConnectionLost
 
-WHOLE_ANSWER_LIMIT_BYTES = 1 << 20
 MISDIRECTED = 421
 SURPLUS_LIMIT = 3
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 SAFE_PATIENCE = 0.8
 STREAM_PATIENCE = 2.0
 LEAST_PATIENCE_S = 0.4
-EVENT_PATIENCE_S = 1.0
-
-
-class Verdict(Enum):
-    """How a request fared at one target."""
-
-    ANSWERED = "answered"
-    NEVER_SENT = "never_sent"
-    NOT_RUN = "not_run"
-    MISPLACED = "misplaced"
-    FAILED = "failed"
-    BROKEN = "broken"
-    SILENT = "silent"
-
-
-class Work(msgspec.Struct):
-    """
-    One caller's request on its way.
-
-    Parameters
-    ----------
-    failure : tuple of AnswerHead and bytes, or None
-        A target's own failure, passed on if nothing better comes.
-    """
-
-    connection: CallerConnection
-    request: CallerRequest
-    match: Match
-    splitter: EventSplitter | None = None
-    tried: set[TargetId] = msgspec.field(default_factory=set)
-    sends: int = 0
-    may_have_run: bool = False
-    is_answer_begun: bool = False
-    failure: tuple[AnswerHead, bytes] | None = None
-
-
-class Misplaced(Exception):
-    """Raised when another target answers at the address."""
 
 
 async def send_to(
@@ -104,18 +63,25 @@
         # Nothing was sent yet, and nobody waits for the answer any more.
         state.pools.put_back(target.id, link)
         raise CallerGone
+    if is_recalled(work):
+        state.pools.put_back(target.id, link)
+        return Verdict.NEVER_SENT
     is_whole = False
     try:
         verdict = await _exchange(state, work, record, link, can_repeat)
         is_whole = verdict is not Verdict.SILENT and verdict is not Verdict.BROKEN
     except (AnswerBroken, ConnectionLost):
         verdict = Verdict.BROKEN
+    except trio.Cancelled:
+        note_out_of_time(work)
+        raise
     finally:
         if is_whole:
             state.pools.put_back(target.id, link)
         else:
             link.close()
     _judge(state, record, verdict)
+    note_end(work, verdict)
     return verdict
 
 
@@ -148,10 +114,11 @@
     outgoing = request_for(
         record.listed, work.match, work.request, names, last_id, source, now_s
     )
-    is_warm = state.chooser.is_warm(work.match.placement, record.listed.id, now_s)
+    is_warm = state.chooser.is_warm(work.placement, record.listed.id, now_s)
     work.sends += 1
     may_have_run_before = work.may_have_run
     work.may_have_run = True
+    observe(work, record.listed.id, is_warm)
     link.start(outgoing)
     with trio.move_on_after(_head_patience_s(work, can_repeat)) as scope:
         head = await _own_head(link, outgoing, work, names.request_id.lower())
@@ -169,14 +136,15 @@
     _note_read(state, work, record.listed.id)
     if work.match.route.kind is not RequestKind.STREAM:
         _note_begun(state, work, record, now_s)
-        return await _pass_whole(state, work, link, head)
+        return await pass_whole(state, work, link, head)
 
     def note_first_data() -> None:
         # A target that has to read a long prompt first is late and not slow.
         if is_warm:
             _note_begun(state, work, record, now_s)
 
-    return await _pass_stream(state, work, link, head, can_repeat, note_first_data)
+    patience_s = _head_patience_s(work, can_repeat)
+    return await pass_stream(state, work, link, head, patience_s, note_first_data)
 
 
 def _note_begun(
@@ -194,7 +162,7 @@
     state: GatewayState, work: Work, target: TargetId, now_s: float
 ) -> ListedTarget | None:
     """Return whose cache `target` is to copy from, if any."""
-    key = work.match.placement
+    key = work.placement
     if not work.match.policy.is_engine or key.shared_part is None:
         return None
     return state.chooser.cache_source(key, target, now_s)
@@ -204,7 +172,7 @@
     """Note that `target`, which began its answer, keeps the prompt's shared part."""
     if work.match.policy.is_engine:
         now_s = trio.current_time()
-        state.chooser.note_read(work.match.placement, target, now_s)
+        state.chooser.note_read(work.placement, target, now_s)
 
 
 def _head_patience_s(work: Work, can_repeat: bool) -> float:
@@ -226,88 +194,3 @@
         await link.skip_answer(outgoing)
         head = await link.read_head()
     raise AnswerBroken("only answers to other requests came")
-
-
-async def _pass_whole(
-    state: GatewayState, work: Work, link: Link, head: AnswerHead
-) -> Verdict:
-    """Pass on an answer that is short enough to be gathered first."""
-    parts: list[bytes] = []
-    size = 0
-    while (part := await link.read_data()) is not None:
-        parts.append(part)
-        size += len(part)
-        if size > WHOLE_ANSWER_LIMIT_BYTES:
-            return await _pass_long(state, work, link, head, b"".join(parts))
-    await pass_answer(state, work, head, b"".join(parts))
-    return Verdict.ANSWERED
-
-
-async def pass_answer(
-    state: GatewayState, work: Work, head: AnswerHead, body: bytes
-) -> None:
-    """Send a target's whole answer to the caller."""
-    headers = answer_headers(head, keeps_length=False)
-    headers.append((b"Content-Length", str(len(body)).encode()))
-    headers += closing_headers(state.is_stopping)
-    work.is_answer_begun = True
-    await work.connection.send_answer(head.status, head.reason, headers, body)
-
-
-async def _begin_answer(
-    state: GatewayState, work: Work, head: AnswerHead, keeps_length: bool
-) -> None:
-    """Send the head of an answer whose body follows."""
-    headers = answer_headers(head, keeps_length)
-    headers += closing_headers(state.is_stopping)
-    work.is_answer_begun = True
-    await work.connection.send_head(head.status, head.reason, headers)
-
-
-async def _pass_long(
-    state: GatewayState, work: Work, link: Link, head: AnswerHead, gathered: bytes
-) -> Verdict:
-    """Pass on a long answer as it arrives."""
-    await _begin_answer(state, work, head, keeps_length=True)
-    await work.connection.send_data(gathered)
-    while (part := await link.read_data()) is not None:
-        await work.connection.send_data(part)
-    await work.connection.send_end()
-    return Verdict.ANSWERED
-
-
-async def _pass_stream(
-    state: GatewayState,
-    work: Work,
-    link: Link,
-    head: AnswerHead,
-    can_repeat: bool,
-    note_first_data: Callable[[], None],
-) -> Verdict:
-    """Pass a stream's events on as they arrive."""
-    is_first = True
-    splitter = work.splitter
-    patience_s = _head_patience_s(work, can_repeat)
-    while True:
-        with trio.move_on_after(patience_s) as scope:
-            part = await link.read_data()
-        if scope.cancelled_caught:
-            return Verdict.SILENT
-        if part is None:
-            break
-        if is_first:
-            note_first_data()
-            is_first = False
-        ready = part if splitter is None else splitter.take(part)
-        if not ready:
-            continue
-        if not work.is_answer_begun:
-            await _begin_answer(state, work, head, keeps_length=splitter is None)
-        await work.connection.send_data(ready)
-        patience_s = EVENT_PATIENCE_S if can_repeat else float("inf")
-    if splitter is not None and splitter.has_partial:
-        raise AnswerBroken("the last event is not whole")
-    if not work.is_answer_begun:
-        await _begin_answer(state, work, head, keeps_length=False)
-    await work.connection.send_end()
-    return Verdict.ANSWERED
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -14,6 +14,7 @@
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.routing import RequestLimits, RoutingTable
+from scaleloom_core.staging import StagedTargets
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.target_delays import UsualDelays
 from scaleloom_core.target_outcomes import OutcomeCounts
@@ -21,6 +22,7 @@
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
 from scaleloom_fleet.gateway.pools import LinkPools
+from scaleloom_fleet.gateway.rollouts import RolloutDesk
 from scaleloom_fleet.gateway.waiting import WaitingRoom
 from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
 from scaleloom_fleet.utils.metrics import Metrics
@@ -61,6 +63,8 @@
         That configuration as the store gave it, for peers that ask.
     evacuations : Evacuations
         The data centres to which nothing new is sent.
+    staged : StagedTargets
+        The targets that versions on trial are tried at.
     router_count : int
         How many routers the fleet is known to have, this one included.
     follows_store : bool
@@ -95,6 +99,8 @@
     routing: RoutingTable | None = None
     config_document: bytes = b""
     evacuations: Evacuations = Evacuations()
+    rollouts: RolloutDesk = msgspec.field(default_factory=RolloutDesk)
+    staged: StagedTargets = msgspec.field(default_factory=StagedTargets)
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
     follows_store: bool = False
     followed_peers: int = 0
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
@@ -0,0 +1,48 @@
+"""One caller's request on its way."""
+
+import msgspec
+
+from scaleloom_core.ids import TargetId
+from scaleloom_core.observations import Observation
+from scaleloom_core.placement_key import PlacementKey
+from scaleloom_core.rollouts.course import RolloutCourse
+from scaleloom_core.rollouts.versions import Track
+from scaleloom_fleet.gateway.events import EventSplitter
+from scaleloom_fleet.gateway.matching import Match
+from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
+from scaleloom_fleet.http1.links import AnswerHead
+
+
+class Work(msgspec.Struct):
+    """
+    One caller's request on its way.
+
+    Parameters
+    ----------
+    placement : PlacementKey
+        Where it belongs, on the track that it is sent to.
+    course : RolloutCourse or None
+        Of its service, when the target was chosen.
+    observation : Observation or None
+        Of the exchange that runs, if the service is rolled out.
+    failure : tuple of AnswerHead and bytes, or None
+        A target's own failure, passed on if nothing better comes.
+    """
+
+    connection: CallerConnection
+    request: CallerRequest
+    match: Match
+    placement: PlacementKey
+    splitter: EventSplitter | None = None
+    tried: set[TargetId] = msgspec.field(default_factory=set)
+    sends: int = 0
+    may_have_run: bool = False
+    is_answer_begun: bool = False
+    course: RolloutCourse | None = None
+    observation: Observation | None = None
+    failure: tuple[AnswerHead, bytes] | None = None
+
+    @property
+    def track(self) -> Track:
+        """Return the track that the request is sent to."""
+        return self.placement.track
