--- a/packages/scaleloom-core/scaleloom_core/observations.py
+++ b/packages/scaleloom-core/scaleloom_core/observations.py
@@ -74,7 +74,7 @@
 
     def note_deadline(self, now_s: float) -> None:
         """Take in that the request's time ran out at the target."""
-        if now_s - self.sent_s > self.patience_s:
+        if now_s - self.sent_s - self._held_up_s > self.patience_s:
             self._tell(True, now_s)
 
     def _tell(self, is_failed: bool, now_s: float) -> None:
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -19,8 +19,16 @@
     request_bytes,
     route,
     running_site,
+    serve_engines,
+)
+from tests.fixtures.rollouts import (
+    LONG_S,
+    NEW,
+    OLD,
+    RolloutSite,
+    asked,
+    site_on_trial,
 )
-from tests.fixtures.rollouts import NEW, OLD, RolloutSite, asked, site_on_trial
 
 SHARE = 0.1
 FOUND_S = 0.3
@@ -473,3 +481,23 @@
             held.set()
         (noted,) = trial.course.answers
         assert noted.is_failed
+
+
+@runs_on_paused_clock
+async def test_the_version_that_takes_over_copies_prompts_from_the_one_before():
+    async with site_on_trial() as trial:
+        await serve_engines(trial.site)
+        parts = {"Prompt_Prefix": "aa:100,bb:900,cc:10"}
+        await trial.site.ask("/drafts/1", "r-before", **parts)
+        (holder,) = [r for r in trial.old if r.asked and _last(r) == "r-before"]
+        trial.course.began_s -= LONG_S
+        trial.set_stage(Stage.PROMOTING)
+        await trial.site.ask("/drafts/1", "r-after", **parts)
+        (chosen,) = [r for r in trial.new if r.asked and _last(r) == "r-after"]
+        source = chosen.asked[-1].headers.get("kv-fetch")
+        assert source == f"127.0.0.1:{holder.port}"
+
+
+def _last(runner: runners.Runner) -> str:
+    """Return the id of the request that `runner` got last."""
+    return runners.request_id(runner.asked[-1])
