--- a/tests/core/test_target_tracks.py
+++ b/tests/core/test_target_tracks.py
@@ -110,6 +110,13 @@
     assert _usable(view) == set()
 
 
+def test_lists_that_tell_other_versions_have_other_digests():
+    view, other = TargetView(), TargetView()
+    view.apply_list(listed_range(0, 3, OLD), 1)
+    other.apply_list(listed_range(0, 3, NEW), 1)
+    assert view.digest != other.digest
+
+
 def test_rules_of_one_service_do_not_touch_another():
     view = _view()
     view.apply_rules({}, 0.0)
@@ -127,7 +134,8 @@
     view = TargetView()
     view.apply_list(_old(), 1, 10.0)
     view.apply_list(_both(), 2, 20.0)
-    assert _usable(view, now_s=20.0 + VERSION_HOLD_S - 0.1) == _ids(_old())
+    for now_s in (20.0, 20.0 + VERSION_HOLD_S - 0.1):
+        assert _usable(view, now_s=now_s) == _ids(_old())
     view.apply_list(_both(), 3, 20.5)
     assert _usable(view, now_s=20.0 + VERSION_HOLD_S) == _ids(_both())
 
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -5,6 +5,7 @@
 
 from scaleloom_core.fleet_load import target_key
 from scaleloom_core.ids import TargetId
+from scaleloom_core.rollouts.course import LEAST_STAGED
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.routing import route_key
@@ -77,6 +78,14 @@
         assert 0 < asked(trial.new) <= 5
 
 
+@runs_on_paused_clock
+async def test_a_trial_goes_to_few_targets_that_bear_a_usual_load():
+    async with site_on_trial(new_count=6, slack=50.0) as trial:
+        await trial.ask_many(30)
+        assert asked(trial.new) == 30
+        assert sum(bool(runner.asked) for runner in trial.new) == LEAST_STAGED
+
+
 @runs_on_paused_clock
 async def test_what_fails_at_the_candidate_is_tried_again_at_the_current_version():
     async with site_on_trial(slack=8.0) as trial:
@@ -327,6 +336,25 @@
         assert trial.course.answers == []
 
 
+@runs_on_paused_clock
+async def test_a_router_that_stops_makes_no_bad_answer():
+    async with site_on_trial(slack=50.0) as trial:
+        for runner in trial.new:
+            runner.behaviour = runners.stay_silent
+        served = config(2, route("long", "unsafe", timeout_ms=60_000))
+        trial.site.store.put(CONFIG_TOPIC, "config", served)
+        await trio.sleep(FOUND_S)
+        gateway = trial.site.gateways[0]
+        data = request_bytes("/long/1", "r-cut")
+        data = data.replace(b"Deadline-Ms: 2000", b"Deadline-Ms: 60000")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gateway.ask, data)
+            while not asked(trial.new):
+                await trio.lowlevel.checkpoint()
+            await gateway.end()
+        assert trial.course.answers == []
+
+
 @runs_on_paused_clock
 async def test_a_slow_stream_is_noted_before_it_ends():
     async with site_on_trial(slack=50.0) as trial:
