--- a/packages/scaleloom-core/scaleloom_core/cold_targets.py
+++ b/packages/scaleloom-core/scaleloom_core/cold_targets.py
@@ -4,6 +4,8 @@
 
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import TargetId
+from scaleloom_core.routing import ServicePolicy
+from scaleloom_core.target_records import TargetRecord
 
 # What is left of the bearable rate covers turns that happen to meet: where all of
 # 420 routers use every turn at 150 targets that open at one moment, the most in
@@ -67,3 +69,8 @@
         first_s = hash_text(self.own, target) / HASH_SPAN * pause_s
         turn, since_s = divmod(now_s + pause_s - first_s, pause_s)
         return int(turn) if since_s < TURN_S else NO_TURN
+
+
+def suffers(record: TargetRecord, policy: ServicePolicy, now_s: float) -> bool:
+    """Return whether `record` is cold and would fall over for it."""
+    return policy.cold_per_s > 0.0 and record.is_cold(policy.cold_start_s, now_s)
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from scaleloom_core.cache_sources import find_cache_source
-from scaleloom_core.cold_targets import ColdShares
+from scaleloom_core.cold_targets import ColdShares, suffers
 from scaleloom_core.fleet_load import FleetLoad, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
@@ -127,7 +127,7 @@
         self, record: TargetRecord, policy: ServicePolicy, now_s: float
     ) -> bool:
         """Return whether a target that may be cold bears a request now."""
-        if not _suffers(record, policy, now_s):
+        if not suffers(record, policy, now_s):
             return True
         return self.cold.may_take(record.listed.id, policy.cold_per_s, now_s)
 
@@ -135,7 +135,7 @@
         self, record: TargetRecord, policy: ServicePolicy, now_s: float
     ) -> None:
         """Count a request that is sent to the target that was chosen."""
-        if _suffers(record, policy, now_s):
+        if suffers(record, policy, now_s):
             self.cold.note_taken(record.listed.id, policy.cold_per_s, now_s)
 
     def _pool(self, key: PlacementKey, now_s: float) -> ServicePool:
@@ -249,8 +249,3 @@
         # One more request counts too, or an idle target would never be slow.
         waited = (held + 1) * slow if slow > 1.0 else held
         return waited / max(1, record.listed.slots), order
-
-
-def _suffers(record: TargetRecord, policy: ServicePolicy, now_s: float) -> bool:
-    """Return whether `record` is cold and would fall over for it."""
-    return policy.cold_per_s > 0.0 and record.is_cold(policy.cold_start_s, now_s)
--- a/packages/scaleloom-core/scaleloom_core/target_tracks.py
+++ b/packages/scaleloom-core/scaleloom_core/target_tracks.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from scaleloom_core.ids import ChatId, DataCentreName, ServiceName, TargetId, Version
+from scaleloom_core.ids import ChatId, DataCentreName, ServiceName, TargetId
 from scaleloom_core.listed import ListedState
 from scaleloom_core.placement import PlacementTable, PoolMember
-from scaleloom_core.rollouts.versions import NO_RULE, Track, VersionRule
+from scaleloom_core.rollouts.versions import Track, VersionRule
 from scaleloom_core.target_records import TargetRecord
 
 
@@ -55,40 +55,54 @@
         """
         self.open, self.evacuated, self.ready = {}, {}, {}
         self.listed = set()
-        replaced: list[TargetRecord] = []
+        by_service: dict[ServiceName, list[TargetRecord]] = {}
         for record in records:
-            rule = self.rules.get(record.listed.service, NO_RULE)
-            track = rule.track_of(record.listed.version)
-            if record.listed.state is ListedState.READY:
-                self.ready.setdefault(record.listed.service, []).append(record)
-            if track is not None:
-                self._add(record, track, closed)
-            elif rule.may_return(record.listed.version):
-                replaced.append(record)
-        alone = [record for record in replaced if not self._is_served(record)]
-        for record in alone:
-            self._add(record, Track.CURRENT, closed)
+            by_service.setdefault(record.listed.service, []).append(record)
+        for service, members in by_service.items():
+            self.ready[service] = list(filter(_is_ready, members))
+            rule = self.rules.get(service)
+            if rule is None:
+                self._add(TrackKey(service), members, closed)
+                continue
+            for track, group in _by_track(members, rule).items():
+                self._add(TrackKey(service, track), group, closed)
 
     def _add(
-        self, record: TargetRecord, track: Track, closed: frozenset[DataCentreName]
+        self,
+        key: TrackKey,
+        members: list[TargetRecord],
+        closed: frozenset[DataCentreName],
     ) -> None:
-        """Put `record` into its group, if it may be offered work."""
-        key = TrackKey(record.listed.service, track)
+        """Take in the targets of one track."""
         self.listed.add(key)
-        if record.listed.state is not ListedState.READY:
-            return
-        is_closed = record.listed.data_centre in closed
-        groups = self.evacuated if is_closed else self.open
-        groups.setdefault(key, []).append(record)
-
-    def _is_served(self, record: TargetRecord) -> bool:
-        """Return whether anything of the service of `record` is on a track."""
-        service = record.listed.service
-        return any(TrackKey(service, track) in self.listed for track in Track)
-
-    def candidate_of(self, service: ServiceName) -> Version | None:
-        """Return the version of `service` that is on trial."""
-        return self.rules.get(service, NO_RULE).candidate
+        ready = list(filter(_is_ready, members))
+        is_open = [record.listed.data_centre not in closed for record in ready]
+        if any(is_open):
+            self.open[key] = [r for r, opened in zip(ready, is_open) if opened]
+        if not all(is_open):
+            self.evacuated[key] = [r for r, opened in zip(ready, is_open) if not opened]
+
+
+def _is_ready(record: TargetRecord) -> bool:
+    """Return whether a target says that it takes new work."""
+    return record.listed.state is ListedState.READY
+
+
+def _by_track(
+    members: list[TargetRecord], rule: VersionRule
+) -> dict[Track, list[TargetRecord]]:
+    """Return the targets of a service on the tracks that `rule` gives them."""
+    groups: dict[Track, list[TargetRecord]] = {}
+    replaced: list[TargetRecord] = []
+    for record in members:
+        track = rule.track_of(record.listed.version)
+        if track is not None:
+            groups.setdefault(track, []).append(record)
+        elif rule.may_return(record.listed.version):
+            replaced.append(record)
+    if replaced and not groups:
+        return {Track.CURRENT: replaced}
+    return groups
 
 
 class TrackTables(msgspec.Struct):
