--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -8,8 +8,10 @@
 from returns.result import Result
 
 from scaleloom_core.evacuations import EvacuationChange
-from scaleloom_core.ids import TargetId
+from scaleloom_core.ids import ServiceName, TargetId, Version
 from scaleloom_core.listed import ListedTarget
+from scaleloom_core.rollouts.orders import RolloutChange
+from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.routing import RoutingTable
 from scaleloom_fleet.http1.links import OutgoingRequest
 
@@ -24,6 +26,8 @@
     SECOND_COPY = "second_copy"
     THIRD_COPY = "third_copy"
     HOLDERS = "holders"
+    DECISIONS = "decisions"
+    STATUS = "status"
 
 
 # Each lies in another part of the store, which may be up when others are down.
@@ -99,9 +103,19 @@
         milliseconds if there are none.
     append_request : callable
         The call that appends a value under a key.
+    append_at_request : callable
+        The same, on the condition that the topic ends at an offset.
+    decode_end : callable
+        Where a topic ends after an append that was carried out.
     read_evacuation : callable
         What a record of the configuration's topic says of an evacuation, if
         it is one.
+    read_rollout : callable
+        What such a record says of a roll-out, or why it cannot be read; None
+        if it is about something else.
+    rollout_status : callable
+        The key and the value that tell operators how far a roll-out of a
+        service to a version has come.
     """
 
     headers: HeaderNames
@@ -110,11 +124,15 @@
     newest_request: Callable[[Topic, str | None], OutgoingRequest]
     read_request: Callable[[Topic, int, int], OutgoingRequest]
     append_request: Callable[[Topic, str, bytes], OutgoingRequest]
+    append_at_request: Callable[[Topic, str, bytes, int], OutgoingRequest]
+    decode_end: Callable[[bytes], Result[int, str]]
     decode_newest: Callable[[bytes], Result[NewestPage, str]]
     decode_batch: Callable[[bytes, int], Result[RecordBatch, str]]
     decode_routing: Callable[[bytes], Result[RoutingTable, str]]
     decode_target: Callable[[TargetId, bytes], Result[ListedTarget, str]]
     read_evacuation: Callable[[StoredRecord], EvacuationChange | None]
+    read_rollout: Callable[[StoredRecord], Result[RolloutChange, str] | None]
+    rollout_status: Callable[[ServiceName, Version, Stage], tuple[str, bytes]]
 
 
 def load_adapter(module_name: str) -> PlatformAdapter:
