--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -9,6 +9,7 @@
 from scaleloom_core.ids import ChatId, DataCentreName, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
 from scaleloom_core.placement import PlacementTable, PoolMember
+from scaleloom_core.rollouts.versions import VersionRule
 from scaleloom_core.target_delays import slowness
 from scaleloom_core.target_outcomes import Outcomes
 from scaleloom_core.target_records import (
@@ -58,6 +59,7 @@
     digest: int = 0
     evacuated: frozenset[DataCentreName] = frozenset()
     generation: int = 0
+    rules: dict[ServiceName, VersionRule] = msgspec.field(default_factory=dict)
     _evacuated_by_service: dict[ServiceName, list[TargetRecord]] = msgspec.field(
         default_factory=dict
     )
@@ -107,6 +109,10 @@
         self._group()
         return True
 
+    def apply_rules(self, rules: dict[ServiceName, VersionRule], now_s: float) -> None:
+        """Take in which versions of each service take part."""
+        self.rules = rules
+
     def evacuate(
         self, data_centres: frozenset[DataCentreName], now_s: float = 0.0
     ) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -104,6 +104,28 @@
     ] = 10.0
 
 
+class RolloutsSection(msgspec.Struct, frozen=True):
+    """How services are moved to other versions of their software."""
+
+    is_enabled: Annotated[
+        bool, Meta(description="Whether operators' orders of roll-outs are obeyed.")
+    ] = True
+    exposure_share: Annotated[
+        Ratio,
+        Meta(description="Share of a service's requests that a version on trial gets."),
+    ] = 0.1
+    exposure_slack: Annotated[
+        float, Meta(ge=0, description="Requests beyond that, from all gateways.")
+    ] = 50.0
+    lateness_limit_s: Annotated[
+        Seconds,
+        Meta(
+            description="How long after its deadline a good roll-out waits for"
+            " requests at the old version; 0 cuts them at the deadline."
+        ),
+    ] = 15.0
+
+
 class GatewayStopSection(msgspec.Struct, frozen=True):
     """How a gateway stops."""
 
@@ -137,6 +159,7 @@
     callers: CallersSection = CallersSection()
     targets: TargetsSection = TargetsSection()
     bounds: FleetBoundsSection = FleetBoundsSection()
+    rollouts: RolloutsSection = RolloutsSection()
     stop: GatewayStopSection = GatewayStopSection()
     observe: ObserveSection = ObserveSection()
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/config_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/config_watch.py
@@ -1,4 +1,4 @@
-"""Configuration and evacuations, followed in the store by a few routers."""
+"""Configuration, evacuations and roll-outs, followed in the store by a few routers."""
 
 import random
 
@@ -6,8 +6,14 @@
 from returns.result import Failure
 
 from scaleloom_core.evacuations import Evacuations
-from scaleloom_fleet.gateway.documents import apply_config_document, apply_evacuations
+from scaleloom_core.rollouts.orders import RolloutOrders
+from scaleloom_fleet.gateway.documents import (
+    apply_config_document,
+    apply_evacuations,
+    apply_rollouts,
+)
 from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
+from scaleloom_fleet.gateway.rollout_orders import read_orders
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 
@@ -37,6 +43,7 @@
         self._client = access.new_client()
         self._waiting_scope: trio.CancelScope | None = None
         self._followed = Evacuations()
+        self._orders = RolloutOrders()
 
     def drop_call(self) -> None:
         """End the open call, which may wait on a path that is lost."""
@@ -112,7 +119,9 @@
         page: NewestPage | None = reading.value_or(None)
         if page is None:
             return None
-        self._apply(page.records, Evacuations(), page.end)
+        self._followed = Evacuations()
+        self._orders = RolloutOrders()
+        self._apply(page.records, page.end)
         return page.end
 
     async def _wait_changes(self, position: int) -> None:
@@ -131,28 +140,23 @@
                 return
             records = batch.unwrap().records
             position += len(records)
-            self._apply(records, self._followed, position)
+            self._apply(records, position)
             self._state.report_soon()
             if batch.unwrap().end > position or self._state.follows_peers:
                 # More changes wait than one answer holds and only the last
                 # counts, or peers send them in a shorter form from now on.
                 return
 
-    def _apply(
-        self, records: list[StoredRecord], before: Evacuations, position: int
-    ) -> None:
-        """
-        Take `records`, which end at `position`, into force.
-
-        Parameters
-        ----------
-        before : Evacuations
-            Those that stood before the first of the records.
-        """
+    def _apply(self, records: list[StoredRecord], position: int) -> None:
+        """Take `records`, which end at `position`, into force."""
         adapter = self._state.adapter
         changes = filter(None, map(adapter.read_evacuation, records))
-        self._followed = before.followed_by(changes, position)
+        self._followed = self._followed.followed_by(changes, position)
         apply_evacuations(self._state, self._followed)
+        known = self._state.rollouts.orders
+        orders = read_orders(adapter, records, known)
+        self._orders = self._orders.followed_by(orders, position)
+        apply_rollouts(self._state, self._orders)
         for record in records:
             if record.key == adapter.config_key and record.value:
                 apply_config_document(self._state, record.value)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/copies.py
@@ -10,9 +10,11 @@
 from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_roster import SETTLES_S
 from scaleloom_core.ids import DataCentreName
+from scaleloom_core.rollouts.orders import RolloutOrder, RolloutOrders
 from scaleloom_fleet.gateway.documents import (
     apply_config_document,
     apply_evacuations,
+    apply_rollouts,
     apply_target_documents,
 )
 from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
@@ -32,6 +34,7 @@
 CONFIG_KEY = "config"
 TARGETS_KEY = "targets"
 EVACUATIONS_KEY = "evacuations"
+ROLLOUTS_KEY = "rollouts"
 COPY_LIMIT_BYTES = 200_000
 NEVER_S = float("-inf")
 _logger = logging.getLogger("scaleloom.copies")
@@ -50,6 +53,7 @@
     config_version: int = -1
     list_digest: int | None = None
     evacuated: frozenset[DataCentreName] = frozenset()
+    orders: tuple[RolloutOrder, ...] = ()
     retry_at_s: float = NEVER_S
 
 
@@ -98,6 +102,12 @@
             is_whole = await self._write(topic, EVACUATIONS_KEY, packed)
             if is_whole:
                 written.evacuated = known.data_centres
+        orders = state.rollouts.orders
+        if is_whole and orders.orders != written.orders:
+            packed = zlib.compress(msgspec.msgpack.encode(orders))
+            is_whole = await self._write(topic, ROLLOUTS_KEY, packed)
+            if is_whole:
+                written.orders = orders.orders
         if is_whole and digest != written.list_digest:
             copy = TargetsCopy(state.view.list_position, state.listed_documents)
             packed = zlib.compress(msgspec.msgpack.encode(copy))
@@ -151,6 +161,9 @@
             elif record.key == EVACUATIONS_KEY:
                 told = msgspec.msgpack.decode(document, type=Evacuations)
                 apply_evacuations(self._state, told)
+            elif record.key == ROLLOUTS_KEY:
+                ordered = msgspec.msgpack.decode(document, type=RolloutOrders)
+                apply_rollouts(self._state, ordered)
             elif record.key == TARGETS_KEY:
                 copy = msgspec.msgpack.decode(document, type=TargetsCopy)
                 apply_target_documents(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -8,6 +8,7 @@
 from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedTarget
+from scaleloom_core.rollouts.orders import RolloutOrders
 from scaleloom_fleet.gateway.state import GatewayState
 
 _logger = logging.getLogger("scaleloom.store")
@@ -40,6 +41,11 @@
     state.report_soon()
 
 
+def apply_rollouts(state: GatewayState, told: RolloutOrders) -> None:
+    """Take operators' orders into force, unless what is known rests on more."""
+    state.rollouts.apply(told, state.router_count, trio.current_time())
+
+
 def apply_target_documents(
     state: GatewayState, documents: dict[str, bytes], position: int, at_s: float
 ) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -4,9 +4,33 @@
 
 from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_roster import FleetMember, GroupId
+from scaleloom_core.rollouts.evidence import SeenAnswers
+from scaleloom_core.rollouts.orders import RolloutOrders
+from scaleloom_core.rollouts.stages import Standing
 from scaleloom_core.target_outcomes import Outcomes
 
 
+class RolloutNews(msgspec.Struct, array_like=True, frozen=True):
+    """
+    What one router or its group says of one roll-out.
+
+    Parameters
+    ----------
+    is_grounded : bool
+        Whether the former versions are those that the log of decisions tells.
+    clear : int
+        How many of the routers that this speaks for have left the version that
+        is replaced; told until the roll-out has ended.
+    seen : SeenAnswers
+        Since the last report; told until the roll-out has ended.
+    """
+
+    standing: Standing
+    is_grounded: bool
+    clear: int = 0
+    seen: SeenAnswers = SeenAnswers()
+
+
 class PeerReport(msgspec.Struct, array_like=True, frozen=True):
     """
     One router's report of itself or of its group, sent in a datagram.
@@ -38,6 +62,10 @@
         The other members of the group, now and then in a report for all of them.
     evacuations : Evacuations
         Those that the sender knows to stand.
+    orders : RolloutOrders
+        Those that the sender knows to stand.
+    rollouts : list of RolloutNews
+        Of each service with an order, as of the sender or of its group.
     """
 
     sender: FleetMember
@@ -52,6 +80,8 @@
     speaks_for: int = 0
     others: list[FleetMember] = []
     evacuations: Evacuations = Evacuations()
+    orders: RolloutOrders = RolloutOrders()
+    rollouts: list[RolloutNews] = []
 
 
 class PeerQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
@@ -13,7 +13,8 @@
 from scaleloom_core.prefix_holders import Holding
 from scaleloom_core.target_outcomes import OutcomeCounts, Outcomes
 from scaleloom_fleet.gateway.peer_documents import own_knowledge
-from scaleloom_fleet.gateway.peer_messages import PeerReport
+from scaleloom_fleet.gateway.peer_messages import PeerReport, RolloutNews
+from scaleloom_fleet.gateway.rollout_news import RolloutTeller
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.utils.addresses import Address, parse_address
@@ -58,6 +59,8 @@
         Tells whether the store failed this router.
     roster : FleetRoster
         Tells who is told what.
+    rollouts : RolloutTeller
+        Tells what is known of roll-outs.
     sender : socket.socket
         The datagram socket of the control address.
     """
@@ -68,12 +71,14 @@
         state: GatewayState,
         access: StoreAccess,
         roster: FleetRoster,
+        rollouts: RolloutTeller,
         sender: socket.socket,
     ) -> None:
         self._own = own
         self._state = state
         self._access = access
         self._roster = roster
+        self._rollouts = rollouts
         self._socket = sender
         self._to_greet: list[InstanceId] = []
         self._group_news: list[Holding] = []
@@ -142,14 +147,17 @@
         load = self._state.load
         news = self._state.chooser.holders.take_news()
         outcomes = self._state.outcomes.take()
-        report = self._report(load.own_report(now_s), news, outcomes, now_s)
+        rollouts = self._rollouts.own_news(now_s)
+        held = load.own_report(now_s)
+        report = self._report(held, news, outcomes, rollouts, now_s)
         self._send_to(near, report)
         group_news, self._group_news = self._group_news + news, []
         self._group_outcomes.note_all(outcomes)
         group_outcomes = self._group_outcomes.take()
+        rollouts = self._rollouts.group_news(now_s)
         if told:
             held = load.group_report()
-            summary = self._report(held, group_news, group_outcomes, now_s)
+            summary = self._report(held, group_news, group_outcomes, rollouts, now_s)
             others = self._roster.near(now_s)
             summary = msgspec.structs.replace(summary, speaks_for=1 + len(others))
             if now_s >= self._others_due_s:
@@ -162,6 +170,7 @@
         held: dict[TargetKey, int],
         news: list[Holding],
         outcomes: dict[TargetKey, Outcomes],
+        rollouts: list[RolloutNews],
         now_s: float,
     ) -> PeerReport:
         """Return a report of what is held and seen, with what this router knows."""
@@ -178,6 +187,8 @@
             news,
             outcomes,
             evacuations=state.evacuations,
+            orders=state.rollouts.orders,
+            rollouts=rollouts,
         )
 
     def _send_to(self, routers: list[InstanceId], report: PeerReport) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -10,7 +10,7 @@
 from scaleloom_core.catching_up import CatchUp, Knowledge
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import DataCentreName, InstanceId
-from scaleloom_fleet.gateway.documents import apply_evacuations
+from scaleloom_fleet.gateway.documents import apply_evacuations, apply_rollouts
 from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.peer_documents import (
     DocumentServer,
@@ -23,6 +23,7 @@
     ReportSender,
     address_of,
 )
+from scaleloom_fleet.gateway.rollout_news import RolloutTeller
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.http1 import sockets
@@ -55,8 +56,9 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._decoder = msgspec.msgpack.Decoder(PeerReport)
+        self._rollouts = RolloutTeller(state, self._roster)
         self._reports = ReportSender(
-            self._own_id, state, access, self._roster, self._socket
+            self._own_id, state, access, self._roster, self._rollouts, self._socket
         )
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
@@ -138,6 +140,8 @@
         is_near = report.group == self._roster.group
         self._state.view.note_outcomes(report.outcomes, is_near, now_s)
         apply_evacuations(self._state, report.evacuations)
+        apply_rollouts(self._state, report.orders)
+        self._rollouts.take_in(report)
         self._note_freshness(report, now_s)
         self._note_knowledge(report, now_s)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -24,6 +24,8 @@
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.reloading import reload_at_signals
+from scaleloom_fleet.gateway.rollout_decisions import RolloutDecisions
+from scaleloom_fleet.gateway.rollout_records import measure
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.gateway.waiting import WaitingRoom
@@ -58,6 +60,7 @@
     peers = PeerExchange(state, access)
     copies = DocumentCopies(state, access)
     holder_copies = HolderCopies(state, access)
+    decisions = RolloutDecisions(state, access)
     front = sockets.listen(settings.front_address)
     ready = sockets.listen(settings.ready_address)
     documents = peers.bind()
@@ -77,6 +80,7 @@
             copies.write_forever,
             holder_copies.read,
             holder_copies.write_forever,
+            decisions.decide_forever,
             state.pools.sweep_forever,
             state.waiting.pump_forever,
         ):
@@ -129,6 +133,8 @@
         metrics.gauge("routers", state.router_count)
         metrics.gauge("targets", len(state.view.records))
         metrics.gauge("list_age_ms", state.freshness.age_ms(now_s))
+        for rollout in state.rollouts.by_service.values():
+            measure(metrics, rollout.course, now_s)
         if state.routing is not None:
             metrics.gauge("configuration", state.routing.version)
         metrics.flush()
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_facts.py
@@ -0,0 +1,46 @@
+"""What a router that decides knows of a service's targets."""
+
+from collections import Counter
+
+from scaleloom_core.ids import Version
+from scaleloom_core.listed import ListedState
+from scaleloom_core.rollouts.course import FleetFacts
+from scaleloom_core.rollouts.versions import Track
+from scaleloom_core.target_records import TargetRecord
+from scaleloom_fleet.gateway.rollout_news import is_clear
+from scaleloom_fleet.gateway.rollout_records import Rollout
+from scaleloom_fleet.gateway.state import GatewayState
+
+
+def _records(state: GatewayState, rollout: Rollout) -> list[TargetRecord]:
+    """Return the listed targets of the service that is moved."""
+    service = rollout.course.service
+    records = state.view.records.values()
+    return [record for record in records if record.listed.service == service]
+
+
+def fleet_facts(state: GatewayState, rollout: Rollout, now_s: float) -> FleetFacts:
+    """Return what is known besides the evidence."""
+    rule = rollout.rule()
+    slots: Counter[Track | None] = Counter()
+    for record in _records(state, rollout):
+        listed = record.listed
+        is_open = listed.state is ListedState.READY
+        is_open &= listed.data_centre not in state.view.evacuated
+        if is_open and record.away_until_s <= now_s < record.lapses_at_s:
+            slots[rule.track_of(listed.version)] += listed.slots
+    is_fleet_clear = is_clear(state, rollout, now_s)
+    is_fleet_clear &= rollout.clearance.is_whole(now_s)
+    return FleetFacts(slots[Track.CANDIDATE], slots[Track.CURRENT], is_fleet_clear)
+
+
+def replaced_versions(state: GatewayState, rollout: Rollout) -> frozenset[Version]:
+    """Return the listed versions that the ordered one replaces."""
+    rule = rollout.rule()
+    listed = (record.listed for record in _records(state, rollout))
+    current = {
+        target.version
+        for target in listed
+        if rule.track_of(target.version) is Track.CURRENT
+    }
+    return frozenset(current)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -21,6 +21,7 @@
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
 from scaleloom_fleet.gateway.pools import LinkPools
+from scaleloom_fleet.gateway.rollouts import RolloutDesk
 from scaleloom_fleet.gateway.waiting import WaitingRoom
 from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
 from scaleloom_fleet.utils.metrics import Metrics
@@ -61,6 +62,8 @@
         That configuration as the store gave it, for peers that ask.
     evacuations : Evacuations
         The data centres to which nothing new is sent.
+    rollouts : RolloutDesk
+        What operators order of versions, and how far it has come.
     router_count : int
         How many routers the fleet is known to have, this one included.
     follows_store : bool
@@ -95,6 +98,7 @@
     routing: RoutingTable | None = None
     config_document: bytes = b""
     evacuations: Evacuations = Evacuations()
+    rollouts: RolloutDesk = msgspec.field(default_factory=RolloutDesk)
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
     follows_store: bool = False
     followed_peers: int = 0
@@ -109,6 +113,11 @@
     connections: set[CallerConnection] = msgspec.field(default_factory=set)
     known: trio.Event = msgspec.field(default_factory=trio.Event)
 
+    def __post_init__(self) -> None:
+        """Let what operators order reach targets and peers."""
+        self.rollouts.configure(self.settings.rollouts)
+        self.rollouts.connect(self.view, self.report_soon)
+
     @property
     def knows_enough(self) -> bool:
         """Return whether a configuration and some targets are known."""
@@ -134,6 +143,7 @@
         )
         self.pools.configure(settings.targets)
         self.freshness.poll_s = settings.platform.list_poll_s
+        self.rollouts.configure(settings.rollouts)
 
     @property
     def has_thin_link(self) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -8,7 +8,7 @@
 from scaleloom_core.catching_up import FOLLOWERS
 from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.store_client import StoreClient
+from scaleloom_fleet.gateway.store_client import CallFailure, StoreClient
 
 PAGE_LIMIT = 1000
 # A router that the store failed works for others again after this, unasked.
@@ -66,7 +66,7 @@
 
     async def read_newest(
         self, client: StoreClient, topic: Topic
-    ) -> Result[NewestPage, str]:
+    ) -> Result[NewestPage, CallFailure | str]:
         """
         Return the newest records of `topic`, all pages as one.
 
@@ -92,7 +92,7 @@
 
     async def read_page(
         self, client: StoreClient, topic: Topic, after: str | None
-    ) -> Result[NewestPage, str]:
+    ) -> Result[NewestPage, CallFailure | str]:
         """Return the newest records of `topic` behind the key `after`, one page."""
         adapter = self._state.adapter
         answer = await client.call(adapter.newest_request(topic, after))
@@ -111,6 +111,14 @@
         client.drop()
         return not isinstance(answer, Failure)
 
+    async def append_at(
+        self, client: StoreClient, topic: Topic, key: str, value: bytes, end: int
+    ) -> Result[int, CallFailure | str]:
+        """Write `value` if `topic` ends at `end`; return where it ends then."""
+        adapter = self._state.adapter
+        answer = await client.call(adapter.append_at_request(topic, key, value, end))
+        return answer.bind(adapter.decode_end)
+
     async def read_records(self, topic: Topic) -> list[StoredRecord] | None:
         """Return the newest records of `topic`, or None if the store did not answer."""
         client = self.new_client()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
@@ -15,6 +15,27 @@
 from scaleloom_fleet.utils.addresses import Address
 
 ANSWER_LIMIT_BYTES = 1 << 26
+# HTTP's own status for a condition that does not hold.
+CONDITION_FAILED = 412
+
+
+class CallFailure(msgspec.Struct, frozen=True):
+    """
+    Why a call brought no 200.
+
+    Parameters
+    ----------
+    is_refused : bool
+        Whether it was not carried out and never will be, since its condition
+        does not hold.
+    """
+
+    why: str
+    is_refused: bool = False
+
+    def __str__(self) -> str:
+        """Return the reason."""
+        return self.why
 
 
 class StoreClient(msgspec.Struct):
@@ -33,14 +54,14 @@
 
     async def call(
         self, request: OutgoingRequest, wait_s: float = 0.0
-    ) -> Result[bytes, str]:
+    ) -> Result[bytes, CallFailure]:
         """Return the body of a 200, or what came instead; `wait_s` is added."""
         with trio.move_on_after(self.timeout_s + wait_s):
             return await self._call(request)
         self.drop()
-        return Failure("no answer in time")
+        return Failure(CallFailure("no answer in time"))
 
-    async def _call(self, request: OutgoingRequest) -> Result[bytes, str]:
+    async def _call(self, request: OutgoingRequest) -> Result[bytes, CallFailure]:
         """Return the body of a 200, or what came instead."""
         try:
             if self._link is None or not self._link.is_quiet():
@@ -49,18 +70,19 @@
                 self._link = await open_link(self.address, self.timeout_s, silence_ms)
             link = self._link
             if link is None:
-                return Failure("not reached")
+                return Failure(CallFailure("not reached"))
             head, body = await exchange(link, request, ANSWER_LIMIT_BYTES)
         except (AnswerBroken, ConnectionLost) as error:
             self.drop()
-            return Failure(str(error))
+            return Failure(CallFailure(str(error)))
         except trio.Cancelled:
             self.drop()
             raise
         if not link.finish():
             self.drop()
         if head.status != 200:
-            return Failure(f"status {head.status}")
+            is_refused = head.status == CONDITION_FAILED
+            return Failure(CallFailure(f"status {head.status}", is_refused))
         return Success(body)
 
     def drop(self) -> None:
