--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decisions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decisions.py
@@ -50,20 +50,25 @@
         self._log = ConditionalTopic(access, Topic.DECISIONS)
         self._status = ConditionalTopic(access, Topic.STATUS)
         self._written_s: dict[ServiceName, float] = {}
-        self._followed_s = 0.0
+        self._followed_s = float("-inf")
         self._confirmed: dict[ServiceName, tuple[int, Stage]] = {}
 
     async def decide_forever(self) -> None:
         """Carry on all roll-outs for as long as the process runs."""
-        await trio.sleep(SETTLES_S)
+        decides_from_s = trio.current_time() + SETTLES_S
         while True:
-            await self._play_round()
             await trio.sleep(ROUND_S)
+            await self._play_round(trio.current_time() >= decides_from_s)
 
-    async def _play_round(self) -> None:
-        """Decide, follow, or leave the store alone."""
+    async def _play_round(self, may_decide: bool) -> None:
+        """
+        Decide, follow, or leave the store alone.
+
+        Before the first rank is known the log is read only. A fleet that lost
+        all power may find in it that the old version has ended.
+        """
         unsettled = [r for r in self._rollouts() if not self._is_confirmed(r)]
-        if unsettled and self._state.rank == 0:
+        if unsettled and may_decide and self._state.rank == 0:
             await self._decide(unsettled)
             return
         # Others may write from now on.
--- a/tests/gateway/test_rollout_decisions.py
+++ b/tests/gateway/test_rollout_decisions.py
@@ -107,16 +107,18 @@
         await rolled.reach(Stage.DONE)
 
 
+@params(set(), {"log-append"})
 @runs_on_paused_clock
-async def test_nothing_is_done_that_is_not_written():
+async def test_nothing_is_done_that_is_not_written(pages):
     async with rollout_site() as rolled:
         rolled.order()
         await rolled.told(RUNNING)
-        rolled.store.down_topics = {DECISIONS_TOPIC}
+        rolled.store.faulty_topics, rolled.store.faulty_pages = {DECISIONS_TOPIC}, pages
+        rolled.store.fault = StoreFault.BUSY
         rolled.judgement.assessment = Assessment.GOOD
         await trio.sleep(DURATION_S + 2.0)
         assert {rolled.stage(g) for g in rolled.running()} == {Stage.PROMOTING}
-        rolled.store.down_topics = set()
+        rolled.store.fault = StoreFault.NONE
         await rolled.told(RUNNING, DONE)
 
 
--- a/tests/gateway/test_rollout_orders.py
+++ b/tests/gateway/test_rollout_orders.py
@@ -37,6 +37,8 @@
 LONG_S = 60.0
 # Every router has heard the reports of all others.
 TOLD_S = 0.5
+# A router that starts reads the log of decisions before its rank is known.
+READ_S = 0.5
 OWN_TOPICS = {DECISIONS_TOPIC, STATUS_TOPIC}
 
 
@@ -249,22 +251,24 @@
         assert rolled.rule(started).rejected == {NEW}
 
 
-@params(Stage.RUNNING, Stage.ROLLED_BACK)
+@params(Stage.RUNNING, Stage.ROLLED_BACK, Stage.DONE)
 @runs_on_paused_clock
 async def test_a_fleet_that_lost_all_power_goes_on_from_what_was_written(stage):
     async with rollout_site() as rolled:
-        rolled.order(duration_s=LONG_S)
+        rolled.order(duration_s=DURATION_S if stage is Stage.DONE else LONG_S)
         await rolled.told(RUNNING)
         await trio.sleep(2.0)
-        if stage is Stage.ROLLED_BACK:
-            rolled.judgement.assessment = Assessment.BAD
+        if stage.is_final:
+            is_good = stage is Stage.DONE
+            rolled.judgement.assessment = Assessment.GOOD if is_good else Assessment.BAD
         await rolled.written(stage)
         for gateway in rolled.running():
             await gateway.kill()
         rolled.judgement.assessment = Assessment.UNDECIDED
         elapsed_ms = rolled.decisions()[-1].standing.elapsed_ms
         started = await rolled.start()
-        await rolled.reach(stage)
+        with trio.fail_after(READ_S):
+            await rolled.reach(stage)
         course = rolled.desk(started).course_of(SERVICE)
         assert course.elapsed_s(trio.current_time()) * 1000.0 >= elapsed_ms
         assert rolled.judgement.restored != []
