--- a/tests/gateway/test_rollout_decisions.py
+++ b/tests/gateway/test_rollout_decisions.py
@@ -7,7 +7,7 @@
 from scaleloom_core.rollouts.stages import Stage
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.platform_store import StoreFault
-from tests.fixtures.rollouts import (
+from tests.fixtures.rollout_sites import (
     DECISIONS_TOPIC,
     DURATION_S,
     NEW,
--- a/tests/gateway/test_rollout_news.py
+++ b/tests/gateway/test_rollout_news.py
@@ -3,14 +3,18 @@
 import trio
 from nose2.tools import params
 
-from scaleloom_core.rollouts.evidence import Assessment
+from scaleloom_core.fleet_roster import FleetMember, FleetRoster, GroupId
+from scaleloom_core.ids import DataCentreName, InstanceId
+from scaleloom_core.rollouts.evidence import Assessment, SeenAnswers, Tally
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_fleet.conf.gateway_schema import GatewayInstanceSection, RolloutsSection
+from scaleloom_fleet.gateway.peer_messages import PeerReport, RolloutNews
+from scaleloom_fleet.gateway.rollout_news import RolloutTeller
 from tests.fixtures import runners
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import GatewayFixture, request_bytes
-from tests.fixtures.rollouts import (
+from tests.fixtures.rollout_sites import (
     NEW,
     SERVICE,
     SETTLED_S,
@@ -99,3 +103,32 @@
         rolled.judgement.bad_at = {others[0].host}
         with trio.fail_after(0.3):
             await rolled.reach(Stage.ROLLED_BACK)
+
+
+@params((0, False), (0, True), (2, False), (2, True))
+@runs_on_paused_clock
+async def test_an_answer_that_is_told_in_two_ways_is_counted_once(speaks_for, is_near):
+    async with rollout_site(routers=1) as rolled:
+        rolled.order(duration_s=LONG_S)
+        await rolled.told(RUNNING)
+        (gateway,) = rolled.running()
+        state = rolled.states[gateway.host]
+        here = DataCentreName(state.settings.instance.data_centre)
+        roster = FleetRoster(InstanceId("own"), here, 0.0)
+        course = state.rollouts.course_of(SERVICE)
+        standing = course.standing(trio.current_time())
+        seen = SeenAnswers(current={1: Tally(ANSWERS, 0)})
+        report = PeerReport(
+            FleetMember(InstanceId("127.0.0.9:1"), 1, False),
+            roster.group if is_near else GroupId(DataCentreName("there")),
+            config_version=1,
+            list_position=1,
+            list_digest=1,
+            list_age_ms=0,
+            held={},
+            speaks_for=speaks_for,
+            rollouts=[RolloutNews(standing, False, 0, seen)],
+        )
+        RolloutTeller(state, roster).take_in(report)
+        is_counted = is_near == (speaks_for == 0)
+        assert rolled.judgement.noted == (ANSWERS if is_counted else 0)
--- a/tests/gateway/test_rollout_orders.py
+++ b/tests/gateway/test_rollout_orders.py
@@ -18,7 +18,7 @@
 )
 from tests.fixtures.logs import ListHandler
 from tests.fixtures.platform_store import StoreFault
-from tests.fixtures.rollouts import (
+from tests.fixtures.rollout_sites import (
     DECISIONS_TOPIC,
     DURATION_S,
     NEW,
