--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -191,7 +191,8 @@
     assert isinstance(ADAPTER.decode_end(body), Failure)
 
 
-def test_the_version_of_a_target_is_read():
-    document = b'{"service":"a","address":"10.0.0.9:80","version":"v1"}'
+@params((b',"version":"v1"', "v1"), (b"", ""), (b',"version":null', ""))
+def test_the_version_of_a_target_is_read_if_it_is_told(told, version):
+    document = b'{"service":"a","address":"10.0.0.9:80"%s}' % told
     target = ADAPTER.decode_target(TargetId("i-1"), document).unwrap()
-    assert target.version == "v1"
+    assert target.version == version
