--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -63,6 +63,8 @@
         That configuration as the store gave it, for peers that ask.
     evacuations : Evacuations
         The data centres to which nothing new is sent.
+    rollouts : RolloutDesk
+        What operators order of versions, and how far it has come.
     staged : StagedTargets
         The targets that versions on trial are tried at.
     router_count : int
@@ -115,6 +117,11 @@
     connections: set[CallerConnection] = msgspec.field(default_factory=set)
     known: trio.Event = msgspec.field(default_factory=trio.Event)
 
+    def __post_init__(self) -> None:
+        """Let what operators order reach targets and peers."""
+        self.rollouts.configure(self.settings.rollouts)
+        self.rollouts.connect(self.view, self.report_soon)
+
     @property
     def knows_enough(self) -> bool:
         """Return whether a configuration and some targets are known."""
@@ -140,6 +147,7 @@
         )
         self.pools.configure(settings.targets)
         self.freshness.poll_s = settings.platform.list_poll_s
+        self.rollouts.configure(settings.rollouts)
 
     @property
     def has_thin_link(self) -> bool:
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -505,7 +505,7 @@
             nursery.start_soon(trial.site.ask, "/once/1", "r-1")
             while not asked(trial.new):
                 await trio.lowlevel.checkpoint()
-            trial.state.rollouts.courses.clear()
+            trial.state.rollouts.by_service.clear()
             held.set()
         (noted,) = trial.course.answers
         assert noted.is_failed
