--- a/packages/scaleloom-fleet/scaleloom_fleet/router/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/process.py
@@ -37,6 +37,7 @@
 from scaleloom_fleet.router.state import RouterState
 from scaleloom_fleet.router.sync import answer_datagram
 from scaleloom_fleet.utils.addresses import Address, parse_address
+from scaleloom_fleet.utils.logs import write_lines
 from scaleloom_fleet.utils.metrics import make_metrics
 from scaleloom_fleet.utils.stopping import wait_signal
 
@@ -142,6 +143,7 @@
             state.log_feed.run_snapshots, settings.platform.log_retention_s
         )
         nursery.start_soon(state.metrics.run)
+        nursery.start_soon(write_lines)
         nursery.start_soon(state.watch.run)
         await _serve_callers(state)
         nursery.cancel_scope.cancel()
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/process.py
@@ -49,6 +49,7 @@
 from scaleloom_fleet.sidecar.sync import run_sync
 from scaleloom_fleet.utils.addresses import Address, parse_address
 from scaleloom_fleet.utils.clock import now_s
+from scaleloom_fleet.utils.logs import write_lines
 from scaleloom_fleet.utils.metrics import make_metrics
 from scaleloom_fleet.utils.stopping import wait_signal
 
@@ -197,6 +198,7 @@
     nursery.start_soon(run_sync, state)
     nursery.start_soon(run_sampling, state)
     nursery.start_soon(state.metrics.run)
+    nursery.start_soon(write_lines)
     nursery.start_soon(state.watch.run)
     if state.owner is not None:
         nursery.start_soon(run_claims, state)
