--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,6 +6,7 @@
 
 from benchmarks.control import measure_control
 from benchmarks.measures import judge, print_line, read_bounds
+from benchmarks.observing import measure_observing
 from benchmarks.own_code import measure_own_code
 from benchmarks.path import measure_path
 from benchmarks.placement import measure_placement
@@ -17,6 +18,7 @@
     problems = []
     for measures in (
         measure_placement(),
+        trio.run(measure_observing),
         trio.run(measure_own_code),
         trio.run(measure_control),
         trio.run(measure_path),
--- /dev/null
+++ b/benchmarks/observing.py
@@ -0,0 +1,132 @@
+"""What a gateway's counting, its metrics page and its log lines cost."""
+
+import logging
+import os
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import trio
+from pythonjsonlogger.json import JsonFormatter
+
+from benchmarks.measures import Measure
+from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+from scaleloom_core.listed import ListedTarget
+from scaleloom_fleet.conf.gateway_schema import (
+    GatewayInstanceSection,
+    GatewayObserveSection,
+    GatewaySettings,
+    ListenSection,
+    StoreSection,
+)
+from scaleloom_fleet.gateway import figures
+from scaleloom_fleet.gateway.gauges import add_collectors
+from scaleloom_fleet.gateway.process import make_state
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.utils.exposition import LABEL_SETS_LIMIT, Figures, Form
+from scaleloom_fleet.utils.log_writer import LineWriter
+from scaleloom_fleet.utils.logs import LineHandler
+
+REQUESTS = 50_000
+PAGES = 50
+LINES = 5_000
+# The models and the accelerators of a data centre in the letter, rounded.
+SERVICES = 29
+TARGETS = 600
+MICROSECONDS_PER_S = 1e6
+MILLISECONDS_PER_S = 1e3
+BYTES_PER_KB = 1000.0
+ADDRESS = "127.0.0.1:1"
+
+
+async def measure_observing() -> list[Measure]:
+    """Return every measure of this module."""
+    state = _make_state()
+    counting_s = _timed(lambda: _count_request(state.figures), REQUESTS)
+    began_s = time.process_time()
+    for _ in range(PAGES):
+        await state.figures.collect()
+        state.figures.render()
+    page_s = (time.process_time() - began_s) / PAGES
+    return [
+        Measure("observing.request.cpu", counting_s * MICROSECONDS_PER_S, "us"),
+        Measure("observing.page.cpu", page_s * MILLISECONDS_PER_S, "ms"),
+        Measure("observing.figures.memory", _full_bytes() / BYTES_PER_KB, "KB"),
+        Measure("observing.log_line.cpu", _line_s() * MICROSECONDS_PER_S, "us"),
+    ]
+
+
+def _make_state() -> GatewayState:
+    """Return a gateway's state with the targets of many services."""
+    settings = GatewaySettings(
+        instance=GatewayInstanceSection(name="g-1", data_centre="a"),
+        listen=ListenSection(front=ADDRESS, ready=ADDRESS, peer_port=1),
+        platform=StoreSection(adapter="scaleloom_platform", store=ADDRESS),
+        observe=GatewayObserveSection(metrics_address=ADDRESS),
+    )
+    state = make_state(settings)
+    listed = [
+        ListedTarget(
+            id=TargetId(f"t-{number}"),
+            service=ServiceName(f"s-{number % SERVICES}"),
+            host="127.0.0.1",
+            port=1,
+            data_centre=DataCentreName("a"),
+            slots=8,
+        )
+        for number in range(TARGETS)
+    ]
+    state.view.apply_list(listed, 0)
+    add_collectors(state)
+    return state
+
+
+def _timed(action: Callable[[], None], times: int) -> float:
+    """Return the processor time that `action` takes, in seconds."""
+    began_s = time.process_time()
+    for _ in range(times):
+        action()
+    return (time.process_time() - began_s) / times
+
+
+def _count_request(told: Figures) -> None:
+    """Count what one served request and its one attempt are counted as."""
+    told.observe(figures.FIRST_BYTE, trio.current_time() % 1.0, "safe")
+    told.add(figures.ATTEMPTS, "answered")
+    told.add(figures.REQUESTS, figures.SERVED, "safe")
+    told.observe(figures.WHOLE, trio.current_time() % 1.0, "safe")
+
+
+def _full_bytes() -> int:
+    """Return what the figures occupy with as many label sets as they keep."""
+    tracemalloc.start()
+    told = Figures(figures.DEFINITIONS, is_on=True)
+    for definition in figures.DEFINITIONS:
+        if not definition.labels:
+            continue
+        for number in range(2 * LABEL_SETS_LIMIT):
+            labels = tuple(f"{label}-{number}" for label in definition.labels)
+            if definition.form is Form.HISTOGRAM:
+                told.observe(definition, 0.5, *labels)
+            elif definition.form is Form.COUNTER:
+                told.add(definition, *labels)
+            else:
+                told.set(definition, 0.5, *labels)
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size_bytes
+
+
+def _line_s() -> float:
+    """Return the processor time that one written line takes, in seconds."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    try:
+        ticks = iter(range(2 * LINES))
+        handler = LineHandler(LineWriter(descriptor), lambda: float(next(ticks)))
+        handler.setFormatter(JsonFormatter("%(asctime)s %(name)s %(message)s"))
+        logger = logging.Logger("scaleloom.benchmark")
+        logger.addHandler(handler)
+        fields = {"request": "r-1", "kind": "overloaded", "tried": ["i-1", "i-2"]}
+        return _timed(lambda: logger.info("request not served", extra=fields), LINES)
+    finally:
+        os.close(descriptor)
--- a/packages/scaleloom-core/scaleloom_core/retry_windows.py
+++ b/packages/scaleloom-core/scaleloom_core/retry_windows.py
@@ -48,14 +48,23 @@
     def try_spend(self, now_s: float, router_count: int) -> bool:
         """Return whether one repeat may be sent, and count it if so."""
         bucket = self._current(now_s)
-        earned = self.ratio * self._requests
-        given = self.extra / max(1, router_count)
-        if self._repeats + 1 > SHARE_IN_USE * (earned + given):
+        if self._left(router_count) < 1:
             return False
         bucket.repeats += 1
         self._repeats += 1
         return True
 
+    def left(self, now_s: float, router_count: int) -> float:
+        """Return how many repeats this router may send."""
+        self._current(now_s)
+        return self._left(router_count)
+
+    def _left(self, router_count: int) -> float:
+        """Return how many repeats the slices allow beyond those sent."""
+        earned = self.ratio * self._requests
+        given = self.extra / max(1, router_count)
+        return SHARE_IN_USE * (earned + given) - self._repeats
+
     def _current(self, now_s: float) -> _Bucket:
         """Return the slice of `now_s`, dropping those that left the window."""
         while self._buckets and self._buckets[0].started_s <= now_s - self.window_s:
@@ -82,6 +91,13 @@
         for window in self._windows.values():
             window.ratio, window.extra, window.window_s = ratio, extra, window_s
 
+    def left(self, now_s: float, router_count: int) -> dict[ServiceName, float]:
+        """Return how many repeats this router may send for each service."""
+        return {
+            service: window.left(now_s, router_count)
+            for service, window in self._windows.items()
+        }
+
     def of(self, service: ServiceName) -> RetryWindow:
         """Return the window of `service`."""
         window = self._windows.get(service)
--- a/packages/scaleloom-fleet/scaleloom_fleet/__main__.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/__main__.py
@@ -4,7 +4,7 @@
 import signal
 import sys
 
-from scaleloom_fleet.utils import listening
+from scaleloom_fleet.utils import listening, own_process  # noqa: F401
 
 # A changed settings file may be signalled before the process could read any;
 # it reads the file later, and the default would end it.
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -128,6 +128,15 @@
     ] = 1000.0
 
 
+class GatewayObserveSection(ObserveSection, frozen=True):
+    """Logs, metrics and traces."""
+
+    metrics_address: Annotated[
+        HostPort | None,
+        Meta(description="Where the metrics page is served; none serves none."),
+    ] = None
+
+
 class GatewaySettings(msgspec.Struct, frozen=True):
     """All settings of a gateway."""
 
@@ -138,7 +147,7 @@
     targets: TargetsSection = TargetsSection()
     bounds: FleetBoundsSection = FleetBoundsSection()
     stop: GatewayStopSection = GatewayStopSection()
-    observe: ObserveSection = ObserveSection()
+    observe: GatewayObserveSection = GatewayObserveSection()
 
     @property
     def front_address(self) -> Address:
@@ -166,6 +175,12 @@
         listed = self.observe.statsd_address
         return parse_address(listed) if listed else None
 
+    @property
+    def metrics_address(self) -> Address | None:
+        """Return where the metrics page is served, if anywhere."""
+        listed = self.observe.metrics_address
+        return parse_address(listed) if listed else None
+
     @property
     def seed_hosts(self) -> list[str]:
         """Return the hosts of the gateways that the settings name."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -8,6 +8,7 @@
 from scaleloom_core.errors import ErrorKind, FleetError
 from scaleloom_fleet.gateway.answering import answer_error, answer_rejection
 from scaleloom_fleet.gateway.attempts import serve
+from scaleloom_fleet.gateway.measuring import note_malformed, note_unserved
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.callers import (
@@ -70,6 +71,7 @@
     except CallerGone:
         return
     except RequestRejected as rejection:
+        note_malformed(state)
         await _reject(caller, rejection.status)
 
 
@@ -83,10 +85,11 @@
         raise
     except Exception:
         _logger.exception("request failed unexpectedly")
+        error = FleetError(ErrorKind.INTERNAL, "An error of the router's own.")
+        note_unserved(state, error)
         if caller.is_answer_begun:
             caller.reset()
             raise CallerGone from None
-        error = FleetError(ErrorKind.INTERNAL, "An error of the router's own.")
         await answer_error(caller, error, state.is_stopping)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -8,6 +8,7 @@
 from scaleloom_core.return_times import ReturnLine
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.waiting_order import Claim
+from scaleloom_fleet.gateway import figures
 from scaleloom_fleet.gateway.answering import answer_error
 from scaleloom_fleet.gateway.events import EventSplitter
 from scaleloom_fleet.gateway.exchanges import (
@@ -18,6 +19,12 @@
     send_to,
 )
 from scaleloom_fleet.gateway.matching import Match, match_request
+from scaleloom_fleet.gateway.measuring import (
+    note_left,
+    note_repeat_refused,
+    note_served,
+    note_unserved,
+)
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.waiting import Waiter
 from scaleloom_fleet.http1.callers import CallerConnection, CallerGone, CallerRequest
@@ -54,32 +61,42 @@
         await _refuse(state, connection, matched.failure())
         return
     if match.deadline_s > state.last_answer_s:
-        await _refuse(state, connection, _STOPPING)
+        await _refuse(state, connection, _STOPPING, match.route.kind.value)
         return
     work = Work(connection, request, match)
     if match.route.is_resumable:
         work.splitter = EventSplitter()
     state.windows.of(match.service).note_request(trio.current_time())
-    with trio.CancelScope(deadline=match.deadline_s) as scope:
-        connection.watch(scope)
-        error = await _try_targets(state, work)
+    try:
+        with trio.CancelScope(deadline=match.deadline_s) as scope:
+            connection.watch(scope)
+            error = await _try_targets(state, work)
+    except CallerGone:
+        note_left(state, work)
+        raise
     if connection.has_left:
         state.metrics.count("left")
+        note_left(state, work)
         raise CallerGone
     if scope.cancelled_caught:
         error = _late(work)
     state.metrics.timing("request", trio.current_time() - match.received_s)
     if error is None:
         state.metrics.count("served")
+        note_served(state, work)
         return
     await _conclude(state, work, error)
 
 
 async def _refuse(
-    state: GatewayState, connection: CallerConnection, error: FleetError
+    state: GatewayState,
+    connection: CallerConnection,
+    error: FleetError,
+    kind: str = figures.NO_KIND,
 ) -> None:
     """Refuse a request before a target was chosen."""
     state.metrics.count(f"refusals.{error.kind.value}")
+    note_unserved(state, error, kind)
     await answer_error(connection, error, state.is_stopping)
 
 
@@ -124,6 +141,7 @@
     }
     _logger.info("request not served", extra=fields)
     state.metrics.count(f"failures.{error.kind.value}")
+    note_unserved(state, error, work.match.route.kind.value)
     if work.is_answer_begun:
         work.connection.reset()
         return
@@ -147,9 +165,12 @@
         can_repeat = _may_send_again(work, 1)
         work.tried.add(record.listed.id)
         state.metrics.count("attempts")
+        told = figures.ABANDONED
         try:
             verdict = await send_to(state, work, record, can_repeat)
+            told = verdict.value
         finally:
+            state.figures.add(figures.ATTEMPTS, told)
             state.waiting.release(record, work.match.customer)
             state.returns.note_freed(work.match.service, trio.current_time())
         if verdict is Verdict.ANSWERED:
@@ -184,7 +205,10 @@
     if work.splitter is not None:
         work.splitter.drop_partial()
     window = state.windows.of(work.match.service)
-    return window.try_spend(trio.current_time(), state.router_count)
+    if window.try_spend(trio.current_time(), state.router_count):
+        return True
+    note_repeat_refused(state, work)
+    return False
 
 
 def _no_answer(state: GatewayState, work: Work) -> FleetError:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -1,5 +1,6 @@
 """One request at one target: sent once, its answer passed on or judged."""
 
+import logging
 from collections.abc import Callable
 from enum import Enum
 
@@ -15,6 +16,7 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway.answering import closing_headers
 from scaleloom_fleet.gateway.events import EventSplitter
+from scaleloom_fleet.gateway.figures import CACHE_SOURCES, FIRST_BYTE
 from scaleloom_fleet.gateway.headers import answer_headers, request_for
 from scaleloom_fleet.gateway.matching import Match
 from scaleloom_fleet.gateway.state import GatewayState
@@ -39,6 +41,7 @@
 STREAM_PATIENCE = 2.0
 LEAST_PATIENCE_S = 0.4
 EVENT_PATIENCE_S = 1.0
+_logger = logging.getLogger("scaleloom.gateway")
 
 
 class Verdict(Enum):
@@ -99,6 +102,7 @@
     link = await state.pools.acquire(target, is_repeatable)
     if link is None:
         record.note_unreachable(trio.current_time())
+        _tell_away(record)
         return Verdict.NEVER_SENT
     if work.connection.has_just_left():
         # Nothing was sent yet, and nobody waits for the answer any more.
@@ -119,12 +123,20 @@
     return verdict
 
 
+def _tell_away(record: TargetRecord) -> None:
+    """Log that a target takes no connection and is left alone for a while."""
+    fields = {"target": record.listed.id, "absence_ms": int(record.absence_s * 1000)}
+    _logger.info("target away", extra=fields)
+
+
 def _judge(state: GatewayState, record: TargetRecord, verdict: Verdict) -> None:
     """Take what `verdict` tells of the target into its record, and tell peers."""
     if verdict is Verdict.MISPLACED:
         record.note_misplaced(trio.current_time())
         return
     if verdict is Verdict.ANSWERED:
+        if record.absence_s > 0.0:
+            _logger.info("target back", extra={"target": record.listed.id})
         record.note_answer()
         outcomes = ONE_ANSWERED
     else:
@@ -152,6 +164,8 @@
     work.sends += 1
     may_have_run_before = work.may_have_run
     work.may_have_run = True
+    if source is not None:
+        state.figures.add(CACHE_SOURCES)
     link.start(outgoing)
     with trio.move_on_after(_head_patience_s(work, can_repeat)) as scope:
         head = await _own_head(link, outgoing, work, names.request_id.lower())
@@ -239,6 +253,7 @@
         size += len(part)
         if size > WHOLE_ANSWER_LIMIT_BYTES:
             return await _pass_long(state, work, link, head, b"".join(parts))
+    _note_first_byte(state, work)
     await pass_answer(state, work, head, b"".join(parts))
     return Verdict.ANSWERED
 
@@ -254,10 +269,17 @@
     await work.connection.send_answer(head.status, head.reason, headers, body)
 
 
+def _note_first_byte(state: GatewayState, work: Work) -> None:
+    """Note how long the caller waited for the first byte of a success."""
+    waited_s = trio.current_time() - work.match.received_s
+    state.figures.observe(FIRST_BYTE, waited_s, work.match.route.kind.value)
+
+
 async def _begin_answer(
     state: GatewayState, work: Work, head: AnswerHead, keeps_length: bool
 ) -> None:
     """Send the head of an answer whose body follows."""
+    _note_first_byte(state, work)
     headers = answer_headers(head, keeps_length)
     headers += closing_headers(state.is_stopping)
     work.is_answer_begun = True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/list_watch.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/list_watch.py
@@ -1,5 +1,6 @@
 """The list of targets, read from the platform's store when no peer confirms it."""
 
+import logging
 import random
 from collections.abc import Callable
 
@@ -13,6 +14,10 @@
 
 # A copy is asked for after a part of this and takes one call.
 LONG_LIST_PATIENCE_S = 0.6
+# Several readings; a single one may be due to a report that was lost.
+READER_GONE_S = 5.0
+LONG_AGO_S = float("-inf")
+_logger = logging.getLogger("scaleloom.store")
 
 
 class ListWatch:
@@ -38,6 +43,8 @@
         self._access = access
         self._drop_config_call = drop_config_call
         self._client = access.new_client()
+        self._read_s = LONG_AGO_S
+        self._is_reader = False
 
     async def follow(self) -> None:
         """Keep the list of targets fresh for as long as the process runs."""
@@ -45,6 +52,7 @@
         await self._begin_list()
         while True:
             now_s = trio.current_time()
+            self._note_reader(now_s)
             due_s = state.freshness.due_s(state.rank)
             if now_s < due_s:
                 await trio.sleep_until(due_s)
@@ -52,6 +60,7 @@
             is_read = await self._read_targets()
             self._note_reading(is_read)
             if is_read:
+                self._read_s = now_s
                 state.report_soon()
             else:
                 await trio.sleep_until(now_s + self._retry_s())
@@ -93,6 +102,15 @@
             pause_s = (1 + state.rank) * first_s
         return random.uniform(0.5, 1.5) * pause_s
 
+    def _note_reader(self, now_s: float) -> None:
+        """Log whether this router reads the list for others, if that changed."""
+        is_reader = now_s - self._read_s < READER_GONE_S
+        if is_reader is self._is_reader:
+            return
+        self._is_reader = is_reader
+        message = "list read here" if is_reader else "list read by others"
+        _logger.info(message, extra={"rank": self._state.rank})
+
     def _note_reading(self, is_read: bool) -> None:
         """Note whether the store answered."""
         if not is_read:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -18,16 +18,22 @@
 from scaleloom_fleet.gateway import accepting, readiness
 from scaleloom_fleet.gateway.config_watch import ConfigWatch
 from scaleloom_fleet.gateway.copies import DocumentCopies
+from scaleloom_fleet.gateway.figures import DEFINITIONS
+from scaleloom_fleet.gateway.gauges import add_collectors
 from scaleloom_fleet.gateway.holder_copies import HolderCopies
 from scaleloom_fleet.gateway.interfaces import load_adapter
 from scaleloom_fleet.gateway.list_watch import ListWatch
+from scaleloom_fleet.gateway.metrics_page import serve_page
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.reloading import reload_at_signals
+from scaleloom_fleet.gateway.start_time import tell_when_ready
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.gateway.waiting import WaitingRoom
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.utils.exposition import Figures
+from scaleloom_fleet.utils.logs import write_lines
 from scaleloom_fleet.utils.metrics import FLUSH_INTERVAL_S, make_metrics
 from scaleloom_fleet.utils.stopping import wait_signal
 
@@ -81,6 +87,11 @@
             state.waiting.pump_forever,
         ):
             nursery.start_soon(task)
+        nursery.start_soon(tell_when_ready, state)
+        nursery.start_soon(write_lines)
+        if settings.metrics_address is not None:
+            add_collectors(state)
+            nursery.start_soon(serve_page, state, settings.metrics_address, nursery)
         if settings.statsd_address is not None:
             nursery.start_soon(_report_metrics, state)
         if settings_path is not None:
@@ -114,6 +125,7 @@
         pools=LinkPools(settings.targets),
         freshness=ListFreshness(settings.platform.list_poll_s),
         metrics=make_metrics(settings.statsd_address, settings.instance.name),
+        figures=Figures(DEFINITIONS, settings.metrics_address is not None),
     )
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -23,6 +23,7 @@
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.waiting import WaitingRoom
 from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
+from scaleloom_fleet.utils.exposition import Figures
 from scaleloom_fleet.utils.metrics import Metrics
 
 _NO_LIMITS = RequestLimits()
@@ -49,6 +50,13 @@
     return zlib.compress(msgspec.msgpack.encode(documents))
 
 
+class StartTime(msgspec.Struct, frozen=True):
+    """How long the start took, and from what on."""
+
+    took_s: float
+    origin: str
+
+
 class GatewayState(msgspec.Struct):
     """
     The state of one gateway process.
@@ -77,6 +85,12 @@
         This router's place among those that are heard.
     report_is_due : trio.Event
         Set when peers are to be told something before the next round.
+    figures : Figures
+        What the metrics page tells.
+    configured_s : float or None
+        When the configuration came into force, on the runtime's clock.
+    start : StartTime or None
+        None until enough is known to serve.
     """
 
     settings: GatewaySettings
@@ -92,7 +106,10 @@
     outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
     returns: ReturnTimes = msgspec.field(default_factory=ReturnTimes)
     usual_delays: UsualDelays = msgspec.field(default_factory=UsualDelays)
+    figures: Figures = msgspec.field(default_factory=Figures)
     routing: RoutingTable | None = None
+    configured_s: float | None = None
+    start: StartTime | None = None
     config_document: bytes = b""
     evacuations: Evacuations = Evacuations()
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
@@ -200,5 +217,6 @@
         if self.routing is not None and routing.version <= self.routing.version:
             return False
         self.routing = routing
+        self.configured_s = trio.current_time()
         self.config_document = document
         return True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.catching_up import FOLLOWERS
+from scaleloom_fleet.gateway.figures import STORE_CALLS, STORE_SECONDS
 from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_client import StoreClient
@@ -122,4 +123,11 @@
     def new_client(self) -> StoreClient:
         """Return a client for a call now and then."""
         settings = self._state.settings
-        return StoreClient(settings.store_address, settings.platform.timeout_s)
+        timeout_s = settings.platform.timeout_s
+        return StoreClient(settings.store_address, timeout_s, self._note_call)
+
+    def _note_call(self, outcome: str, took_s: float, is_waiting: bool) -> None:
+        """Count a call of the store, and its time if it did not wait for a change."""
+        self._state.figures.add(STORE_CALLS, outcome)
+        if not is_waiting:
+            self._state.figures.observe(STORE_SECONDS, took_s, outcome)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
@@ -1,5 +1,7 @@
 """One connection to the platform's store."""
 
+from collections.abc import Callable
+
 import msgspec
 import trio
 from returns.result import Failure, Result, Success
@@ -15,6 +17,12 @@
 from scaleloom_fleet.utils.addresses import Address
 
 ANSWER_LIMIT_BYTES = 1 << 26
+ANSWERED = "answered"
+FAILED = "failed"
+LATE = "late"
+GIVEN_UP = "given_up"
+
+NoteCall = Callable[[str, float, bool], None]
 
 
 class StoreClient(msgspec.Struct):
@@ -25,20 +33,32 @@
     ----------
     timeout_s : float
         How long a call may take, in seconds.
+    note_call : callable
+        Told how each call ended, its time in seconds, and whether it waited for
+        a change.
     """
 
     address: Address
     timeout_s: float
+    note_call: NoteCall
     _link: Link | None = None
 
     async def call(
         self, request: OutgoingRequest, wait_s: float = 0.0
     ) -> Result[bytes, str]:
         """Return the body of a 200, or what came instead; `wait_s` is added."""
-        with trio.move_on_after(self.timeout_s + wait_s):
-            return await self._call(request)
-        self.drop()
-        return Failure("no answer in time")
+        called_s = trio.current_time()
+        outcome = GIVEN_UP
+        try:
+            with trio.move_on_after(self.timeout_s + wait_s):
+                answer = await self._call(request)
+                outcome = FAILED if isinstance(answer, Failure) else ANSWERED
+                return answer
+            outcome = LATE
+            self.drop()
+            return Failure("no answer in time")
+        finally:
+            self.note_call(outcome, trio.current_time() - called_s, wait_s > 0.0)
 
     async def _call(self, request: OutgoingRequest) -> Result[bytes, str]:
         """Return the body of a 200, or what came instead."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/metrics.py
@@ -1,12 +1,15 @@
 """Counters and gauges, summed in the process and sent to statsd once a second."""
 
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import trio
-from statsd import StatsClient
 
 from scaleloom_fleet.utils.addresses import Address
 
+if TYPE_CHECKING:
+    from statsd import StatsClient
+
 FLUSH_INTERVAL_S = 1.0
 
 
@@ -25,7 +28,7 @@
     """
 
     def __init__(self, host: str | None = None, port: int = 8125, prefix="") -> None:
-        self._client = StatsClient(host, port, prefix=prefix) if host else None
+        self._client = _open_client(host, port, prefix) if host else None
         self._unsent: Counter[str] = Counter()
         self._timings_ms: list[tuple[str, float]] = []
         self.totals: Counter[str] = Counter()
@@ -67,6 +70,13 @@
             self.flush()
 
 
+def _open_client(host: str, port: int, prefix: str) -> "StatsClient":
+    """Return a client; the library is loaded only where something is sent."""
+    from statsd import StatsClient
+
+    return StatsClient(host, port, prefix=prefix)
+
+
 def make_metrics(server: Address | None, prefix: str) -> Metrics:
     """Return the metrics of a process, sent to `server` if there is one."""
     if server is None:
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from scaleloom_fleet.conf.fields import ObserveSection
+from scaleloom_fleet.conf.gateway_schema import GatewayObserveSection
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import running_site
 
@@ -23,7 +23,7 @@
     with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as receiver:
         await receiver.bind(("127.0.0.1", 0))
         port = receiver.getsockname()[1]
-        observe = ObserveSection(statsd_address=f"127.0.0.1:{port}")
+        observe = GatewayObserveSection(statsd_address=f"127.0.0.1:{port}")
         async with running_site(observe=observe) as site:
             await site.ask("/safe/1")
             await site.ask("/nowhere/")
--- /dev/null
+++ b/tests/gateway/test_metrics_page.py
@@ -0,0 +1,268 @@
+"""Tests of the page that monitoring systems scrape."""
+
+import socket
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+from nose2.tools import params
+
+from scaleloom_fleet.conf.gateway_schema import (
+    FleetBoundsSection,
+    GatewayObserveSection,
+)
+from scaleloom_fleet.gateway import figures
+from scaleloom_fleet.gateway.figures_reference import render_table
+from scaleloom_fleet.gateway.metrics_page import CONNECTION_LIMIT, PAGE_LIFE_S
+from scaleloom_fleet.utils.exposition import CONTENT_TYPE, INFINITY, Form
+from scaleloom_standins.ports import free_port
+from tests.fixtures.expositions import ReadPage, read_page
+from tests.fixtures.fleets import runs_on_paused_clock
+from tests.fixtures.gateways import (
+    FIRST_HOST,
+    Site,
+    ask_raw,
+    eventually,
+    request_bytes,
+    running_site,
+)
+from tests.fixtures.http_standin import raw_answer
+
+PAGE_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+REFERENCE = Path(__file__).parents[2] / "docs" / "reference" / "metrics.md"
+FETCH_LIMIT_S = 0.5
+WORK_S = 1.0
+REQUESTS = 40
+
+
+@asynccontextmanager
+async def _site_with_page(**sections):
+    """Yield a site whose gateway serves a metrics page, and the page's port."""
+    port = free_port()
+    observe = GatewayObserveSection(metrics_address=f"{FIRST_HOST}:{port}")
+    async with running_site(observe=observe, **sections) as site:
+        yield site, port
+
+
+async def _fetch(port: int) -> ReadPage:
+    """Return the page as it stands now."""
+    await trio.sleep(PAGE_LIFE_S)
+    answer = await ask_raw(port, PAGE_REQUEST)
+    assert answer.status == 200
+    return read_page(answer.body)
+
+
+async def _fail(runner, asked) -> bool:
+    """Answer that something went wrong."""
+    await asked.stream.send_all(raw_answer(500, runner.seal(asked)))
+    return True
+
+
+async def _work_long(runner, asked) -> bool:
+    """Answer after a while, which other requests do not wait for."""
+    await trio.sleep(WORK_S)
+    headers = runner.seal(asked)
+    body = b"done"
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    await asked.stream.send_all(head.encode() + b"\r\n" + body)
+    return True
+
+
+@runs_on_paused_clock
+async def test_requests_are_counted_by_outcome_and_kind():
+    async with _site_with_page() as (site, port):
+        for number in range(3):
+            await site.ask("/safe/1", f"r-{number}")
+        await site.ask("/once/1", "r-once", method="POST", body=b"x")
+        await site.ask("/nowhere/")
+        await site.ask("/safe/1", key="wrong")
+        page = await _fetch(port)
+    name = "scaleloom_requests_total"
+    assert page.value(name, outcome="served", kind="safe") == 3
+    assert page.value(name, outcome="served", kind="unsafe") == 1
+    assert page.value(name, outcome="refused", kind="none") == 2
+    assert page.total(name) == 6
+    reasons = "scaleloom_requests_unserved_total"
+    assert page.value(reasons, reason="not_found") == 1
+    assert page.value(reasons, reason="unauthenticated") == 1
+    assert page.value("scaleloom_attempts_total", verdict="answered") == 4
+
+
+@runs_on_paused_clock
+async def test_what_is_no_request_is_counted_as_malformed():
+    async with _site_with_page() as (site, port):
+        answer = await site.gateways[0].ask(b"GET /a b c HTTP/1.1\r\n\r\n")
+        page = await _fetch(port)
+    assert answer.status == 400
+    assert page.value("scaleloom_requests_unserved_total", reason="malformed") == 1
+
+
+@runs_on_paused_clock
+async def test_repeats_that_the_budget_forbids_are_counted():
+    bounds = FleetBoundsSection(retry_ratio=0.0, retry_extra=0.0)
+    async with _site_with_page(bounds=bounds) as (site, port):
+        for runner in site.runners:
+            runner.behaviour = _fail
+        await site.ask("/safe/1")
+        page = await _fetch(port)
+    refused = page.value("scaleloom_retries_refused_total", service="plain")
+    assert refused == 1
+    assert page.value("scaleloom_retry_budget_left", service="plain") == 0
+    name = "scaleloom_requests_total"
+    assert page.value(name, outcome="failed", kind="safe") == 1
+
+
+@runs_on_paused_clock
+async def test_a_caller_that_leaves_is_counted_as_left():
+    async with _site_with_page() as (site, port):
+        for runner in site.runners:
+            runner.behaviour = _work_long
+        stream = await trio.open_tcp_stream(FIRST_HOST, site.gateways[0].front_port)
+        await stream.send_all(request_bytes("/safe/1"))
+        await eventually(_is_asked(site))
+        await stream.aclose()
+        page = await _fetch(port)
+    name = "scaleloom_requests_total"
+    assert page.value(name, outcome="left", kind="safe") == 1
+    assert page.value("scaleloom_attempts_total", verdict="abandoned") == 1
+
+
+def _is_asked(site: Site):
+    """Return a condition: whether a target has been asked."""
+
+    async def is_asked() -> bool:
+        return any(runner.asked for runner in site.runners)
+
+    return is_asked
+
+
+@params("scaleloom_request_seconds", "scaleloom_request_first_byte_seconds")
+@runs_on_paused_clock
+async def test_a_histogram_holds_every_served_request_and_its_time(name):
+    async with _site_with_page() as (site, port):
+        await site.ask("/safe/1", "r-1")
+        for runner in site.runners:
+            runner.behaviour = _work_long
+        begun_s = trio.current_time()
+        await site.ask("/safe/1", "r-2")
+        held_s = trio.current_time() - begun_s
+        page = await _fetch(port)
+    buckets = page.buckets(name, kind="safe")
+    counts = [count for _, count in buckets]
+    assert counts == sorted(counts)
+    assert buckets[-1] == (INFINITY, 2)
+    assert page.value(f"{name}_count", kind="safe") == 2
+    assert WORK_S <= page.value(f"{name}_sum", kind="safe") <= held_s + 0.1
+    assert dict(buckets)[0.5] == 1
+
+
+@runs_on_paused_clock
+async def test_every_metric_is_declared_on_the_page():
+    async with _site_with_page() as (_, port):
+        page = await _fetch(port)
+    declared = {item.name: item.form.value for item in figures.DEFINITIONS}
+    assert page.forms == declared
+
+
+@runs_on_paused_clock
+async def test_the_page_tells_what_the_gateway_knows():
+    async with _site_with_page(gateway_count=1) as (site, port):
+        await site.ask("/safe/1")
+        page = await _fetch(port)
+    assert page.value("scaleloom_configuration_version") == 1
+    assert page.value("scaleloom_ready") == 1
+    assert page.value("scaleloom_routers") == 1
+    assert page.total("scaleloom_targets") == 2
+    assert page.value("scaleloom_targets", state="ready") == 2
+    assert page.value("scaleloom_service_slots", service="plain") == 16
+    assert page.value("scaleloom_retry_budget_left", service="plain") > 0
+    assert page.value("scaleloom_store_calls_total", outcome="answered") > 0
+    assert page.value("scaleloom_list_age_seconds") < 5
+    assert page.value("scaleloom_resident_bytes") > 1 << 20
+    assert page.value("scaleloom_open_descriptors") > 3
+    assert page.total("scaleloom_start_to_ready_seconds") > 0
+
+
+@runs_on_paused_clock
+async def test_other_paths_are_not_found():
+    async with _site_with_page() as (_, port):
+        answer = await ask_raw(port, PAGE_REQUEST.replace(b"metrics", b"other"))
+    assert answer.status == 404
+
+
+@runs_on_paused_clock
+async def test_the_page_says_what_form_it_has():
+    async with _site_with_page() as (_, port):
+        answer = await ask_raw(port, PAGE_REQUEST)
+    assert answer.headers["content-type"].encode() == CONTENT_TYPE
+
+
+@runs_on_paused_clock
+async def test_the_page_answers_while_every_place_is_taken():
+    async with _site_with_page() as (site, port):
+        for runner in site.runners:
+            runner.behaviour = _work_long
+        statuses: list[int | None] = []
+
+        async def ask(number: int) -> None:
+            answer = await site.ask("/safe/1", f"r-{number}")
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(REQUESTS):
+                nursery.start_soon(ask, number)
+            await eventually(_is_asked(site))
+            begun_s = trio.current_time()
+            answer = await ask_raw(port, PAGE_REQUEST)
+            took_s = trio.current_time() - begun_s
+            page = read_page(answer.body)
+        after = await _fetch(port)
+    assert took_s < FETCH_LIMIT_S
+    assert page.value("scaleloom_requests_in_flight") > 0
+    name = "scaleloom_requests_total"
+    assert after.total(name) == REQUESTS
+    assert after.value(name, outcome="served", kind="safe") == statuses.count(200)
+
+
+@runs_on_paused_clock
+async def test_readers_that_take_nothing_hold_up_no_request():
+    async with _site_with_page() as (site, port):
+        idle = [
+            await trio.open_tcp_stream(FIRST_HOST, port)
+            for _ in range(2 * CONNECTION_LIMIT)
+        ]
+        for stream in idle[:CONNECTION_LIMIT]:
+            await stream.send_all(PAGE_REQUEST * 3)
+        answer = await site.ask("/safe/1")
+        ended = 0
+        for stream in idle[CONNECTION_LIMIT:]:
+            with trio.fail_after(FETCH_LIMIT_S):
+                ended += await stream.receive_some(1) == b""
+        for stream in idle:
+            await stream.aclose()
+    assert answer.status == 200
+    assert ended == CONNECTION_LIMIT
+
+
+@runs_on_paused_clock
+async def test_a_gateway_whose_page_cannot_be_had_serves_all_the_same():
+    with socket.socket() as taken:
+        taken.bind((FIRST_HOST, 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        observe = GatewayObserveSection(metrics_address=f"{FIRST_HOST}:{port}")
+        async with running_site(observe=observe) as site:
+            answer = await site.ask("/safe/1")
+    assert answer.status == 200
+
+
+def test_the_reference_page_repeats_the_table_in_the_code():
+    assert render_table() in REFERENCE.read_text(encoding="utf-8")
+
+
+def test_names_tell_their_form_and_unit():
+    for item in figures.DEFINITIONS:
+        assert item.name.endswith("_total") == (item.form is Form.COUNTER), item.name
+        is_time = item.form is Form.HISTOGRAM
+        assert item.name.endswith("_seconds") or not is_time, item.name
