--- a/tests/gateway/test_metrics_page.py
+++ b/tests/gateway/test_metrics_page.py
@@ -11,7 +11,7 @@
     FleetBoundsSection,
     GatewayObserveSection,
 )
-from scaleloom_fleet.gateway import figures
+from scaleloom_fleet.gateway import accepting, figures
 from scaleloom_fleet.gateway.figures_reference import render_table
 from scaleloom_fleet.gateway.metrics_page import CONNECTION_LIMIT, PAGE_LIFE_S
 from scaleloom_fleet.utils.exposition import CONTENT_TYPE, INFINITY, Form
@@ -89,6 +89,21 @@
     assert page.value("scaleloom_attempts_total", verdict="answered") == 4
 
 
+@runs_on_paused_clock
+async def test_a_fault_of_our_own_is_counted_as_internal():
+    async def fail(*_) -> None:
+        raise RuntimeError("a fault that nobody thought of")
+
+    async with _site_with_page() as (site, port):
+        served, accepting.serve = accepting.serve, fail
+        try:
+            await site.ask("/safe/1")
+        finally:
+            accepting.serve = served
+        page = await _fetch(port)
+    assert page.value("scaleloom_requests_unserved_total", reason="internal") == 1
+
+
 @runs_on_paused_clock
 async def test_what_is_no_request_is_counted_as_malformed():
     async with _site_with_page() as (site, port):
