--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -1,5 +1,7 @@
 """One request at one target: sent once, its answer passed on or judged."""
 
+import logging
+
 import trio
 
 from scaleloom_core.fleet_load import target_key
@@ -10,6 +12,7 @@
 from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway.choosing import is_recalled
+from scaleloom_fleet.gateway.figures import CACHE_SOURCES
 from scaleloom_fleet.gateway.headers import request_for
 from scaleloom_fleet.gateway.observing import note_end, note_out_of_time, observe
 from scaleloom_fleet.gateway.passing import (
@@ -35,6 +38,7 @@
 SAFE_PATIENCE = 0.8
 STREAM_PATIENCE = 2.0
 LEAST_PATIENCE_S = 0.4
+_logger = logging.getLogger("scaleloom.gateway")
 
 
 async def send_to(
@@ -58,6 +62,7 @@
     link = await state.pools.acquire(target, is_repeatable)
     if link is None:
         record.note_unreachable(trio.current_time())
+        _tell_away(record)
         return Verdict.NEVER_SENT
     if work.connection.has_just_left():
         # Nothing was sent yet, and nobody waits for the answer any more.
@@ -85,12 +90,20 @@
     return verdict
 
 
+def _tell_away(record: TargetRecord) -> None:
+    """Log that a target takes no connection and is left alone for a while."""
+    fields = {"target": record.listed.id, "absence_ms": int(record.absence_s * 1000)}
+    _logger.info("target away", extra=fields)
+
+
 def _judge(state: GatewayState, record: TargetRecord, verdict: Verdict) -> None:
     """Take what `verdict` tells of the target into its record, and tell peers."""
     if verdict is Verdict.MISPLACED:
         record.note_misplaced(trio.current_time())
         return
     if verdict is Verdict.ANSWERED:
+        if record.absence_s > 0.0:
+            _logger.info("target back", extra={"target": record.listed.id})
         record.note_answer()
         outcomes = ONE_ANSWERED
     else:
@@ -119,6 +132,8 @@
     may_have_run_before = work.may_have_run
     work.may_have_run = True
     observe(work, record.listed.id, is_warm)
+    if source is not None:
+        state.figures.add(CACHE_SOURCES)
     link.start(outgoing)
     with trio.move_on_after(_head_patience_s(work, can_repeat)) as scope:
         head = await _own_head(link, outgoing, work, names.request_id.lower())
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
@@ -5,6 +5,7 @@
 import trio
 
 from scaleloom_fleet.gateway.answering import closing_headers
+from scaleloom_fleet.gateway.figures import FIRST_BYTE
 from scaleloom_fleet.gateway.headers import answer_headers
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.verdicts import Verdict
@@ -28,6 +29,7 @@
             return await _pass_long(state, work, link, head, b"".join(parts))
     if work.observation is not None:
         work.observation.note_whole(trio.current_time())
+    _note_first_byte(state, work)
     await pass_answer(state, work, head, b"".join(parts))
     return Verdict.ANSWERED
 
@@ -43,10 +45,17 @@
     await work.connection.send_answer(head.status, head.reason, headers, body)
 
 
+def _note_first_byte(state: GatewayState, work: Work) -> None:
+    """Note how long the caller waited for the first byte of a success."""
+    waited_s = trio.current_time() - work.match.received_s
+    state.figures.observe(FIRST_BYTE, waited_s, work.match.route.kind.value)
+
+
 async def _begin_answer(
     state: GatewayState, work: Work, head: AnswerHead, keeps_length: bool
 ) -> None:
     """Send the head of an answer whose body follows."""
+    _note_first_byte(state, work)
     headers = answer_headers(head, keeps_length)
     headers += closing_headers(state.is_stopping)
     work.is_answer_begun = True
