--- /dev/null
+++ b/tests/core/test_rollout_exposure.py
@@ -0,0 +1,89 @@
+"""Tests of how many requests a version on trial may get."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from scaleloom_core.rollouts.exposure import (
+    SHARE_IN_USE,
+    SWITCHED_SHARE_IN_USE,
+    TRIAL_PART,
+    ExposureBounds,
+    ExposureBudget,
+)
+
+BOUNDS = ExposureBounds()
+
+
+def _after_requests(count, extra=0.0, rate_per_s=10.0):
+    """Return a budget after requests at the current version."""
+    budget = ExposureBudget(BOUNDS, extra)
+    for number in range(count):
+        budget.note_sent(False, number / rate_per_s)
+    return budget
+
+
+def test_nothing_is_tried_before_the_share_allows_one():
+    needed = 1.0 / (BOUNDS.share * SHARE_IN_USE * TRIAL_PART)
+    assert not _after_requests(int(needed) - 1).may_try
+    assert _after_requests(int(needed) + 1).may_try
+
+
+def test_slack_lets_the_first_request_be_tried():
+    assert _after_requests(0, extra=2.0).may_try
+    assert not _after_requests(0, extra=1.0).may_try
+
+
+def test_a_trial_leaves_a_part_of_the_share_for_the_move():
+    budget = _after_requests(1000)
+    while budget.may_try:
+        budget.note_sent(True, 100.0)
+    assert budget.left() >= 0.4 * SHARE_IN_USE * BOUNDS.share * 1000
+
+
+def test_what_lasts_depends_on_the_rate_and_the_time_left():
+    budget = _after_requests(1000)
+    assert budget.lasts(0.0)
+    assert budget.lasts(1.0)
+    assert not budget.lasts(100.0)
+
+
+def test_a_router_that_knows_no_rate_moves_nothing():
+    budget = ExposureBudget(BOUNDS, 40.0)
+    budget.note_sent(False, 0.0)
+    assert not budget.lasts(0.1)
+
+
+def test_a_burst_shortens_what_lasts():
+    budget = _after_requests(500)
+    assert budget.lasts(1.0)
+    for number in range(300):
+        budget.note_sent(False, 50.0 + number / 200.0)
+    assert not budget.lasts(1.0)
+
+
+@settings(max_examples=60, database=None, deadline=None)
+@given(
+    st.lists(st.lists(st.booleans(), max_size=400), min_size=1, max_size=5),
+    st.sampled_from([0.0, 1.0, 10.0]),
+)
+def test_routers_that_ask_keep_the_bound_of_all_together(wishes, extra):
+    budgets = [ExposureBudget(BOUNDS, extra) for _ in wishes]
+    for budget, wished in zip(budgets, wishes):
+        for number, is_wished in enumerate(wished):
+            is_exposed = is_wished and budget.may_go_on
+            budget.note_sent(is_exposed, number / 10.0)
+    requests = sum(budget.requests for budget in budgets)
+    exposed = sum(budget.exposed for budget in budgets)
+    assert requests == sum(map(len, wishes))
+    allowed = BOUNDS.share * requests + extra * len(budgets)
+    assert exposed <= SWITCHED_SHARE_IN_USE * allowed + 1e-9
+
+
+@settings(max_examples=60, database=None, deadline=None)
+@given(st.integers(0, 2000), st.sampled_from([0.0, 3.0]))
+def test_a_trial_alone_uses_its_part_at_most(requests, extra):
+    budget = ExposureBudget(BOUNDS, extra)
+    for number in range(requests):
+        budget.note_sent(budget.may_try, number / 10.0)
+    part = TRIAL_PART * BOUNDS.share * requests
+    assert budget.exposed <= SHARE_IN_USE * (part + extra) + 1e-9
--- /dev/null
+++ b/tests/core/test_rollout_stages.py
@@ -0,0 +1,79 @@
+"""Tests of how what is told of a roll-out's stage is joined."""
+
+import unittest
+from functools import reduce
+from itertools import permutations
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from scaleloom_core.ids import ServiceName, Version
+from scaleloom_core.rollouts.stages import Stage, Standing
+
+SERVICE = ServiceName("llm")
+VERSIONS = st.frozensets(st.sampled_from([Version("a"), Version("b")]))
+STANDINGS = st.builds(
+    Standing,
+    st.just(SERVICE),
+    st.integers(0, 2),
+    st.sampled_from(Stage),
+    st.integers(0, 60_000),
+    VERSIONS,
+    VERSIONS,
+)
+
+
+def _standing(position=1, stage=Stage.RUNNING, elapsed_ms=0, **versions):
+    """Return a standing of the service."""
+    return Standing(SERVICE, position, stage, elapsed_ms, **versions)
+
+
+def test_the_higher_stage_and_the_longer_time_hold():
+    early = _standing(stage=Stage.PROMOTING, elapsed_ms=900)
+    late = _standing(stage=Stage.RUNNING, elapsed_ms=1200)
+    merged = _standing(stage=Stage.PROMOTING, elapsed_ms=1200)
+    assert early.merged_with(late) == merged
+    assert late.merged_with(early) == merged
+
+
+def test_a_stage_that_is_written_down_as_done_holds_over_a_roll_back():
+    back, done = _standing(stage=Stage.ROLLED_BACK), _standing(stage=Stage.DONE)
+    assert back.merged_with(done).stage is Stage.DONE
+
+
+def test_what_is_told_of_a_later_order_holds_alone():
+    old = _standing(1, Stage.DONE, 9000, replaced=frozenset({Version("a")}))
+    new = _standing(2, Stage.RUNNING, 10)
+    assert old.merged_with(new) == new
+    assert new.merged_with(old) == new
+
+
+def test_only_two_stages_are_final():
+    assert {s for s in Stage if s.is_final} == {Stage.ROLLED_BACK, Stage.DONE}
+
+
+def test_a_standing_is_read_as_it_was_written():
+    told = _standing(rejected=frozenset({Version("b")}), elapsed_ms=5)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(told), type=Standing) == told
+
+
+def test_a_stage_that_nobody_knows_is_not_read():
+    told = msgspec.msgpack.encode([SERVICE, 1, 9, 0])
+    with unittest.TestCase().assertRaises(msgspec.ValidationError):
+        msgspec.msgpack.decode(told, type=Standing)
+
+
+@settings(max_examples=60, database=None, deadline=None)
+@given(st.lists(STANDINGS, min_size=1, max_size=4))
+def test_the_order_in_which_standings_are_heard_does_not_matter(told):
+    joined = {reduce(Standing.merged_with, order) for order in permutations(told)}
+    assert len(joined) == 1
+
+
+@settings(max_examples=60, database=None, deadline=None)
+@given(STANDINGS, STANDINGS)
+def test_a_standing_that_is_heard_again_changes_nothing(one, other):
+    merged = one.merged_with(other)
+    assert merged.merged_with(other) == merged
+    assert merged.merged_with(one) == merged
