--- a/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
@@ -113,6 +113,7 @@
             if self._settled_to < past <= second - SETTLED_AFTER_S:
                 self._add_second(self._settled, past)
                 self._settled.note_current(self._seconds[past].current)
+                self._is_changed = True
         self._settled_to = second - SETTLED_AFTER_S
         for past in [past for past in self._seconds if past < self._settled_to]:
             del self._seconds[past]
--- a/tests/core/test_rollout_evidence.py
+++ b/tests/core/test_rollout_evidence.py
@@ -3,7 +3,7 @@
 import unittest
 
 import msgspec
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from scaleloom_core.rollouts import answers, comparison, evidence
@@ -358,6 +358,13 @@
 
 @settings(max_examples=40, database=None, deadline=None)
 @given(st.lists(st.tuples(SEEN, st.floats(0.0, 3.0)), max_size=12))
+@example(
+    [
+        (_at_current(8, 8), 0.0),
+        (_at_current(0, route=OTHER), 1.0),
+        (_at_candidate([0], 1, 1), 1.0),
+    ]
+)
 def test_looking_often_changes_nothing_that_is_settled(noted):
     often, once, now_s = Evidence(), Evidence(), 0.0
     for seen, pause_s in noted:
@@ -368,3 +375,4 @@
     late_s = now_s + 10.0
     often.assess(late_s)
     assert often.summary(late_s) == once.summary(late_s)
+    assert often._latest == once._latest
