--- a/tests/core/test_rollout_evidence.py
+++ b/tests/core/test_rollout_evidence.py
@@ -111,7 +111,7 @@
 
 
 def test_trouble_that_is_long_over_explains_nothing():
-    known = _evidence_of(_at_current(20, 19), at_s=10.0)
+    known = _evidence_of(_at_current(400, 400), at_s=10.0)
     for second in range(11, 40):
         known.note(_at_current(20), float(second))
     known.note(_at_candidate(range(3), 4, 4), 40.0)
@@ -158,6 +158,23 @@
     assert known.assess(11.0) is GOOD
 
 
+def test_a_route_that_speaks_against_it_leaves_it_open():
+    known = _evidence_of(
+        _at_current(90), _at_current(10, route=OTHER), _at_candidate(range(3), 9)
+    )
+    known.note(_at_candidate([1], 2, 1, route=OTHER), 10.1)
+    assert known.assess(11.0) is UNDECIDED
+    known.note(_at_candidate([2], 3, route=OTHER), 11.1)
+    assert known.assess(12.0) is GOOD
+
+
+def test_bad_answers_of_late_take_a_good_verdict_back():
+    known = _evidence_of(_at_current(100), _at_candidate(range(3), 100))
+    assert known.assess(10.0) is GOOD
+    known.note(_at_candidate([1, 2], 1, 1), 13.0)
+    assert known.assess(13.0) is UNDECIDED
+
+
 def test_a_rare_route_need_not_be_tried():
     known = _evidence_of(
         _at_current(98), _at_current(2, route=OTHER), _at_candidate(range(3), 9)
