--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/measuring.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/measuring.py
@@ -6,8 +6,8 @@
 
 from scaleloom_core.errors import FleetError, Outcome
 from scaleloom_fleet.gateway import figures
-from scaleloom_fleet.gateway.work import Work
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.work import Work
 
 _logger = logging.getLogger("scaleloom.gateway")
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_records.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_records.py
@@ -49,8 +49,15 @@
     relayed: UntoldAnswers = msgspec.field(default_factory=UntoldAnswers)
 
     def rule(self) -> VersionRule:
-        """Return which versions take part, as far as is known."""
+        """
+        Return which versions take part, as far as is known.
+
+        A version that serves alone goes on serving, or an order for it would
+        leave the service without targets until its end is written.
+        """
         rule = self.course.rule()
+        if self.is_alone:
+            rule = VersionRule(None, rule.replaced, rule.rejected)
         if not self.presumed:
             return rule
         replaced = rule.replaced | self.presumed
