--- a/tests/gateway/test_rollout_orders.py
+++ b/tests/gateway/test_rollout_orders.py
@@ -94,15 +94,32 @@
         (gateway,) = rolled.running()
         with ListHandler.listening("scaleloom.rollouts") as logged:
             rolled.store.put(CONFIG_TOPIC, ORDER_KEY, document)
-            rolled.store.forget_history(CONFIG_TOPIC)
-            rolled.store.put(CONFIG_TOPIC, "config", config(2, route("new", "safe")))
+            await trio.sleep(TOLD_S)
+        assert logged == ["order of a roll-out unreadable"]
+        course = rolled.desk(gateway).course_of(SERVICE)
+        assert (course.order.position, course.stage) == (position, Stage.RUNNING)
+
+
+@runs_on_paused_clock
+async def test_an_order_that_one_unreadable_hides_in_a_whole_reading_stands():
+    async with rollout_site(routers=1) as rolled:
+        position = rolled.order(duration_s=LONG_S)
+        await rolled.told(RUNNING)
+        (gateway,) = rolled.running()
+        rolled.store.fault = StoreFault.BUSY
+        # Ends the open call, so that the topic is read anew.
+        rolled.store.drop(CONFIG_TOPIC, "evacuate/nowhere")
+        await trio.sleep(TOLD_S)
+        readings = rolled.store.whole_readings[CONFIG_TOPIC]
+        rolled.store.put(CONFIG_TOPIC, ORDER_KEY, "nonsense")
+        rolled.store.fault = StoreFault.NONE
+        rolled.store.put(CONFIG_TOPIC, "config", config(2, route("new", "safe")))
 
-            async def is_in_force() -> bool:
-                asked = await gateway.ask(request_bytes("/new/1"))
-                return asked.status == 200
+        async def is_in_force() -> bool:
+            return (await gateway.ask(request_bytes("/new/1"))).status == 200
 
-            await eventually(is_in_force)
-        assert "order of a roll-out unreadable" in logged
+        await eventually(is_in_force)
+        assert rolled.store.whole_readings[CONFIG_TOPIC] > readings
         course = rolled.desk(gateway).course_of(SERVICE)
         assert (course.order.position, course.stage) == (position, Stage.RUNNING)
 
