--- /dev/null
+++ b/tests/gateway/test_rollout_whole.py
@@ -0,0 +1,96 @@
+"""Tests of whole roll-outs, from the order to what operators read."""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+from nose2.tools import params
+
+from tests.fixtures import runners
+from tests.fixtures.fleets import runs_on_paused_clock
+from tests.fixtures.gateways import GatewayFixture, eventually, request_bytes
+from tests.fixtures.http_standin import raw_answer
+from tests.fixtures.rollout_sites import NEW, RolloutSite, rollout_site
+
+RUNNING = ("running", NEW)
+DONE = ("done", NEW)
+ROLLED_BACK = ("rolled_back", NEW)
+DURATION_S = 12.0
+BEFORE_S = 1.0
+RATE_PER_S = 60
+WORK_S = 0.02
+PAIRS = 4
+EXPOSURE_SHARE, EXPOSURE_SLACK = 0.1, 50
+# A version is to be done by the deadline, a bad one found within it.
+LIMIT_S = DURATION_S + 0.5
+SEED = 3
+
+
+@dataclass
+class Traffic:
+    """
+    Requests through all routers, and how they fared.
+
+    Parameters
+    ----------
+    part_bad : float
+        Of the answers of the new version.
+    """
+
+    rolled: RolloutSite
+    part_bad: float
+    drawn: random.Random = field(default_factory=lambda: random.Random(SEED))
+    at_new: int = 0
+    at_old: int = 0
+    statuses: list[int | None] = field(default_factory=list)
+
+    async def answer(self, runner: runners.Runner, asked) -> bool:
+        """Answer for a target, badly now and then if it is a new one."""
+        await trio.sleep(WORK_S)
+        is_new = runner in self.rolled.site.runners[PAIRS:]
+        self.at_new += is_new
+        self.at_old += not is_new
+        if is_new and self.drawn.random() < self.part_bad:
+            await asked.stream.send_all(raw_answer(500, runner.seal(asked)))
+            return True
+        return await runners.answer_well(runner, asked)
+
+    async def ask(self, gateway: GatewayFixture, number: int) -> None:
+        """Send one request."""
+        data = request_bytes("/safe/1", f"r-{number}")
+        self.statuses.append((await gateway.ask(data)).status)
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Send requests until cancelled."""
+        for runner in self.rolled.site.runners:
+            runner.behaviour = self.answer
+        gateways = self.rolled.running()
+        number = 0
+        while True:
+            nursery.start_soon(self.ask, gateways[number % len(gateways)], number)
+            number += 1
+            await trio.sleep(1.0 / RATE_PER_S)
+
+
+@params((0.0, DONE), (0.3, ROLLED_BACK), (1.0, ROLLED_BACK))
+@runs_on_paused_clock
+async def test_a_version_is_judged_by_its_answers(part_bad, end):
+    async with rollout_site(pairs=PAIRS, is_judged=False) as rolled:
+        traffic = Traffic(rolled, part_bad)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(traffic.run, nursery)
+            await trio.sleep(BEFORE_S)
+            traffic.at_new = traffic.at_old = 0
+            rolled.order(duration_s=DURATION_S)
+
+            async def is_ended() -> bool:
+                return len(rolled.statuses()) == 2
+
+            await eventually(is_ended, LIMIT_S)
+            nursery.cancel_scope.cancel()
+        assert rolled.statuses() == [RUNNING, end]
+        if end is ROLLED_BACK:
+            sent = traffic.at_new + traffic.at_old
+            assert traffic.at_new <= EXPOSURE_SHARE * sent + EXPOSURE_SLACK
+        else:
+            assert set(traffic.statuses) == {200}
