--- a/benchmarks/rollout_verdict.py
+++ b/benchmarks/rollout_verdict.py
@@ -96,7 +96,8 @@
         text
         + "; "
         + ", ".join(
-            f"{what} {_middle(values)} ({_ninth(values)} in 9 of 10, {max(values)} at most)"
+            f"{what} {_middle(values)} ({_ninth(values)} in 9 of 10,"
+            f" {max(values)} at most)"
             for what, values in (
                 ("answers", [outcome.answered for outcome in found]),
                 ("on the thin route", [o.by_route.get(THIN_ROUTE, 0) for o in found]),
--- a/packages/scaleloom-core/scaleloom_core/observations.py
+++ b/packages/scaleloom-core/scaleloom_core/observations.py
@@ -1,19 +1,61 @@
 """How one request fares at a target of a service that is rolled out."""
 
+from typing import Protocol
+
 import msgspec
 
 from scaleloom_core.fleet_load import TargetKey
-from scaleloom_core.rollouts.course import RolloutCourse
+from scaleloom_core.rollouts.paces import NO_TIMES, AnswerTimes, UsualTimes
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.routing import RouteKey
 
+# Parts that come this soon after each other were sent together.
+LEAST_PACED_S = 0.02
 # Enough for the pace of a stream; the answer's end may be many seconds away.
 PACED_PARTS = 8
 
 
+class AnswerListener(Protocol):
+    """Takes in how requests of one service fare."""
+
+    def note_answer(
+        self,
+        track: Track,
+        route: RouteKey,
+        target: TargetKey,
+        is_failed: bool,
+        times: AnswerTimes,
+        now_s: float,
+    ) -> None:
+        """Take in one answer."""
+
+
+class UsualListener(msgspec.Struct):
+    """
+    Learns how long a service's answers usually take while nothing is rolled out.
+
+    A router of a large fleet gets too little to learn it within a roll-out.
+    """
+
+    usual: UsualTimes = msgspec.field(default_factory=UsualTimes)
+
+    def note_answer(
+        self,
+        track: Track,
+        route: RouteKey,
+        target: TargetKey,
+        is_failed: bool,
+        times: AnswerTimes,
+        now_s: float,
+    ) -> None:
+        """Take in one answer."""
+        if not is_failed:
+            self.usual.note_current(route, times)
+
+
 class Observation(msgspec.Struct):
     """
-    One exchange with a target of a service that is rolled out.
+    One exchange with a target.
 
     An answer is counted once, as soon as its pace is known; one that fails after
     that is counted again, as a bad one.
@@ -26,9 +68,11 @@
         The time that the target is given before its silence says anything.
     is_warm : bool
         Whether the target need not read a prompt first, which takes time.
+    is_cold : bool
+        Whether the target has just started, so that its times say nothing.
     """
 
-    course: RolloutCourse
+    listener: AnswerListener
     track: Track
     route: RouteKey
     target: TargetKey
@@ -36,6 +80,8 @@
     patience_s: float
     is_stream: bool
     is_warm: bool
+    is_cold: bool = False
+    _begun_s: float | None = None
     _pace: float | None = None
     _parts: int = 0
     _size: int = 0
@@ -50,11 +96,13 @@
         self._parts += 1
         if self._parts == 1:
             self._first_s = now_s
+            if self.is_warm:
+                self._begun_s = now_s - self.sent_s
             return
         self._size += size
-        if self._size > 0:
-            between_s = now_s - self._first_s - self._held_up_s
-            self._pace = max(0.0, between_s) / self._size
+        between_s = now_s - self._first_s - self._held_up_s
+        if self._size > 0 and between_s >= LEAST_PACED_S:
+            self._pace = between_s / self._size
         if self._parts == PACED_PARTS:
             self._tell(False, now_s)
 
@@ -80,7 +128,9 @@
     def _tell(self, is_failed: bool, now_s: float) -> None:
         """Count the answer."""
         self._is_told = True
-        pace = None if is_failed else self._pace
-        self.course.note_answer(
-            self.track, self.route, self.target, is_failed, pace, now_s
+        times = NO_TIMES
+        if not is_failed and not self.is_cold:
+            times = AnswerTimes(self._begun_s, self._pace)
+        self.listener.note_answer(
+            self.track, self.route, self.target, is_failed, times, now_s
         )
--- a/packages/scaleloom-core/scaleloom_core/rollouts/course.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/course.py
@@ -19,7 +19,7 @@
     ExposureBudget,
 )
 from scaleloom_core.rollouts.orders import RolloutOrder
-from scaleloom_core.rollouts.paces import UsualPaces
+from scaleloom_core.rollouts.paces import AnswerTimes, UsualTimes
 from scaleloom_core.rollouts.stages import Stage, Standing
 from scaleloom_core.rollouts.versions import Track, VersionRule
 
@@ -76,7 +76,7 @@
     replaced: frozenset[Version] = frozenset()
     rejected: frozenset[Version] = frozenset()
     evidence: Evidence = msgspec.field(default_factory=Evidence)
-    paces: UsualPaces = msgspec.field(default_factory=UsualPaces)
+    usual: UsualTimes = msgspec.field(default_factory=UsualTimes)
     untold: UntoldAnswers = msgspec.field(default_factory=UntoldAnswers)
     is_switched: bool = False
 
@@ -138,19 +138,28 @@
 
     def _promotion_track(self, now_s: float) -> Track:
         """Return the candidate once what it may get lasts until the deadline."""
-        if self.left_s(now_s) <= 0.0:
-            return Track.CANDIDATE
-        if self.has_switched(now_s) and self.budget.may_go_on:
+        if not self.has_switched(now_s):
+            return self._trial_track()
+        if self.left_s(now_s) <= 0.0 or self.budget.may_go_on:
             return Track.CANDIDATE
         self.is_switched = False
         return self._trial_track()
 
     def has_switched(self, now_s: float) -> bool:
-        """Return whether this router sends everything to the candidate."""
+        """
+        Return whether this router sends everything to the candidate.
+
+        Before the deadline it begins to only while the candidate still looks
+        good. Of versions that fail 0.4 of one rare route's answers, half look
+        good at some time and three in ten at the end of a trial (300 drawn trials
+        of 11 s).
+        """
         if self.stage is not Stage.PROMOTING:
             return self.stage is Stage.DONE
-        if self.budget.lasts(self.left_s(now_s)):
-            self.is_switched = True
+        left_s = self.left_s(now_s)
+        if not self.is_switched and self.budget.lasts(left_s):
+            is_good = self.evidence.assess(now_s) is Assessment.GOOD
+            self.is_switched = is_good or left_s <= 0.0
         return self.is_switched
 
     def note_sent(self, track: Track, now_s: float) -> None:
@@ -163,23 +172,15 @@
         route: int,
         target: int,
         is_failed: bool,
-        pace: float | None,
+        times: AnswerTimes,
         now_s: float,
     ) -> None:
-        """
-        Take in how a request of this router fared.
-
-        Parameters
-        ----------
-        pace : float or None
-            As in `UsualPaces`; None where it says nothing, as for a stream that
-            had to read its prompt first or broke off.
-        """
-        is_bad = is_failed
-        if pace is not None and not is_failed:
-            is_bad = self.paces.is_slow(route, pace)
-            if track is Track.CURRENT:
-                self.paces.note_current(route, pace)
+        """Take in how a request of this router fared, and how long it took."""
+        is_bad = is_failed or self.usual.is_slow(route, times)
+        if track is Track.CURRENT and not is_failed:
+            self.usual.note_current(route, times)
+        if self.stage.is_final:
+            return
         tally = Tally(1, int(is_bad))
         if track is Track.CURRENT:
             seen = SeenAnswers(current={route: tally})
@@ -231,7 +232,7 @@
             return self.stage
         if self.stage is Stage.RUNNING:
             return self._after_running(assessment, facts, now_s)
-        return self._after_promoting(facts, now_s)
+        return self._after_promoting(assessment, facts, now_s)
 
     def _after_running(
         self, assessment: Assessment, facts: FleetFacts, now_s: float
@@ -246,13 +247,22 @@
             return Stage.ROLLED_BACK
         return self.stage
 
-    def _after_promoting(self, facts: FleetFacts, now_s: float) -> Stage:
-        """Return what follows once the candidate takes over."""
-        if facts.candidate_slots == 0:
-            return self.stage
-        if facts.is_clear or -self.left_s(now_s) >= self.lateness_limit_s:
-            return Stage.DONE
-        return self.stage
+    def _after_promoting(
+        self, assessment: Assessment, facts: FleetFacts, now_s: float
+    ) -> Stage:
+        """
+        Return what follows once the candidate takes over.
+
+        It is not done without targets, or while it looks good no more; where
+        that lasts, it ends as a trial without a verdict does.
+        """
+        late_s = -self.left_s(now_s)
+        is_good = assessment is Assessment.GOOD and facts.candidate_slots > 0
+        if is_good:
+            is_over = facts.is_clear or late_s >= self.lateness_limit_s
+            return Stage.DONE if is_over else self.stage
+        is_over = late_s >= EXTENSION_PART * self.order.duration_s
+        return Stage.ROLLED_BACK if is_over else self.stage
 
 
 def begin_course(
@@ -262,6 +272,7 @@
     lateness_limit_s: float,
     is_seen_given: bool,
     now_s: float,
+    usual: UsualTimes | None = None,
 ) -> RolloutCourse:
     """
     Return the course of an order that this router has just learned of.
@@ -272,8 +283,13 @@
         How many routers share the slack.
     is_seen_given : bool
         Whether this router knew of the operators' topic before the order.
+    usual : UsualTimes or None
+        What is known of the service's answers from before the order.
     """
     extra = bounds.slack / max(1, routers) if is_seen_given else 0.0
     stage = Stage.RUNNING if is_seen_given else Stage.UNKNOWN
     budget = ExposureBudget(bounds, extra)
-    return RolloutCourse(order, now_s, budget, lateness_limit_s, stage)
+    course = RolloutCourse(order, now_s, budget, lateness_limit_s, stage)
+    if usual is not None:
+        course.usual = usual
+    return course
--- a/packages/scaleloom-core/scaleloom_core/rollouts/paces.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/paces.py
@@ -44,14 +44,30 @@
         return self.mean + min(most, max(least, spreads))
 
 
-class UsualPaces(msgspec.Struct):
+class AnswerTimes(msgspec.Struct, frozen=True):
     """
-    The usual pace of answers of the current version, by route.
+    How long an answer took; None where that says nothing of the version.
 
-    A pace is a time: of a plain answer, from sending to its end; of a stream,
-    for each byte between its first and its last events.
+    Parameters
+    ----------
+    begun_s : float or None
+        From sending to the first byte, in seconds. Nothing is said where the
+        prompt had to be read first or the target is cold.
+    pace_s : float or None
+        Of a plain answer, from sending to its end; of a stream, for each byte
+        between its first events and later ones, in seconds.
     """
 
+    begun_s: float | None = None
+    pace_s: float | None = None
+
+
+NO_TIMES = AnswerTimes()
+
+
+class UsualPaces(msgspec.Struct):
+    """One kind of time of the current version's answers, by route."""
+
     _routes: dict[int, UsualPace] = msgspec.field(default_factory=dict)
 
     def note_current(self, route: int, pace: float) -> None:
@@ -78,3 +94,24 @@
         if usual is None or usual.known < LEAST_KNOWN or pace <= 0.0:
             return False
         return math.log(pace) >= usual.slow_from
+
+
+class UsualTimes(msgspec.Struct):
+    """How long answers of the current version usually take, by route."""
+
+    begun: UsualPaces = msgspec.field(default_factory=UsualPaces)
+    paces: UsualPaces = msgspec.field(default_factory=UsualPaces)
+
+    def note_current(self, route: int, times: AnswerTimes) -> None:
+        """Take in an answer of the current version."""
+        for usual, value in self._pairs(times):
+            usual.note_current(route, value)
+
+    def is_slow(self, route: int, times: AnswerTimes) -> bool:
+        """Return whether an answer began or went on several times as slowly."""
+        return any(usual.is_slow(route, value) for usual, value in self._pairs(times))
+
+    def _pairs(self, times: AnswerTimes) -> list[tuple[UsualPaces, float]]:
+        """Return what is known of an answer, beside what is usual."""
+        pairs = ((self.begun, times.begun_s), (self.paces, times.pace_s))
+        return [(usual, value) for usual, value in pairs if value is not None]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -131,7 +131,7 @@
     work.sends += 1
     may_have_run_before = work.may_have_run
     work.may_have_run = True
-    observe(work, record.listed.id, is_warm)
+    observe(state, work, record, is_warm)
     if source is not None:
         state.figures.add(CACHE_SOURCES)
     link.start(outgoing)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
@@ -1,12 +1,13 @@
-"""What the answers of a service that is rolled out say of its versions."""
+"""What answers of targets say of the version of their software."""
 
 import trio
 
 from scaleloom_core.fleet_load import target_key
-from scaleloom_core.ids import TargetId
 from scaleloom_core.observations import Observation
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.routing import RequestKind, route_key
+from scaleloom_core.target_records import TargetRecord
+from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.verdicts import Verdict
 from scaleloom_fleet.gateway.work import Work
 
@@ -14,30 +15,34 @@
 FAILURES = frozenset({Verdict.FAILED, Verdict.BROKEN, Verdict.SILENT})
 
 
-def observe(work: Work, target: TargetId, is_warm: bool) -> None:
+def observe(
+    state: GatewayState, work: Work, record: TargetRecord, is_warm: bool
+) -> None:
     """
-    Begin to observe a request that is sent now, if its service is rolled out.
+    Begin to observe a request that is sent now.
 
     Parameters
     ----------
     is_warm : bool
         Whether the target need not read the request's prompt first.
     """
-    course, route = work.course, work.match.route
-    if course is None:
-        return
+    course, route, policy = work.course, work.match.route, work.match.policy
     now_s = trio.current_time()
-    if work.track is Track.CURRENT:
+    if course is not None and work.track is Track.CURRENT:
         course.note_sent(work.track, now_s)
+    listener = course or state.rollouts.listener_of(policy.name)
+    if listener is None:
+        return
     work.observation = Observation(
-        course=course,
+        listener=listener,
         track=work.track,
         route=route_key(route.name),
-        target=target_key(target),
+        target=target_key(record.listed.id),
         sent_s=now_s,
         patience_s=route.objective_ms / 1000.0,
         is_stream=route.kind is RequestKind.STREAM,
         is_warm=is_warm,
+        is_cold=record.is_cold(policy.cold_start_s, now_s),
     )
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollouts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollouts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from scaleloom_core.ids import ServiceName
+from scaleloom_core.observations import UsualListener
 from scaleloom_core.rollouts.course import (
     KNOWN_FROM_START_S,
     FleetFacts,
@@ -47,6 +48,7 @@
         self._section = RolloutsSection()
         self._tell: Callable[[], None] = _tell_nobody
         self._first_told_s: float | None = None
+        self._listeners: dict[ServiceName, UsualListener] = {}
         self.orders = RolloutOrders()
         self.by_service: dict[ServiceName, Rollout] = {}
 
@@ -64,6 +66,12 @@
         rollout = self.by_service.get(service)
         return rollout.course if rollout is not None else None
 
+    def listener_of(self, service: ServiceName) -> UsualListener | None:
+        """Return who learns how long answers of `service` usually take, if anybody."""
+        if not self._section.is_enabled:
+            return None
+        return self._listeners.setdefault(service, UsualListener())
+
     def rules(self) -> dict[ServiceName, VersionRule]:
         """Return what is known of versions, by service."""
         return {service: known.rule() for service, known in self.by_service.items()}
@@ -108,7 +116,10 @@
             self._section.exposure_share, self._section.exposure_slack
         )
         limit_s = self._section.lateness_limit_s
-        course = begin_course(order, bounds, routers, limit_s, is_seen_given, now_s)
+        usual = self._listeners.setdefault(order.service, UsualListener()).usual
+        course = begin_course(
+            order, bounds, routers, limit_s, is_seen_given, now_s, usual
+        )
         rollout = Rollout(course, now_s, lacks_evidence=not is_seen_given)
         rollout.is_alone = is_seen_given and self._is_alone(order)
         if former is not None:
--- a/tests/core/test_rollout_course.py
+++ b/tests/core/test_rollout_course.py
@@ -13,6 +13,7 @@
 )
 from scaleloom_core.rollouts.exposure import ExposureBounds
 from scaleloom_core.rollouts.orders import RolloutOrder
+from scaleloom_core.rollouts.paces import AnswerTimes
 from scaleloom_core.rollouts.stages import Stage, Standing
 from scaleloom_core.rollouts.versions import Track
 
@@ -43,7 +44,9 @@
 def _answer(course, track, count, now_s, is_failed=False, pace=None):
     """Let targets answer, three of the candidate in turn."""
     for number in range(count):
-        course.note_answer(track, ROUTE, number % 3, is_failed, pace, now_s)
+        course.note_answer(
+            track, ROUTE, number % 3, is_failed, AnswerTimes(None, pace), now_s
+        )
 
 
 def _good_course() -> RolloutCourse:
@@ -120,7 +123,7 @@
 
 
 def test_a_promoted_version_gets_all_once_that_fits_to_the_deadline():
-    course = _course()
+    course = _good_course()
     _send(course, 110.0)
     course.take_in(_told(Stage.PROMOTING), 110.0)
     tracks = _send(course, 120.0, since_s=110.0)
@@ -197,7 +200,7 @@
 
 
 def test_the_end_waits_for_requests_at_the_current_version():
-    course = _course()
+    course = _good_course()
     course.stage = Stage.PROMOTING
     assert course.next_stage(READY, True, 119.0) is Stage.PROMOTING
     assert course.next_stage(CLEAR, True, 119.0) is Stage.DONE
@@ -206,9 +209,22 @@
 
 
 def test_no_version_takes_over_without_targets():
-    course = _course()
+    course = _good_course()
     course.stage = Stage.PROMOTING
-    assert course.next_stage(GONE, True, 130.0) is Stage.PROMOTING
+    end_s = 100.0 + DURATION_S * (1.0 + EXTENSION_PART)
+    assert course.next_stage(GONE, True, end_s - 0.1) is Stage.PROMOTING
+    assert course.next_stage(GONE, True, end_s) is Stage.ROLLED_BACK
+
+
+def test_a_version_that_looks_good_no_more_is_neither_switched_to_nor_done():
+    course = _course()
+    _send(course, 119.5)
+    course.take_in(_told(Stage.PROMOTING), 119.5)
+    assert course.budget.lasts(0.1)
+    assert not course.has_switched(119.9)
+    assert course.next_stage(CLEAR, True, 119.9) is Stage.PROMOTING
+    end_s = 100.0 + DURATION_S * (1.0 + EXTENSION_PART)
+    assert course.next_stage(CLEAR, True, end_s) is Stage.ROLLED_BACK
 
 
 def test_a_final_stage_stays():
--- a/tests/gateway/test_rollout_news.py
+++ b/tests/gateway/test_rollout_news.py
@@ -6,6 +6,7 @@
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster, GroupId
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_core.rollouts.evidence import Assessment, SeenAnswers, Tally
+from scaleloom_core.rollouts.paces import NO_TIMES
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_fleet.conf.gateway_schema import GatewayInstanceSection, RolloutsSection
@@ -49,7 +50,7 @@
         for gateway in rolled.running():
             course = rolled.desk(gateway).course_of(SERVICE)
             for _ in range(ANSWERS):
-                course.note_answer(Track.CURRENT, 1, 1, False, None, now_s)
+                course.note_answer(Track.CURRENT, 1, 1, False, NO_TIMES, now_s)
         await trio.sleep(TOLD_S)
         assert rolled.judgement.noted == ANSWERS * len(rolled.running()) ** 2
 
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -297,7 +297,7 @@
             runner.behaviour = answer_late
         await trial.site.ask("/once/1", "r-slow")
         (noted,) = trial.course.answers
-        assert abs(noted.pace - SLOW_S) < 0.05
+        assert abs(noted.times.pace_s - SLOW_S) < 0.05
         assert not noted.is_failed
 
 
@@ -376,7 +376,7 @@
             await trio.sleep(1.2)
             (noted,) = trial.course.answers
             size = len(runners.event(1))
-            assert abs(noted.pace - 0.1 / size) < 0.02 / size
+            assert abs(noted.times.pace_s - 0.1 / size) < 0.02 / size
             held.set()
         assert len(trial.course.answers) == 1
 
