--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,6 +6,7 @@
 
 from benchmarks.control import measure_control
 from benchmarks.measures import judge, print_line, read_bounds
+from benchmarks.memory import measure_memory
 from benchmarks.own_code import measure_own_code
 from benchmarks.path import measure_path
 from benchmarks.placement import measure_placement
@@ -20,6 +21,7 @@
         trio.run(measure_own_code),
         trio.run(measure_control),
         trio.run(measure_path),
+        trio.run(measure_memory),
     ):
         for measure in measures:
             print_line(measure)
--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,86 @@
+"""Resident memory of a gateway that is ready, and how long it takes to be."""
+
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+
+from benchmarks.measures import Measure
+from scaleloom_standins.ports import free_port
+from soak.processes import GatewayProcess
+from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
+    TARGETS_TOPIC,
+    ask_raw,
+    config,
+    entry,
+)
+from tests.fixtures.http_standin import free_listener, port_of, serve_http
+from tests.fixtures.platform_store import StoreStandin
+from tests.fixtures.processes import PYTHON, environment
+from tests.fixtures.runners import Runner
+
+HOST = "127.0.0.1"
+READY = b"GET /scaleloom/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+ASK_AGAIN_S = 0.005
+START_LIMIT_S = 20.0
+KIBIBYTE = 1024
+BARE = "print(open('/proc/self/status').read())"
+
+
+async def measure_memory() -> list[Measure]:
+    """Return the measures of one gateway process that serves a small site."""
+    bare_bytes = _resident_bytes(_run_bare())
+    store = StoreStandin()
+    store.put(CONFIG_TOPIC, "config", config(1))
+    store.put(TARGETS_TOPIC, "i-1", entry(Runner("i-1", port=free_port())))
+    async with trio.open_nursery() as nursery:
+        listener = free_listener()
+        nursery.start_soon(serve_http, listener, store.answer)
+        with tempfile.TemporaryDirectory() as directory:
+            gateway = GatewayProcess(
+                "g-1", HOST, free_port(), port_of(listener), Path(directory)
+            )
+            gateway.write_settings("")
+            bytes_, start_s = await _start(gateway)
+        nursery.cancel_scope.cancel()
+    return [
+        Measure("memory.gateway.over_bare", bytes_ / bare_bytes, "ratio"),
+        Measure("memory.gateway.ready", bytes_ / 1e6, "MB"),
+        Measure("memory.gateway.start", start_s, "s"),
+    ]
+
+
+async def _start(gateway: GatewayProcess) -> tuple[int, float]:
+    """Return a gateway's resident memory and the time from its start to ready."""
+    began_s = time.perf_counter()
+    command = [*PYTHON, "-m", "scaleloom_fleet", "gateway", "--settings"]
+    process = subprocess.Popen(
+        [*command, str(gateway.settings_path)],
+        env=environment(),
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        with trio.fail_after(START_LIMIT_S):
+            while (await ask_raw(gateway.ready_port, READY)).status != 200:
+                await trio.sleep(ASK_AGAIN_S)
+        start_s = time.perf_counter() - began_s
+        status = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+        return _resident_bytes(status), start_s
+    finally:
+        process.kill()
+        process.wait()
+
+
+def _run_bare() -> str:
+    """Return the status of an interpreter that does nothing else."""
+    command = [*PYTHON, "-c", BARE]
+    return subprocess.run(command, capture_output=True, text=True, check=True).stdout
+
+
+def _resident_bytes(status: str) -> int:
+    """Return the resident memory that `status` of a process tells."""
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+    return int(line.split()[1]) * KIBIBYTE
--- a/packages/scaleloom-fleet/scaleloom_fleet/__main__.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/__main__.py
@@ -4,16 +4,29 @@
 import signal
 import sys
 
-from scaleloom_fleet.utils import listening
+from scaleloom_fleet.utils import late_modules, listening
 
 # A changed settings file may be signalled before the process could read any;
 # it reads the file later, and the default would end it.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 listening.open_early(sys.argv[1:])
-# Nothing that is loaded is ever garbage; `main` lets the collector in again.
+# Nothing that is loaded is ever garbage; `starting` lets the collector in again.
 gc.disable()
 
-from scaleloom_fleet.main import main  # noqa: E402
+
+def _run() -> None:
+    """Run what the arguments ask for; a plain gateway loads no command line."""
+    path = listening.plain_gateway(sys.argv[1:])
+    if path is None:
+        from scaleloom_fleet.main import main
+
+        main()
+        return
+    late_modules.defer()
+    with late_modules.without_thread_names():
+        from scaleloom_fleet.starting import start_gateway
+    start_gateway(path)
+
 
 if __name__ == "__main__":
-    main()
+    _run()
--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/starting.py
@@ -0,0 +1,56 @@
+"""How a process begins: its settings, logs and collector."""
+
+import gc
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import trio
+from returns.result import Failure
+
+from scaleloom_fleet.conf import CheckMessage, load_gateway_settings
+from scaleloom_fleet.utils.logs import set_up_logs
+
+EXIT_BAD_SETTINGS = 78
+COLLECTOR_THRESHOLD = 20_000
+
+
+def start_gateway(path: Path) -> None:
+    """Run a gateway with the settings at `path` until it is asked to stop."""
+    from scaleloom_fleet.gateway.process import run_gateway
+    from scaleloom_fleet.utils.stopping import wait_signal
+
+    settings = load_or_exit(load_gateway_settings, path)
+    set_up(settings)
+    trio.run(run_gateway, settings, wait_signal, path)
+
+
+def load_or_exit(load, path: Path):
+    """Return the settings at `path`, or report and exit."""
+    loaded = load(path)
+    if isinstance(loaded, Failure):
+        report_and_exit(loaded.failure())
+    return loaded.unwrap()
+
+
+def report_and_exit(messages: Sequence[CheckMessage]) -> None:
+    """Print every message and exit, if there are any."""
+    if not messages:
+        return
+    for message in messages:
+        print(message, file=sys.stderr)
+    print(f"{len(messages)} problems found.", file=sys.stderr)
+    sys.exit(EXIT_BAD_SETTINGS)
+
+
+def set_up(settings) -> None:
+    """Set up logs and the collector."""
+    set_up_logs(settings.observe.log_level, settings.instance.name)
+    _calm_collector()
+
+
+def _calm_collector() -> None:
+    """Keep the collector from walking what lives as long as the process."""
+    gc.freeze()
+    gc.set_threshold(COLLECTOR_THRESHOLD)
+    gc.enable()
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/listening.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/listening.py
@@ -58,6 +58,13 @@
     return _opened.pop((host, port), None)
 
 
+def plain_gateway(arguments: list[str]) -> Path | None:
+    """Return the settings' path if `arguments` say nothing but to run a gateway."""
+    if len(arguments) != 3 or arguments[:2] != [ROLE_WITH_FRONT, SETTINGS_FLAG]:
+        return None
+    return Path(arguments[2])
+
+
 def _front_of(arguments: list[str]) -> tuple[str, int] | None:
     """Return where a gateway started with `arguments` listens for callers."""
     if not arguments or arguments[0] != ROLE_WITH_FRONT:
