--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,4 +11,4 @@
     rm -rf "$deps/$(basename "$package")"
     cp -R "$package" "$deps/"
 done
-python3 -m compileall -q "$deps"
+python3 deploy/compile.py "$deps"
--- /dev/null
+++ b/tests/fleet/test_compiling.py
@@ -0,0 +1,69 @@
+"""Tests of how a deployment is compiled."""
+
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+COMPILER = Path(__file__).parents[2] / "deploy" / "compile.py"
+MODULE = '''"""A text."""
+
+from __future__ import annotations
+
+
+class Kept(Exception):
+    """Another."""
+
+
+def check(number: int) -> None:
+    """A third."""
+    assert number, "kept"
+'''
+
+
+@contextmanager
+def _compiled(*paths: str) -> Iterator[Path]:
+    """Yield a folder with a compiled module at each of `paths`."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        for path in paths:
+            (folder / path).parent.mkdir(parents=True, exist_ok=True)
+            (folder / path).write_text(MODULE, encoding="utf-8")
+        subprocess.run([sys.executable, COMPILER, folder], check=True)
+        yield folder
+
+
+def _print(folder: Path, expression: str, module: str = "plain") -> str:
+    """Return what `expression` is in a process that uses the compiled module."""
+    program = f"import {module} as m; print({expression})"
+    ended = subprocess.run(
+        [sys.executable, "-S", "-v", "-c", program],
+        cwd=folder,
+        env={},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    used = [line for line in ended.stderr.splitlines() if "code object from" in line]
+    assert any(f"{module.rpartition('.')[2]}.cpython" in line for line in used)
+    return ended.stdout.strip()
+
+
+def test_a_compiled_module_holds_no_texts_for_people():
+    with _compiled("plain.py") as folder:
+        texts = "(m.__doc__, m.Kept.__doc__, m.check.__doc__)"
+        assert _print(folder, texts) == "(None, None, None)"
+
+
+def test_a_compiled_module_keeps_its_own_checks():
+    with _compiled("plain.py") as folder:
+        constants = "'kept' in m.check.__code__.co_consts"
+        assert _print(folder, constants) == "True"
+
+
+def test_the_command_line_keeps_its_help():
+    with _compiled("scaleloom_fleet/main.py") as folder:
+        text = _print(folder, "m.check.__doc__", "scaleloom_fleet.main")
+        assert text == "A third."
