--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -12,8 +12,13 @@
 import sys
 from pathlib import Path
 
-# The command line shows its docstrings as help.
-KEPT = ("scaleloom_fleet/main.py", "scaleloom_cli/main.py")
+# The command line shows these as its help and in the reference of settings.
+KEPT = (
+    "scaleloom_fleet/main.py",
+    "scaleloom_fleet/conf/gateway_schema.py",
+    "scaleloom_fleet/conf/schema.py",
+    "scaleloom_fleet/conf/fields.py",
+)
 DOCUMENTED = (ast.Module, ast.ClassDef, ast.FunctionDef, ast.AsyncFunctionDef)
 BY_MODIFICATION_TIME = 0
 UINT32_LIMIT = 1 << 32
--- a/packages/scaleloom-core/scaleloom_core/errors.py
+++ b/packages/scaleloom-core/scaleloom_core/errors.py
@@ -57,6 +57,7 @@
     OWNER_UNREACHABLE = "owner_unreachable"
     PEER_HAS_FEWER = "peer_has_fewer"
     REDIRECT = "redirect"
+    ROUTER_FULL = "router_full"
     SENDER_TIMEOUT = "sender_timeout"
     STALE_PLAN = "stale_plan"
     TAKEOVER_WAIT = "takeover_wait"
@@ -150,6 +151,9 @@
     ),
     _K.PEER_HAS_FEWER: Answer(503, _N, _LATER, _DEBUG, "A peer carries less", _REFUSED),
     _K.REDIRECT: Answer(503, _N, _LATER, _DEBUG, "Better placed elsewhere", _REFUSED),
+    _K.ROUTER_FULL: Answer(
+        503, _N, _LATER, _INFO, "Router is at a limit of its own", _ENTRY
+    ),
     _K.SENDER_TIMEOUT: Answer(408, _N, _LATER, _INFO, "Sender is too slow", _ENTRY),
     _K.STALE_PLAN: Answer(409, _N, _NEVER, _INFO, "Plan's base has changed", _ENTRY),
     _K.TAKEOVER_WAIT: Answer(
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Meta
 
+from scaleloom_core.own_limits import OwnMeans
 from scaleloom_fleet.conf.fields import (
     HostPort,
     Name,
@@ -128,6 +129,38 @@
     ] = 1000.0
 
 
+class LimitsSection(msgspec.Struct, frozen=True):
+    """What a gateway's machine gives it; 0 sets no limit."""
+
+    cores: Annotated[float, Meta(gt=0, description="Cores of the machine.")] = 1.0
+    processor_share: Annotated[
+        float, Meta(gt=0, description="The share of them that is the process's.")
+    ] = 1.0
+    memory_mb: Annotated[
+        float, Meta(ge=0, description="Memory that the process may take.")
+    ] = 0.0
+    descriptors: Annotated[
+        int, Meta(ge=0, description="Descriptors that the process may open.")
+    ] = 0
+    file_descriptors: Annotated[
+        int, Meta(ge=0, description="How many of these are kept for files.")
+    ] = 0
+    link_queue_s: Annotated[
+        Seconds,
+        Meta(
+            description="Requests are refused while sent bytes wait longer for the"
+            " link."
+        ),
+    ] = 0.0
+    lateness_s: Annotated[
+        Seconds,
+        Meta(
+            description="Requests are refused while all timers of the process are"
+            " later."
+        ),
+    ] = 0.0
+
+
 class GatewaySettings(msgspec.Struct, frozen=True):
     """All settings of a gateway."""
 
@@ -138,8 +171,21 @@
     targets: TargetsSection = TargetsSection()
     bounds: FleetBoundsSection = FleetBoundsSection()
     stop: GatewayStopSection = GatewayStopSection()
+    limits: LimitsSection = LimitsSection()
     observe: ObserveSection = ObserveSection()
 
+    @property
+    def means(self) -> OwnMeans:
+        """Return what this gateway has, as its limits see it."""
+        given = self.limits
+        return OwnMeans(
+            descriptors=max(0, given.descriptors - given.file_descriptors),
+            memory_mb=given.memory_mb,
+            link_mbps=self.instance.link_mbps,
+            link_queue_s=given.link_queue_s,
+            lateness_s=given.lateness_s,
+        )
+
     @property
     def front_address(self) -> Address:
         """Return where callers connect."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -8,6 +8,12 @@
 from scaleloom_core.errors import ErrorKind, FleetError
 from scaleloom_fleet.gateway.answering import answer_error, answer_rejection
 from scaleloom_fleet.gateway.attempts import serve
+from scaleloom_fleet.gateway.limiting import (
+    lacking_for_caller,
+    may_accept,
+    refuse,
+    refuse_caller,
+)
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.callers import (
@@ -33,21 +39,28 @@
         await state.known.wait()
     while True:
         await trio.lowlevel.wait_readable(listener)
-        accepted = 0
-        while accepted < ACCEPT_BATCH:
+        accepted = taken = 0
+        while accepted < ACCEPT_BATCH and may_accept(state):
             connection = sockets.accept_ready(listener)
             if connection is None:
                 break
             accepted += 1
+            lacking = lacking_for_caller(state, connection, taken)
+            if lacking is not None:
+                state.refused_now += 1
+                nursery.start_soon(refuse_caller, state, connection, lacking)
+                continue
+            taken += 1
             nursery.start_soon(serve_connection, state, connection)
         if not accepted:
-            # Out of descriptors: the connection stays ready and would spin.
+            # Out of descriptors, or too many are being refused: the connection
+            # stays ready and would spin.
             await trio.sleep(ACCEPT_PAUSE_S)
 
 
 async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
     """Answer the requests of one connection until either side ends it."""
-    caller = CallerConnection(connection)
+    caller = CallerConnection(connection, state.note_sent)
     state.connections.add(caller)
     try:
         async with trio.open_nursery() as nursery:
@@ -64,6 +77,11 @@
     try:
         while True:
             request = await caller.read_request(state.caller_limits())
+            lacking = state.own_limits.lacking_for_request(trio.current_time())
+            if lacking is not None:
+                await refuse(state, caller, lacking)
+                return
+            state.note_sent(len(request.body))
             await _serve_one(state, caller, request)
             if not caller.finish():
                 return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -10,6 +11,7 @@
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.ids import DataCentreName
 from scaleloom_core.list_freshness import ListFreshness
+from scaleloom_core.own_limits import OwnLimits
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.target_choice import TargetChooser
@@ -20,6 +22,7 @@
 from scaleloom_fleet.gateway.copies import DocumentCopies
 from scaleloom_fleet.gateway.holder_copies import HolderCopies
 from scaleloom_fleet.gateway.interfaces import load_adapter
+from scaleloom_fleet.gateway.limiting import watch_lateness
 from scaleloom_fleet.gateway.list_watch import ListWatch
 from scaleloom_fleet.gateway.peers import PeerExchange
 from scaleloom_fleet.gateway.pools import LinkPools
@@ -79,6 +82,7 @@
             holder_copies.write_forever,
             state.pools.sweep_forever,
             state.waiting.pump_forever,
+            partial(watch_lateness, state),
         ):
             nursery.start_soon(task)
         if settings.statsd_address is not None:
@@ -113,6 +117,7 @@
         returns=returns,
         pools=LinkPools(settings.targets),
         freshness=ListFreshness(settings.platform.list_poll_s),
+        own_limits=OwnLimits(settings.means),
         metrics=make_metrics(settings.statsd_address, settings.instance.name),
     )
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -11,6 +11,7 @@
 from scaleloom_core.ids import TargetId
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.list_history import ListHistory
+from scaleloom_core.own_limits import OwnLimits
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.routing import RequestLimits, RoutingTable
@@ -75,6 +76,8 @@
         How the own requests fared, for peers.
     rank : int
         This router's place among those that are heard.
+    refused_now : int
+        How many callers are being refused at this moment.
     report_is_due : trio.Event
         Set when peers are to be told something before the next round.
     """
@@ -89,6 +92,7 @@
     pools: LinkPools
     metrics: Metrics
     freshness: ListFreshness
+    own_limits: OwnLimits
     outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
     returns: ReturnTimes = msgspec.field(default_factory=ReturnTimes)
     usual_delays: UsualDelays = msgspec.field(default_factory=UsualDelays)
@@ -100,6 +104,7 @@
     followed_peers: int = 0
     router_count: int = 1
     rank: int = 0
+    refused_now: int = 0
     is_stopping: bool = False
     last_answer_s: float = float("inf")
     report_is_due: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -122,10 +127,17 @@
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome."""
-        return self.knows_enough and not self.is_stopping
+        is_crowded = self.own_limits.is_crowded(len(self.connections))
+        return self.knows_enough and not self.is_stopping and not is_crowded
+
+    def note_sent(self, sent_bytes: int) -> None:
+        """Take in that bytes of callers or for targets take the own link."""
+        self.own_limits.link.note_sent(sent_bytes, trio.current_time())
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Take changed settings into force, but for where the process listens."""
+        if settings.means != self.settings.means:
+            self.own_limits = OwnLimits(settings.means)
         self.settings = settings
         bounds = settings.bounds
         self.chooser.bound_multiple = bounds.load_multiple
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -1,6 +1,7 @@
 """Connections of callers: whole requests in, answers out, departures noticed."""
 
 import socket
+from collections.abc import Callable
 
 import h11
 import msgspec
@@ -76,10 +77,17 @@
     ----------
     connection : socket
         Accepted and non-blocking.
+    note_sent : callable or None
+        Told how many bytes were sent, each time.
     """
 
-    def __init__(self, connection: socket.socket) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        note_sent: Callable[[int], None] | None = None,
+    ) -> None:
         self._connection = connection
+        self._note_sent = note_sent
         self._protocol = h11.Connection(h11.SERVER)
         self._inbox = bytearray()
         self._news = trio.Event()
@@ -252,6 +260,8 @@
             await sockets.send_all(self._connection, data)
         except (ConnectionLost, trio.ClosedResourceError) as error:
             raise CallerGone from error
+        if self._note_sent is not None:
+            self._note_sent(len(data))
 
     @property
     def has_left(self) -> bool:
--- a/tests/fleet/test_compiling.py
+++ b/tests/fleet/test_compiling.py
@@ -7,6 +7,8 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from nose2.tools import params
+
 COMPILER = Path(__file__).parents[2] / "deploy" / "compile.py"
 MODULE = '''"""A text."""
 
@@ -63,7 +65,7 @@
         assert _print(folder, constants) == "True"
 
 
-def test_the_command_line_keeps_its_help():
-    with _compiled("scaleloom_fleet/main.py") as folder:
-        text = _print(folder, "m.check.__doc__", "scaleloom_fleet.main")
-        assert text == "A third."
+@params("scaleloom_fleet.main", "scaleloom_fleet.conf.gateway_schema")
+def test_the_command_line_keeps_its_help(module):
+    with _compiled(f"{module.replace('.', '/')}.py") as folder:
+        assert _print(folder, "m.check.__doc__", module) == "A third."
--- /dev/null
+++ b/tests/gateway/test_own_limits.py
@@ -0,0 +1,225 @@
+"""Tests of gateways that are choked by one more caller, each by a limit of its own."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from scaleloom_core.own_limits import (
+    LEAST_SAMPLES,
+    MEMORY_PER_CALLER_MB,
+    OWN_DESCRIPTORS,
+    OWN_MEMORY_MB,
+    WINDOW_S,
+    Limit,
+)
+from scaleloom_fleet.conf.gateway_schema import GatewayInstanceSection, LimitsSection
+from scaleloom_fleet.gateway import accepting, limiting
+from tests.fixtures.fleets import runs_in_trio, runs_on_paused_clock
+from tests.fixtures.gateways import (
+    Answer,
+    ask_on,
+    ask_raw,
+    eventually,
+    request_bytes,
+    running_site,
+)
+from tests.fixtures.logs import ListHandler
+from tests.fixtures.processes import gateway_process
+
+CALLERS = 4
+TOO_MANY = 80
+DESCRIPTORS = OWN_DESCRIPTORS + 2 * CALLERS
+# A refusal waits for the request to be read, and no longer.
+AT_ONCE_S = 1.0
+LATENESS_S = 0.1
+LATE_S = 0.3
+THIN_MBPS = 1.0
+LONG_BODY = b"x" * 60_000
+
+
+@asynccontextmanager
+async def _connections(port: int, count: int) -> AsyncIterator[list[trio.SocketStream]]:
+    """Yield connections to a gateway."""
+    streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(count)]
+    try:
+        yield streams
+    finally:
+        for stream in streams:
+            await stream.aclose()
+
+
+async def _ask_all(streams: list[trio.SocketStream]) -> list[Answer]:
+    """Return the answers to one request on each connection."""
+    answers: list[Answer] = []
+
+    async def ask(stream: trio.SocketStream, number: int) -> None:
+        data = request_bytes("/safe/1", f"r-{number}")
+        answers.append(await ask_on(stream, data, "GET"))
+
+    with trio.fail_after(AT_ONCE_S):
+        async with trio.open_nursery() as nursery:
+            for number, stream in enumerate(streams):
+                nursery.start_soon(ask, stream, number)
+    return answers
+
+
+async def _ask_and_stay(port: int, count: int) -> list[Answer]:
+    """Return what callers get that come one after another and all stay."""
+    answers: list[Answer] = []
+    streams: list[trio.SocketStream] = []
+    for number in range(count):
+        with trio.fail_after(AT_ONCE_S):
+            streams.append(await trio.open_tcp_stream("127.0.0.1", port))
+            data = request_bytes("/safe/1", f"r-{number}")
+            answers.append(await ask_on(streams[-1], data, "GET"))
+    for stream in streams:
+        await stream.aclose()
+    return answers
+
+
+@runs_in_trio
+async def test_callers_beyond_the_descriptors_are_refused_at_once_and_others_served():
+    limits = {"descriptors": str(DESCRIPTORS)}
+    async with running_site() as site:
+        async with gateway_process(site.store_port, limits, DESCRIPTORS) as gateway:
+            answers = await _ask_and_stay(gateway.front_port, TOO_MANY)
+    refused = [answer for answer in answers if answer.status != 200]
+    assert len(answers) - len(refused) == CALLERS
+    for answer in refused:
+        assert answer.status == 503
+        assert b'"outcome":"not_run"' in answer.body
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert answer.headers["connection"] == "close"
+
+
+@runs_in_trio
+async def test_a_router_whose_callers_left_takes_others():
+    limits = {"descriptors": str(DESCRIPTORS)}
+    async with running_site() as site:
+        async with gateway_process(site.store_port, limits, DESCRIPTORS) as gateway:
+            await _ask_and_stay(gateway.front_port, TOO_MANY)
+
+            async def serves() -> bool:
+                data = request_bytes("/safe/1")
+                return (await ask_raw(gateway.front_port, data)).status == 200
+
+            await eventually(serves)
+
+
+@runs_on_paused_clock
+async def test_a_router_with_nearly_all_its_callers_asks_for_no_more():
+    memory_mb = OWN_MEMORY_MB + (CALLERS + 0.5) * MEMORY_PER_CALLER_MB
+    limits = LimitsSection(memory_mb=memory_mb)
+    async with running_site(limits=limits) as site:
+        gateway = site.gateways[0]
+        assert await gateway.is_ready()
+        async with _connections(gateway.front_port, CALLERS) as streams:
+            await _ask_all(streams[:1])
+            assert not await gateway.is_ready()
+        await eventually(gateway.is_ready)
+
+
+@asynccontextmanager
+async def _states() -> AsyncIterator[list]:
+    """Yield the states of the gateways that begin to accept meanwhile."""
+    states = []
+    accept = accepting.accept_forever
+
+    async def accept_and_tell(state, *rest) -> None:
+        states.append(state)
+        await accept(state, *rest)
+
+    accepting.accept_forever = accept_and_tell
+    try:
+        yield states
+    finally:
+        accepting.accept_forever = accept
+
+
+def _strain(state) -> None:
+    """Let all timers of a window be late."""
+    now_s = trio.current_time()
+    for number in range(1, LEAST_SAMPLES + 1):
+        state.own_limits.lateness.note(LATE_S, now_s + number * WINDOW_S)
+
+
+@runs_on_paused_clock
+async def test_a_router_that_is_late_for_everything_refuses_new_requests():
+    limits = LimitsSection(lateness_s=LATENESS_S)
+    async with _states() as states, running_site(limits=limits) as site:
+        assert (await site.ask("/safe/1")).status == 200
+        with ListHandler.listening("scaleloom.limits") as logged:
+            _strain(states[0])
+            answer = await site.ask("/safe/1", "r-2")
+        assert answer.status == 503
+        assert b'"type":"router_full"' in answer.body
+        assert answer.headers["connection"] == "close"
+        assert logged == ["at a limit of its own"]
+        assert states[0].metrics.totals[f"own_limits.{Limit.PROCESSOR.value}"] == 1
+        assert site.run_count("r-2") == 0
+
+
+@runs_on_paused_clock
+async def test_a_router_whose_timers_are_in_time_again_serves():
+    limits = LimitsSection(lateness_s=LATENESS_S)
+    async with _states() as states, running_site(limits=limits) as site:
+        _strain(states[0])
+        await trio.sleep(LEAST_SAMPLES * WINDOW_S + 3 * WINDOW_S)
+        assert (await site.ask("/safe/1")).status == 200
+
+
+@runs_on_paused_clock
+async def test_a_router_without_limits_serves_however_late_it_is():
+    async with _states() as states, running_site() as site:
+        _strain(states[0])
+        assert (await site.ask("/safe/1")).status == 200
+
+
+@runs_on_paused_clock
+async def test_a_full_link_refuses_requests_until_it_has_room():
+    instance = GatewayInstanceSection("thin", "a", THIN_MBPS)
+    limits = LimitsSection(link_queue_s=0.25)
+    async with running_site(instance=instance, limits=limits) as site:
+        answer = await site.ask("/once/1", method="POST", body=LONG_BODY)
+        assert answer.status == 200
+        refused = await site.ask("/once/1", "r-2")
+        assert refused.status == 503
+        assert b"limit of its link" in refused.body
+        await trio.sleep(8 * len(LONG_BODY) / (THIN_MBPS * 1e6))
+        assert (await site.ask("/once/1", "r-3")).status == 200
+
+
+@runs_in_trio
+async def test_callers_that_come_together_beyond_the_descriptors_are_all_answered():
+    limits = {"descriptors": str(DESCRIPTORS)}
+    answers: list[Answer] = []
+
+    async def ask(port: int, number: int) -> None:
+        answers.append(await ask_raw(port, request_bytes("/safe/1", f"r-{number}")))
+
+    async with running_site() as site:
+        async with gateway_process(site.store_port, limits, DESCRIPTORS) as gateway:
+            async with trio.open_nursery() as nursery:
+                for number in range(TOO_MANY):
+                    nursery.start_soon(ask, gateway.front_port, number)
+    assert {answer.status for answer in answers} <= {200, 503}
+    assert len(answers) == TOO_MANY
+
+
+@runs_in_trio
+async def test_timers_of_a_process_that_stands_still_again_and_again_are_late():
+    async with (
+        _states() as states,
+        running_site(limits=LimitsSection(lateness_s=LATENESS_S)),
+    ):
+        with trio.fail_after(10.0):
+            while not states[0].own_limits.lateness.is_over:
+                _stand_still(2 * LATENESS_S)
+                await trio.sleep(limiting.TICK_S / 2)
+
+
+def _stand_still(seconds: float) -> None:
+    """Keep all tasks of this process from running."""
+    time.sleep(seconds)
