--- a/packages/scaleloom-core/scaleloom_core/fleet_roster.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_roster.py
@@ -13,9 +13,13 @@
 
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import DataCentreName, InstanceId
+from scaleloom_core.precedence import precedence, weakness_in
 
 # Reports come several times in this time, also in the largest fleet designed for.
 LIVELY_S = 1.5
+# A group's relay tells of members that it heard within this, or the dead would
+# count as alive outside for twice as long as within the group.
+TOLD_S = LIVELY_S / 2
 # For so long a router that fell silent counts in what the fleet shares.
 COUNTED_S = 10.0
 # Longer than the store's own list of routers takes to be read again.
@@ -25,7 +29,6 @@
 # A group of this size and its relaying cost about the same at 420 routers.
 MOST_IN_GROUP = 24
 LEAST_IN_GROUP = 6
-HASH_BITS = 32
 NEVER_S = float("-inf")
 
 
@@ -71,17 +74,6 @@
     heard_s: float
 
 
-def precedence(router: InstanceId, is_thin: bool, is_cut: bool) -> int:
-    """
-    Return the precedence of a router among those that could work for all.
-
-    Those that the store fails come last, those with thin links before them.
-    Among equals it is drawn by address, so that data centres share the work.
-    """
-    drawn = hash_text(router) % (1 << HASH_BITS)
-    return drawn + (is_thin << HASH_BITS) + (is_cut << (HASH_BITS + 1))
-
-
 class FleetRoster:
     """
     The routers that are heard, by group.
@@ -137,6 +129,12 @@
         """Return the other members of the own group."""
         return [s.member for s in self._lively(now_s) if s.group == self.group]
 
+    def near_to_tell(self, now_s: float) -> list[FleetMember]:
+        """Return the other members of the own group of which others are told."""
+        horizon_s = now_s - TOLD_S
+        lately = [s for s in self._lively(now_s) if s.heard_s > horizon_s]
+        return [s.member for s in lately if s.group == self.group]
+
     def relayed_to(self, now_s: float) -> list[InstanceId]:
         """Return the routers outside to which this one tells of its group."""
         members = [self._own, *(member.router for member in self.near(now_s))]
@@ -172,12 +170,14 @@
         Return how many routers come before this one.
 
         A router that has just started takes those that it has not heard yet for
-        alive, so that a fleet that starts at once does not work as one each.
+        alive and as strong as itself, so that a fleet that starts at once
+        neither works as one each nor leaves the work to nobody.
         """
         ahead = sum(s.member.precedence < own_precedence for s in self._lively(now_s))
         if now_s < self._settled_s:
+            alike = weakness_in(own_precedence)
             unheard = (
-                precedence(router, False, False) for router in self.silent(now_s)
+                precedence(router, False, False, alike) for router in self.silent(now_s)
             )
             ahead += sum(drawn < own_precedence for drawn in unheard)
         return ahead
--- a/packages/scaleloom-core/scaleloom_core/own_limits.py
+++ b/packages/scaleloom-core/scaleloom_core/own_limits.py
@@ -21,7 +21,7 @@
 # to be refused, and below the other share they are again.
 CROWDED_SHARE = 0.9
 ROOMY_SHARE = 0.8
-# A gateway that knows a large site, with room for its tables to be replaced.
+# Over twice the most that a gateway was seen to take, 27.7 MB.
 OWN_MEMORY_MB = 64.0
 # Twice what a caller with a request of 4 kB under way was measured to take.
 MEMORY_PER_CALLER_MB = 0.064
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
@@ -8,8 +8,9 @@
 import trio
 
 from scaleloom_core.fleet_load import TargetKey
-from scaleloom_core.fleet_roster import FleetMember, FleetRoster, precedence
+from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import InstanceId
+from scaleloom_core.precedence import precedence
 from scaleloom_core.prefix_holders import Holding
 from scaleloom_core.target_outcomes import OutcomeCounts, Outcomes
 from scaleloom_fleet.gateway.peer_documents import own_knowledge
@@ -132,7 +133,8 @@
     def _own_member(self, now_s: float) -> FleetMember:
         """Return what the fleet is to know of this router."""
         state = self._state
-        own = precedence(self._own, state.has_thin_link, self._access.is_cut(now_s))
+        is_cut = self._access.is_cut(now_s)
+        own = precedence(self._own, state.has_thin_link, is_cut, state.weakness)
         return FleetMember(self._own, own, state.follows_store)
 
     def _send(
@@ -154,7 +156,8 @@
             summary = msgspec.structs.replace(summary, speaks_for=1 + len(others))
             if now_s >= self._others_due_s:
                 self._others_due_s = now_s + OTHERS_INTERVAL_S
-                summary = msgspec.structs.replace(summary, others=others)
+                to_tell = self._roster.near_to_tell(now_s)
+                summary = msgspec.structs.replace(summary, others=to_tell)
             self._send_to(told, summary)
 
     def _report(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -12,6 +12,7 @@
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.list_history import ListHistory
 from scaleloom_core.own_limits import OwnLimits
+from scaleloom_core.precedence import weakness
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.routing import RequestLimits, RoutingTable
@@ -152,6 +153,14 @@
         """Return whether a large configuration fills the own link for too long."""
         return is_heavy(LARGE_CONFIG_BYTES, self.settings.instance.link_mbps)
 
+    @property
+    def weakness(self) -> int:
+        """Return how far this router is from what a fleet's work takes."""
+        limits = self.settings.limits
+        cores = limits.cores * limits.processor_share
+        link_mbps = self.settings.instance.link_mbps
+        return weakness(cores, link_mbps, limits.memory_mb)
+
     def report_soon(self) -> None:
         """Tell peers what is known now, without waiting for the next round."""
         self.report_is_due.set()
--- a/tests/core/test_fleet_roster.py
+++ b/tests/core/test_fleet_roster.py
@@ -13,11 +13,12 @@
     LIVELY_S,
     MOST_IN_GROUP,
     SETTLES_S,
+    TOLD_S,
     FleetMember,
     FleetRoster,
-    precedence,
 )
 from scaleloom_core.ids import DataCentreName, InstanceId, TargetId
+from scaleloom_core.precedence import MOST_WEAKNESS, precedence, weakness
 
 ROUND_S = 0.2
 TARGET = TargetId("i-1")
@@ -35,11 +36,13 @@
     roster: FleetRoster
     load: FleetLoad = field(default_factory=FleetLoad)
     sent: int = 0
+    weakness: int = 0
 
     @property
     def member(self) -> FleetMember:
         """Return what the fleet knows of this router."""
-        return FleetMember(self.id, precedence(self.id, False, False), True)
+        own = precedence(self.id, False, False, self.weakness)
+        return FleetMember(self.id, own, True)
 
 
 class _Fleet:
@@ -92,7 +95,7 @@
             if receiver.roster.group == roster.group:
                 receiver.load.note_report(router.id, own, now_s)
         for receiver in self._reached(told):
-            for member in (router.member, *others):
+            for member in (router.member, *roster.near_to_tell(now_s)):
                 receiver.roster.note(member, roster.group, now_s)
             key = InstanceId(repr(roster.group))
             receiver.load.note_group(key, group, 1 + len(others), now_s)
@@ -203,6 +206,79 @@
     assert max(usual) < min(thin) <= max(thin) < min(cut)
 
 
+WEAK = weakness(cores=0.27, link_mbps=10.0, memory_mb=152.0)
+
+
+def _unequal_fleet() -> tuple[_Fleet, list[InstanceId]]:
+    """Return a fleet of 36 weak routers and 6 strong ones, and the strong."""
+    fleet = _Fleet([14] * 3)
+    strong = [router for place, router in enumerate(fleet.routers) if place % 7 == 0]
+    for router in fleet.routers.values():
+        router.weakness = 0 if router.id in strong else WEAK
+    return fleet, strong
+
+
+def _ranks(fleet: _Fleet) -> dict[InstanceId, int]:
+    """Return the rank that each router gives itself."""
+    return {
+        router.id: router.roster.rank(router.member.precedence, fleet.now_s)
+        for router in fleet.routers.values()
+    }
+
+
+def test_what_is_enough_is_no_weakness_and_the_scarcest_counts():
+    assert weakness(cores=2.15, link_mbps=200.0, memory_mb=552.0) == 0
+    assert weakness(cores=1.0, link_mbps=100.0, memory_mb=0.0) == 0
+    assert weakness(cores=0.5, link_mbps=1000.0, memory_mb=0.0) == 1
+    assert weakness(cores=4.0, link_mbps=10.0, memory_mb=0.0) == 4
+    assert weakness(cores=4.0, link_mbps=1000.0, memory_mb=60.0) == 2
+    assert weakness(cores=1e-9, link_mbps=1e-9, memory_mb=1e-9) == MOST_WEAKNESS
+
+
+def test_routers_that_differ_little_are_equal():
+    assert weakness(0.51, 100.0, 200.0) == weakness(0.9, 190.0, 300.0)
+
+
+def test_the_strong_come_first():
+    fleet, strong = _unequal_fleet()
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    ranks = _ranks(fleet)
+    assert sorted(ranks.values()) == list(range(42))
+    assert {router for router, rank in ranks.items() if rank < 6} == set(strong)
+
+
+def test_the_weak_take_over_when_all_the_strong_die_together():
+    fleet, strong = _unequal_fleet()
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    for router in strong:
+        del fleet.routers[router]
+    fleet.play(int((LIVELY_S + TOLD_S) / ROUND_S) + 2)
+    assert sorted(_ranks(fleet).values()) == list(range(36))
+
+
+def test_the_strong_do_the_work_again_when_they_are_back():
+    fleet, strong = _unequal_fleet()
+    away = {router: fleet.routers.pop(router) for router in strong}
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    fleet.routers.update(away)
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    ranks = _ranks(fleet)
+    assert {router for router, rank in ranks.items() if rank < 6} == set(strong)
+
+
+def test_a_fleet_of_the_weak_alone_does_not_leave_the_work_to_nobody_at_a_start():
+    fleet = _Fleet([10, 10])
+    for router in fleet.routers.values():
+        router.weakness = WEAK
+    assert sorted(_ranks(fleet).values()) == list(range(20))
+
+
+def test_a_weak_router_comes_before_one_with_a_thin_link_or_without_the_store():
+    weak = precedence(InstanceId("r-1"), False, False, MOST_WEAKNESS)
+    assert weak < precedence(InstanceId("r-1"), True, False)
+    assert weak < precedence(InstanceId("r-1"), False, True)
+
+
 def test_what_is_shared_counts_the_living_and_the_lately_lost():
     fleet = _Fleet([3])
     fleet.play(ROUNDS_TO_KNOW_ALL)
--- a/tests/gateway/test_own_limits.py
+++ b/tests/gateway/test_own_limits.py
@@ -15,7 +15,7 @@
     Limit,
 )
 from scaleloom_fleet.conf.gateway_schema import GatewayInstanceSection, LimitsSection
-from scaleloom_fleet.gateway import accepting, limiting
+from scaleloom_fleet.gateway import limiting
 from tests.fixtures.fleets import runs_in_trio, runs_on_paused_clock
 from tests.fixtures.gateways import (
     Answer,
@@ -27,6 +27,7 @@
 )
 from tests.fixtures.logs import ListHandler
 from tests.fixtures.processes import gateway_process
+from tests.fixtures.states import seen_states
 
 CALLERS = 4
 TOO_MANY = 80
@@ -121,23 +122,6 @@
         await eventually(gateway.is_ready)
 
 
-@asynccontextmanager
-async def _states() -> AsyncIterator[list]:
-    """Yield the states of the gateways that begin to accept meanwhile."""
-    states = []
-    accept = accepting.accept_forever
-
-    async def accept_and_tell(state, *rest) -> None:
-        states.append(state)
-        await accept(state, *rest)
-
-    accepting.accept_forever = accept_and_tell
-    try:
-        yield states
-    finally:
-        accepting.accept_forever = accept
-
-
 def _strain(state) -> None:
     """Let all timers of a window be late."""
     now_s = trio.current_time()
@@ -148,33 +132,36 @@
 @runs_on_paused_clock
 async def test_a_router_that_is_late_for_everything_refuses_new_requests():
     limits = LimitsSection(lateness_s=LATENESS_S)
-    async with _states() as states, running_site(limits=limits) as site:
-        assert (await site.ask("/safe/1")).status == 200
-        with ListHandler.listening("scaleloom.limits") as logged:
-            _strain(states[0])
-            answer = await site.ask("/safe/1", "r-2")
-        assert answer.status == 503
-        assert b'"type":"router_full"' in answer.body
-        assert answer.headers["connection"] == "close"
-        assert logged == ["at a limit of its own"]
-        assert states[0].metrics.totals[f"own_limits.{Limit.PROCESSOR.value}"] == 1
-        assert site.run_count("r-2") == 0
+    with seen_states() as states:
+        async with running_site(limits=limits) as site:
+            assert (await site.ask("/safe/1")).status == 200
+            with ListHandler.listening("scaleloom.limits") as logged:
+                _strain(states[0])
+                answer = await site.ask("/safe/1", "r-2")
+            assert answer.status == 503
+            assert b'"type":"router_full"' in answer.body
+            assert answer.headers["connection"] == "close"
+            assert logged == ["at a limit of its own"]
+            assert states[0].metrics.totals[f"own_limits.{Limit.PROCESSOR.value}"] == 1
+            assert site.run_count("r-2") == 0
 
 
 @runs_on_paused_clock
 async def test_a_router_whose_timers_are_in_time_again_serves():
     limits = LimitsSection(lateness_s=LATENESS_S)
-    async with _states() as states, running_site(limits=limits) as site:
-        _strain(states[0])
-        await trio.sleep(LEAST_SAMPLES * WINDOW_S + 3 * WINDOW_S)
-        assert (await site.ask("/safe/1")).status == 200
+    with seen_states() as states:
+        async with running_site(limits=limits) as site:
+            _strain(states[0])
+            await trio.sleep(LEAST_SAMPLES * WINDOW_S + 3 * WINDOW_S)
+            assert (await site.ask("/safe/1")).status == 200
 
 
 @runs_on_paused_clock
 async def test_a_router_without_limits_serves_however_late_it_is():
-    async with _states() as states, running_site() as site:
-        _strain(states[0])
-        assert (await site.ask("/safe/1")).status == 200
+    with seen_states() as states:
+        async with running_site() as site:
+            _strain(states[0])
+            assert (await site.ask("/safe/1")).status == 200
 
 
 @runs_on_paused_clock
@@ -210,14 +197,13 @@
 
 @runs_in_trio
 async def test_timers_of_a_process_that_stands_still_again_and_again_are_late():
-    async with (
-        _states() as states,
-        running_site(limits=LimitsSection(lateness_s=LATENESS_S)),
-    ):
-        with trio.fail_after(10.0):
-            while not states[0].own_limits.lateness.is_over:
-                _stand_still(2 * LATENESS_S)
-                await trio.sleep(limiting.TICK_S / 2)
+    limits = LimitsSection(lateness_s=LATENESS_S)
+    with seen_states() as states:
+        async with running_site(limits=limits):
+            with trio.fail_after(10.0):
+                while not states[0].own_limits.lateness.is_over:
+                    _stand_still(2 * LATENESS_S)
+                    await trio.sleep(limiting.TICK_S / 2)
 
 
 def _stand_still(seconds: float) -> None:
