--- a/packages/scaleloom-core/scaleloom_core/own_limits.py
+++ b/packages/scaleloom-core/scaleloom_core/own_limits.py
@@ -15,8 +15,9 @@
 # Of these, for callers that are being refused, and peers and calls that come
 # and go; the others are in use all the time.
 SPARE_DESCRIPTORS = 24
-# A caller's connection, and the link over which its request goes on.
-DESCRIPTORS_PER_CALLER = 2
+# Most connected callers ask for nothing at a moment, so that the rest suffices
+# for the links over which requests go on; where it doesn't, requests are refused.
+CALLERS_SHARE = 0.75
 # With this share of them in use no more callers are asked for, so that few have
 # to be refused, and below the other share they are again.
 CROWDED_SHARE = 0.9
@@ -70,13 +71,18 @@
     link_queue_s: float = 0.0
     lateness_s: float = 0.0
 
+    @property
+    def free_descriptors(self) -> int:
+        """Return how many there are for callers and the links to targets."""
+        return max(2, self.descriptors - OWN_DESCRIPTORS)
+
     @property
     def callers(self) -> dict[Limit, int]:
         """Return how many callers each limit that is set allows, at least one."""
         room: dict[Limit, int] = {}
         if self.descriptors:
-            free = self.descriptors - OWN_DESCRIPTORS
-            room[Limit.DESCRIPTORS] = max(1, free // DESCRIPTORS_PER_CALLER)
+            most = int(CALLERS_SHARE * self.free_descriptors)
+            room[Limit.DESCRIPTORS] = max(1, most)
         if self.memory_mb:
             free_mb = self.memory_mb - OWN_MEMORY_MB
             room[Limit.MEMORY] = max(1, int(free_mb / MEMORY_PER_CALLER_MB))
@@ -175,6 +181,7 @@
 
     def __init__(self, means: OwnMeans) -> None:
         self._descriptors = means.descriptors
+        self._free_descriptors = means.free_descriptors
         self._callers = means.callers
         self._is_crowded = False
         self._refused = {limit: _Refusals() for limit in Limit}
@@ -196,8 +203,19 @@
             return Limit.DESCRIPTORS
         return next((k for k, most in self._callers.items() if callers >= most), None)
 
-    def lacking_for_request(self, now_s: float) -> Limit | None:
-        """Return what is lacking for one more request, if anything."""
+    def lacking_for_request(
+        self, callers: int, serving: int, now_s: float
+    ) -> Limit | None:
+        """
+        Return what is lacking for one more request, if anything.
+
+        Parameters
+        ----------
+        serving : int
+            How many requests are served, each over a link of its own.
+        """
+        if self._descriptors and callers + serving >= self._free_descriptors:
+            return Limit.DESCRIPTORS
         if self.lateness.is_over:
             return Limit.PROCESSOR
         return Limit.LINK if self.link.is_over(now_s) else None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -10,6 +10,7 @@
 from scaleloom_fleet.gateway.attempts import serve
 from scaleloom_fleet.gateway.limiting import (
     lacking_for_caller,
+    lacking_for_request,
     may_accept,
     refuse,
     refuse_caller,
@@ -77,12 +78,16 @@
     try:
         while True:
             request = await caller.read_request(state.caller_limits())
-            lacking = state.own_limits.lacking_for_request(trio.current_time())
+            lacking = lacking_for_request(state)
             if lacking is not None:
                 await refuse(state, caller, lacking)
                 return
             state.note_sent(len(request.body))
-            await _serve_one(state, caller, request)
+            state.serving += 1
+            try:
+                await _serve_one(state, caller, request)
+            finally:
+                state.serving -= 1
             if not caller.finish():
                 return
     except CallerGone:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/limiting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/limiting.py
@@ -64,6 +64,13 @@
     return state.own_limits.lacking_for_caller(callers, in_use)
 
 
+def lacking_for_request(state: GatewayState) -> Limit | None:
+    """Return what is lacking for one more request of a caller, if anything."""
+    return state.own_limits.lacking_for_request(
+        len(state.connections), state.serving, trio.current_time()
+    )
+
+
 async def refuse_caller(
     state: GatewayState, connection: socket.socket, lacking: Limit
 ) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -79,6 +79,8 @@
         This router's place among those that are heard.
     refused_now : int
         How many callers are being refused at this moment.
+    serving : int
+        How many requests are being served at this moment.
     report_is_due : trio.Event
         Set when peers are to be told something before the next round.
     """
@@ -106,6 +108,7 @@
     router_count: int = 1
     rank: int = 0
     refused_now: int = 0
+    serving: int = 0
     is_stopping: bool = False
     last_answer_s: float = float("inf")
     report_is_due: trio.Event = msgspec.field(default_factory=trio.Event)
