--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -11,6 +11,8 @@
 from scaleloom_core.ids import TargetId
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.list_history import ListHistory
+from scaleloom_core.own_limits import OwnLimits
+from scaleloom_core.precedence import weakness
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.return_times import ReturnTimes
 from scaleloom_core.routing import RequestLimits, RoutingTable
@@ -89,6 +91,10 @@
         How the own requests fared, for peers.
     rank : int
         This router's place among those that are heard.
+    refused_now : int
+        How many callers are being refused at this moment.
+    serving : int
+        How many requests are being served at this moment.
     report_is_due : trio.Event
         Set when peers are to be told something before the next round.
     figures : Figures
@@ -109,6 +115,7 @@
     pools: LinkPools
     metrics: Metrics
     freshness: ListFreshness
+    own_limits: OwnLimits
     outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
     returns: ReturnTimes = msgspec.field(default_factory=ReturnTimes)
     usual_delays: UsualDelays = msgspec.field(default_factory=UsualDelays)
@@ -125,6 +132,8 @@
     followed_peers: int = 0
     router_count: int = 1
     rank: int = 0
+    refused_now: int = 0
+    serving: int = 0
     is_stopping: bool = False
     last_answer_s: float = float("inf")
     report_is_due: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -152,10 +161,17 @@
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome."""
-        return self.knows_enough and not self.is_stopping
+        is_crowded = self.own_limits.is_crowded(len(self.connections))
+        return self.knows_enough and not self.is_stopping and not is_crowded
+
+    def note_sent(self, sent_bytes: int) -> None:
+        """Take in that bytes of callers or for targets take the own link."""
+        self.own_limits.link.note_sent(sent_bytes, trio.current_time())
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Take changed settings into force, but for where the process listens."""
+        if settings.means != self.settings.means:
+            self.own_limits = OwnLimits(settings.means)
         self.settings = settings
         bounds = settings.bounds
         self.chooser.bound_multiple = bounds.load_multiple
@@ -171,6 +187,14 @@
         """Return whether a large configuration fills the own link for too long."""
         return is_heavy(LARGE_CONFIG_BYTES, self.settings.instance.link_mbps)
 
+    @property
+    def weakness(self) -> int:
+        """Return how far this router is from what a fleet's work takes."""
+        limits = self.settings.limits
+        cores = limits.cores * limits.processor_share
+        link_mbps = self.settings.instance.link_mbps
+        return weakness(cores, link_mbps, limits.memory_mb)
+
     def report_soon(self) -> None:
         """Tell peers what is known now, without waiting for the next round."""
         self.report_is_due.set()
