--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
@@ -168,6 +168,32 @@
     " label sets.",
 )
 
+ROLLOUT_STAGE = Definition(
+    "scaleloom_rollout_stage",
+    _G,
+    "How far a roll-out has come: 0 unknown, 1 running, 2 promoting, 3 rolled back,"
+    " 4 done.",
+    ("service", "version"),
+)
+ROLLOUT_SENT = Definition(
+    "scaleloom_rollout_requests",
+    _G,
+    "Requests that this router sent on each track since the order.",
+    ("service", "version", "track"),
+)
+ROLLOUT_BAD = Definition(
+    "scaleloom_rollout_bad_answers",
+    _G,
+    "Bad answers on each track since the order, as far as routers told.",
+    ("service", "version", "track"),
+)
+ROLLOUT_ELAPSED = Definition(
+    "scaleloom_rollout_elapsed_seconds",
+    _G,
+    "Time since the order.",
+    ("service", "version"),
+)
+
 DEFINITIONS = (
     REQUESTS,
     UNSERVED,
@@ -199,4 +225,8 @@
     LOG_LINES,
     LOG_WAITING,
     LABELS_FOLDED,
+    ROLLOUT_STAGE,
+    ROLLOUT_SENT,
+    ROLLOUT_BAD,
+    ROLLOUT_ELAPSED,
 )
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/gauges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/gauges.py
@@ -4,6 +4,8 @@
 
 from scaleloom_core.ids import ServiceName
 from scaleloom_core.listed import ListedState
+from scaleloom_core.rollouts.course import RolloutCourse
+from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway import figures
 from scaleloom_fleet.gateway.state import GatewayState
@@ -30,7 +32,31 @@
         await _set_targets(state, trio.current_time())
         await _set_services(state)
 
-    state.figures.collectors += [collect_knowledge, collect_process, collect_targets]
+    async def collect_rollouts() -> None:
+        for rollout in list(state.rollouts.by_service.values()):
+            _set_rollout(state, rollout.course, trio.current_time())
+
+    state.figures.collectors += [
+        collect_knowledge,
+        collect_process,
+        collect_targets,
+        collect_rollouts,
+    ]
+
+
+def _set_rollout(state: GatewayState, course: RolloutCourse, now_s: float) -> None:
+    """Set the gauges of one roll-out."""
+    names = (course.service, course.order.version)
+    summary = course.evidence.summary(now_s)
+    told, budget = state.figures, course.budget
+    told.set(figures.ROLLOUT_STAGE, course.stage.value, *names)
+    told.set(figures.ROLLOUT_ELAPSED, course.elapsed_s(now_s), *names)
+    current, candidate = Track.CURRENT.value, Track.CANDIDATE.value
+    sent = budget.requests - budget.exposed
+    told.set(figures.ROLLOUT_SENT, sent, *names, current)
+    told.set(figures.ROLLOUT_SENT, budget.exposed, *names, candidate)
+    told.set(figures.ROLLOUT_BAD, summary.current.bad, *names, current)
+    told.set(figures.ROLLOUT_BAD, summary.candidate.bad, *names, candidate)
 
 
 def _set_requests(state: GatewayState) -> None:
@@ -109,7 +135,9 @@
 
 async def _set_services(state: GatewayState) -> None:
     """Set how full the targets of each service are."""
-    for service, records in list(state.view.by_service.items()):
+    for service, records in list(state.view.tracks.ready.items()):
+        if not records:
+            continue
         await _set_service(state, service, records)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
@@ -36,11 +36,20 @@
             return Page(404)
         async with self._lock:
             if trio.current_time() - self._made_s >= PAGE_LIFE_S:
-                await self.state.figures.collect()
-                self._body = self.state.figures.render()
-                self._made_s = trio.current_time()
+                try:
+                    await self._make_anew()
+                except Exception:
+                    # A figure that cannot be had must not end the gateway.
+                    _logger.exception("metrics page not made")
+                    return Page(500)
             return Page(200, self._body, CONTENT_TYPE)
 
+    async def _make_anew(self) -> None:
+        """Collect all figures and write the page."""
+        await self.state.figures.collect()
+        self._body = self.state.figures.render()
+        self._made_s = trio.current_time()
+
 
 async def serve_page(
     state: GatewayState, address: Address, nursery: trio.Nursery
--- a/tests/gateway/test_metrics_page.py
+++ b/tests/gateway/test_metrics_page.py
@@ -3,10 +3,12 @@
 import socket
 from contextlib import asynccontextmanager
 from pathlib import Path
+from unittest import mock
 
 import trio
 from nose2.tools import params
 
+from scaleloom_core.rollouts.course import KNOWN_FROM_START_S
 from scaleloom_fleet.conf.gateway_schema import (
     FleetBoundsSection,
     GatewayObserveSection,
@@ -14,11 +16,12 @@
 from scaleloom_fleet.gateway import accepting, figures
 from scaleloom_fleet.gateway.figures_reference import render_table
 from scaleloom_fleet.gateway.metrics_page import CONNECTION_LIMIT, PAGE_LIFE_S
-from scaleloom_fleet.utils.exposition import CONTENT_TYPE, INFINITY, Form
+from scaleloom_fleet.utils.exposition import CONTENT_TYPE, INFINITY, Figures, Form
 from scaleloom_standins.ports import free_port
 from tests.fixtures.expositions import ReadPage, read_page
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
     FIRST_HOST,
     Site,
     ask_raw,
@@ -281,3 +284,35 @@
         assert item.name.endswith("_total") == (item.form is Form.COUNTER), item.name
         is_time = item.form is Form.HISTOGRAM
         assert item.name.endswith("_seconds") or not is_time, item.name
+
+
+@runs_on_paused_clock
+async def test_a_figure_that_cannot_be_had_does_not_end_the_gateway():
+    async def fail() -> None:
+        raise RuntimeError("a figure that cannot be had")
+
+    with mock.patch.object(Figures, "collect", lambda self: fail()):
+        async with _site_with_page() as (site, port):
+            assert (await ask_raw(port, PAGE_REQUEST)).status == 500
+            assert (await site.ask("/safe/1")).status == 200
+
+
+@runs_on_paused_clock
+async def test_the_page_tells_how_far_a_roll_out_has_come():
+    order = {"service": "plain", "target-version": "v2", "duration-s": 30}
+    versions = ["v1", "v1", "v2"]
+    async with _site_with_page(runner_count=3, versions=versions) as (site, port):
+        await trio.sleep(2.0 * KNOWN_FROM_START_S)
+        site.store.put(CONFIG_TOPIC, "rollout/plain", order)
+        await trio.sleep(FETCH_LIMIT_S)
+        for number in range(REQUESTS):
+            await site.ask("/safe/1", f"r-{number}")
+        page = await _fetch(port)
+    names = {"service": "plain", "version": "v2"}
+    assert page.value("scaleloom_rollout_stage", **names) in (1, 2)
+    assert page.value("scaleloom_rollout_elapsed_seconds", **names) > FETCH_LIMIT_S
+    sent = "scaleloom_rollout_requests"
+    tried = page.value(sent, **names, track="candidate")
+    assert tried == sum(len(r.asked) for r in site.runners if r.id == "i-3") > 0
+    assert page.value(sent, **names, track="current") == REQUESTS - tried
+    assert page.value("scaleloom_rollout_bad_answers", **names, track="current") == 0
