--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 READY := $(VENV)/.ready
 PACKAGES := core wire fleet cli standins
 
-.PHONY: demo test lint format proofs soak bench ablation placement capacity clean
+.PHONY: demo test lint format proofs soak rollouts bench ablation placement capacity clean
 
 demo: $(READY)
 	$(PYTHON) -m scaleloom_standins.demo
@@ -27,6 +27,9 @@
 soak: $(READY)
 	$(PYTHON) -m soak $(SOAK)
 
+rollouts: $(READY)
+	$(PYTHON) -m soak.drawn_rollouts $(ROLLOUTS)
+
 bench: $(READY)
 	$(PYTHON) -m benchmarks
 
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -78,8 +78,20 @@
     rollout: Rollout
 
 
-async def play(seed: int, directory: Path, gateway_count: int = 3) -> PlayedRollout:
-    """Play the roll-out that `seed` draws."""
+async def play(
+    seed: int,
+    directory: Path,
+    gateway_count: int = 3,
+    mechanism: str | None = None,
+) -> PlayedRollout:
+    """
+    Play the roll-out that `seed` draws.
+
+    Parameters
+    ----------
+    mechanism : str or None
+        A mechanism that the gateways run without.
+    """
     draw = random.Random(f"rollout-{seed}")
     rollout = Rollout(
         draw_fault(draw, KINDS),
@@ -87,7 +99,7 @@
         draw.choice(DURATIONS_S),
     )
     seen = Observations()
-    async with running_soak(seed, directory, gateway_count, None) as site:
+    async with running_soak(seed, directory, gateway_count, mechanism) as site:
         await wait_ready(site)
         async with trio.open_nursery() as nursery:
             for number in range(CALLERS):
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -2,11 +2,14 @@
 
 import sys
 from collections.abc import Callable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.listed import ListedState
 from scaleloom_core.retry_windows import RetryWindow
+from scaleloom_core.rollouts.evidence import Assessment, Evidence
+from scaleloom_core.rollouts.exposure import ExposureBudget
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_fleet.gateway import attempts, exchanges, list_watch, process, state
 from scaleloom_fleet.http1 import links
@@ -106,6 +109,17 @@
     RetryWindow.try_spend = lambda self, now_s, router_count: True
 
 
+def _believe_every_version() -> None:
+    """Take every version on trial for a good one."""
+    Evidence.assess = lambda self, now_s: Assessment.GOOD
+
+
+def _expose_every_request() -> None:
+    """Send everything to a version on trial."""
+    ExposureBudget.may_try = ExposureBudget.may_watch = property(lambda self: True)
+    Evidence.assess = lambda self, now_s: Assessment.UNDECIDED
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     "one-send": _send_again_always,
     "proof-of-not-run": _claim_not_run_always,
@@ -117,6 +131,8 @@
     "draining": _stop_at_once,
     "load-bound": _lift_the_bound,
     "retry-budget": _lift_the_budget,
+    "rollout-verdict": _believe_every_version,
+    "rollout-exposure": _expose_every_request,
 }
 
 
