--- a/tests/test_drawn_rollouts.py
+++ b/tests/test_drawn_rollouts.py
@@ -1,8 +1,10 @@
 """Tests that play drawn roll-outs, and show that their judgement notices."""
 
+import subprocess
 import tempfile
 from pathlib import Path
 
+import msgspec
 import trio
 
 from soak.drawn_rollouts import SeedResult, judge, table
@@ -11,6 +13,7 @@
 # Drawn without other faults: a version that fails at once, and a good one.
 BAD_SEED, GOOD_SEED = 3022, 3002
 GATEWAYS = 2
+PAGE = Path(__file__).parents[1] / "docs" / "howto" / "rolling-out.md"
 VERDICT = "the verdict is right and stands"
 EXPOSURE = "a bad version gets no more than the bound"
 
@@ -27,6 +30,31 @@
     assert result.broken == {}
 
 
+def test_the_operators_page_leads_to_why_a_version_was_rolled_back():
+    command = next(
+        line.strip()
+        for line in PAGE.read_text(encoding="utf-8").splitlines()
+        if line.startswith("    grep")
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        trio.run(play, BAD_SEED, Path(directory), GATEWAYS)
+        found = subprocess.run(
+            command.replace("LOGS", "-h g-*.log"),
+            shell=True,
+            cwd=directory,
+            capture_output=True,
+            check=True,
+        )
+    lines = [msgspec.json.decode(line) for line in found.stdout.splitlines()]
+    assert "roll-out ordered" in {line["message"] for line in lines}
+    # Two routers may find it in the same moment.
+    first = next(line for line in lines if line.get("by") == "evidence")
+    assert first["stage"] == "rolled_back"
+    assert first["bad_answers"] > first["answers"] / 5
+    assert first["current_bad_answers"] < first["current_answers"] / 10
+    assert first["worst_route"] is not None and first["targets"] >= 2
+
+
 def test_a_good_version_takes_over():
     result = _play(GOOD_SEED)
     assert result.end in ("done", "done late")
