--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/small_pages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/small_pages.py
@@ -11,11 +11,15 @@
     CallerConnection,
     CallerGone,
     CallerLimits,
+    CallerRequest,
     RequestRejected,
 )
 
 # A reader that takes no bytes must not keep a page and a descriptor for ever.
 SEND_TIMEOUT_S = 5.0
+# Another method could turn the connection into something else.
+METHODS = frozenset({b"GET", b"HEAD"})
+NOT_ALLOWED = 405
 _LIMITS = CallerLimits(
     header_bytes=8192,
     body_bytes=0,
@@ -84,12 +88,19 @@
         caller.close()
 
 
+async def _page_for(request: CallerRequest, make_page: MakePage) -> Page:
+    """Return the answer to one question."""
+    if request.method not in METHODS:
+        return Page(NOT_ALLOWED)
+    return await make_page(request.target.partition(b"?")[0])
+
+
 async def _answer_questions(make_page: MakePage, caller: CallerConnection) -> None:
     """Answer one question after another."""
     try:
         while True:
             request = await caller.read_request(_LIMITS)
-            page = await make_page(request.target.partition(b"?")[0])
+            page = await _page_for(request, make_page)
             headers = [(b"Content-Length", str(len(page.body)).encode())]
             if page.content_type is not None:
                 headers.append((b"Content-Type", page.content_type))
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -13,6 +13,8 @@
 
 HEAD_END = b"\r\n\r\n"
 CHUNK_MARGIN_BYTES = 65536
+# Its answer carries no body, whatever the headers say of one.
+BODILESS_METHOD = b"HEAD"
 
 
 class CallerGone(Exception):
@@ -97,6 +99,7 @@
         self._is_closed = False
         self._working_scope: trio.CancelScope | None = None
         self._is_leaving = False
+        self._takes_body = True
         self.is_idle = True
         self.is_answer_begun = False
         self.is_answer_whole = False
@@ -150,6 +153,7 @@
         self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
         self.is_answer_begun = False
         self.is_answer_whole = False
+        self._takes_body = True
         await self._wait_first_byte(limits.idle_timeout_s)
         self.is_idle = False
         received_s = trio.current_time()
@@ -157,6 +161,7 @@
         head = self._take_event()
         if not isinstance(head, h11.Request):
             raise RequestRejected(400)
+        self._takes_body = head.method != BODILESS_METHOD
         headers = head.headers.raw_items()
         values = _first_values(head)
         _check_framing(head, values, limits)
@@ -244,11 +249,11 @@
     async def send_answer(
         self, status: int, reason: bytes, headers: HeaderList, body: bytes
     ) -> None:
-        """Send a whole answer at once."""
+        """Send a whole answer at once; one to a question for its head has no body."""
         self.is_answer_begun = True
         response = h11.Response(status_code=status, reason=reason, headers=headers)
         data = self._protocol.send(response)
-        if body:
+        if body and self._takes_body:
             data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
         await self._send(data)
