--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -26,7 +26,6 @@
 )
 
 ACCEPT_BATCH = 64
-ACCEPT_PAUSE_S = 0.02
 # The store answers a process that has just started within some hundredths of a
 # second; callers wait that long unaccepted rather than be refused.
 KNOWLEDGE_PATIENCE_S = 0.3
@@ -57,7 +56,7 @@
         if not accepted:
             # Out of descriptors, or too many are being refused: the connection
             # stays ready and would spin.
-            await trio.sleep(ACCEPT_PAUSE_S)
+            await trio.sleep(sockets.ACCEPT_PAUSE_S)
 
 
 async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -30,7 +30,7 @@
     Link,
     read_while_sending,
 )
-from scaleloom_fleet.http1.sockets import ConnectionLost
+from scaleloom_fleet.http1.sockets import ConnectionLost, NoDescriptor
 
 MISDIRECTED = 421
 SURPLUS_LIMIT = 3
@@ -59,7 +59,12 @@
     """
     target = record.listed
     is_repeatable = work.match.route.is_repeatable
-    link = await state.pools.acquire(target, is_repeatable)
+    try:
+        link = await state.pools.acquire(target, is_repeatable)
+    except NoDescriptor:
+        # It is the router that is short of something, and not the target.
+        _logger.warning("no descriptor for a target")
+        return Verdict.NEVER_SENT
     if link is None:
         record.note_unreachable(trio.current_time())
         _tell_away(record)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -15,7 +15,7 @@
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_fleet.gateway.state import GatewayState, pack_entries
 from scaleloom_fleet.http1 import sockets
-from scaleloom_fleet.http1.sockets import ConnectionLost
+from scaleloom_fleet.http1.sockets import ConnectionLost, NoDescriptor
 from scaleloom_fleet.utils.addresses import Address
 
 CONNECT_TIMEOUT_S = 0.4
@@ -79,7 +79,11 @@
 
 async def _ask(peer: Address, query: bytes) -> bytes:
     """Return everything that `peer` answers to `query`."""
-    connection = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_MS)
+    try:
+        connection = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_MS)
+    except NoDescriptor as error:
+        _logger.warning("no descriptor for a peer", extra={"why": str(error)})
+        return b""
     if connection is None:
         return b""
     parts: list[bytes] = []
@@ -113,10 +117,8 @@
     ) -> None:
         """Answer every peer that asks at `listener`."""
         while True:
-            await trio.lowlevel.wait_readable(listener)
-            connection = sockets.accept_ready(listener)
-            if connection is not None:
-                nursery.start_soon(self._serve, connection)
+            connection = await sockets.accept(listener)
+            nursery.start_soon(self._serve, connection)
 
     async def _serve(self, connection: socket.socket) -> None:
         """Answer one peer, unless as many as can be are being answered."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/pools.py
@@ -6,6 +6,7 @@
 from scaleloom_core.listed import ListedTarget
 from scaleloom_fleet.conf.gateway_schema import TargetsSection
 from scaleloom_fleet.http1.links import Link, open_link
+from scaleloom_fleet.http1.sockets import NoDescriptor
 from scaleloom_fleet.utils.addresses import Address
 
 SWEEP_INTERVAL_S = 0.5
@@ -31,7 +32,14 @@
         self._settings = settings
 
     async def acquire(self, target: ListedTarget, is_repeatable: bool) -> Link | None:
-        """Return a link to `target`, or None if it cannot be reached."""
+        """
+        Return a link to `target`, or None if it cannot be reached.
+
+        Raises
+        ------
+        NoDescriptor
+            If none is left for it, not even by closing idle links.
+        """
         links = self._idle.get(target.id)
         now_s = trio.current_time()
         while links:
@@ -42,6 +50,10 @@
         settings = self._settings
         silence_ms = int(settings.silence_s * 1000)
         address = Address(target.host, target.port)
+        try:
+            return await open_link(address, settings.connect_timeout_s, silence_ms)
+        except NoDescriptor:
+            self.close()
         return await open_link(address, settings.connect_timeout_s, silence_ms)
 
     def _is_fresh(self, link: Link, now_s: float, is_repeatable: bool) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/small_pages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/small_pages.py
@@ -65,10 +65,7 @@
             open_connections.discard(connection)
 
     while True:
-        await trio.lowlevel.wait_readable(listener)
-        connection = sockets.accept_ready(listener)
-        if connection is None:
-            continue
+        connection = await sockets.accept(listener)
         if connection_limit is not None and len(open_connections) >= connection_limit:
             connection.close()
             continue
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -247,7 +247,14 @@
 
 
 async def open_link(address: Address, timeout_s: float, silence_ms: int) -> Link | None:
-    """Return a new link to `address`, or None if it does not come up in time."""
+    """
+    Return a new link to `address`, or None if it does not come up in time.
+
+    Raises
+    ------
+    NoDescriptor
+        If none is left for it.
+    """
     connection = await sockets.connect(address, timeout_s, silence_ms)
     return None if connection is None else Link(connection)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -13,12 +13,18 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
+# Without descriptors a connection stays ready, and asking on would spin.
+ACCEPT_PAUSE_S = 0.02
 
 
 class ConnectionLost(Exception):
     """Raised when the other side reset the connection or fell silent."""
 
 
+class NoDescriptor(ConnectionLost):
+    """Raised when the system lets this process open no more connections."""
+
+
 def listen(address: Address) -> socket.socket:
     """Return a socket that listens at `address`, the one opened early if any."""
     early = listening.take_early(address.host, address.port)
@@ -36,6 +42,16 @@
     return connection
 
 
+async def accept(listener: socket.socket) -> socket.socket:
+    """Return the next connection that arrives at `listener`."""
+    while True:
+        await trio.lowlevel.wait_readable(listener)
+        connection = accept_ready(listener)
+        if connection is not None:
+            return connection
+        await trio.sleep(ACCEPT_PAUSE_S)
+
+
 async def connect(
     address: Address, timeout_s: float, silence_ms: int
 ) -> socket.socket | None:
@@ -49,9 +65,13 @@
     silence_ms : int
         How long sent bytes may stay unacknowledged before the connection is
         given up, in milliseconds.
+
+    Raises
+    ------
+    NoDescriptor
+        If none is left for it, which says nothing of `address`.
     """
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    connection.setblocking(False)
+    connection = _open()
     try:
         _watch_for_silence(connection, silence_ms)
         with trio.move_on_after(timeout_s):
@@ -64,6 +84,23 @@
     return None
 
 
+def _open() -> socket.socket:
+    """
+    Return a non-blocking socket.
+
+    Raises
+    ------
+    NoDescriptor
+        If none can be had.
+    """
+    try:
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise NoDescriptor(str(error)) from error
+    connection.setblocking(False)
+    return connection
+
+
 async def _finish_connecting(connection: socket.socket, address: Address) -> bool:
     """Return whether the connection came up."""
     code = connection.connect_ex((address.host, address.port))
--- /dev/null
+++ b/tests/gateway/test_unreachable.py
@@ -0,0 +1,72 @@
+"""Tests of gateways that the system lets open no more connections."""
+
+import errno
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from types import SimpleNamespace
+from unittest import mock
+
+import trio
+from nose2.tools import params
+from returns.result import Failure
+
+from scaleloom_fleet.gateway.peer_documents import _ask
+from scaleloom_fleet.gateway.store_client import StoreClient
+from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.links import OutgoingRequest
+from scaleloom_fleet.utils.addresses import Address
+from tests.fixtures.fleets import runs_on_paused_clock
+from tests.fixtures.gateways import FIRST_HOST, running_site
+
+NOWHERE = Address(FIRST_HOST, 1)
+CALL_LIMIT_S = 1.0
+SPIN_LIMIT_S = 1.0
+MOST_TRIES = 2 * int(SPIN_LIMIT_S / 0.02)
+
+
+@contextmanager
+def _no_more_connections(code: int) -> Iterator[None]:
+    """Let the gateway open no connections, as the system does with `code`."""
+    refuse = mock.Mock(side_effect=OSError(code, "none left"))
+    names = SimpleNamespace(**{**vars(socket), "socket": refuse})
+    with mock.patch.object(sockets, "socket", names):
+        yield
+
+
+@params(errno.EMFILE, errno.ENFILE, errno.ENOBUFS)
+@runs_on_paused_clock
+async def test_a_request_is_refused_as_not_run_without_a_descriptor_for_its_link(code):
+    async with running_site() as site:
+        with _no_more_connections(code):
+            refused = await site.ask("/once/1", "r-1", method="POST", body=b"x")
+        assert refused.status == 503
+        assert b'"outcome":"not_run"' in refused.body
+        served = await site.ask("/once/1", "r-2", method="POST", body=b"x")
+        assert served.status == 200
+
+
+@runs_on_paused_clock
+async def test_a_call_of_the_store_fails_without_a_descriptor_and_no_more():
+    client = StoreClient(NOWHERE, CALL_LIMIT_S, lambda *told: None)
+    request = OutgoingRequest(b"GET", b"/", [], b"")
+    with _no_more_connections(errno.EMFILE):
+        assert isinstance(await client.call(request), Failure)
+
+
+@runs_on_paused_clock
+async def test_a_peer_is_not_asked_without_a_descriptor():
+    with _no_more_connections(errno.EMFILE):
+        assert await _ask(NOWHERE, b"") == b""
+
+
+@runs_on_paused_clock
+async def test_a_listener_without_descriptors_does_not_spin():
+    listener = sockets.listen(Address(FIRST_HOST, 0))
+    tries = mock.Mock(return_value=None)
+    async with await trio.open_tcp_stream(*listener.getsockname()):
+        with mock.patch.object(sockets, "accept_ready", tries):
+            with trio.move_on_after(SPIN_LIMIT_S):
+                await sockets.accept(listener)
+    listener.close()
+    assert 1 <= tries.call_count <= MOST_TRIES
