--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -262,11 +262,9 @@
     async def _send(self, data: bytes) -> None:
         """Send bytes to the caller."""
         try:
-            await sockets.send_all(self._connection, data)
+            await sockets.send_all(self._connection, data, self._note_sent)
         except (ConnectionLost, trio.ClosedResourceError) as error:
             raise CallerGone from error
-        if self._note_sent is not None:
-            self._note_sent(len(data))
 
     @property
     def has_left(self) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import sys
+from collections.abc import Callable
 
 import trio
 
@@ -162,20 +163,33 @@
         raise ConnectionLost(str(error)) from error
 
 
-async def send_all(connection: socket.socket, data: bytes) -> None:
+async def send_all(
+    connection: socket.socket,
+    data: bytes,
+    note_sent: Callable[[int], None] | None = None,
+) -> None:
     """
     Send all of `data`.
 
+    Parameters
+    ----------
+    note_sent : callable or None
+        Told how many bytes the kernel took, each time that it took some.
+
     Raises
     ------
     ConnectionLost
         If the connection was reset.
     """
-    sent = send_ready(connection, data)
-    rest = memoryview(data)[sent:]
-    while rest:
+    rest = memoryview(data)
+    while True:
+        sent = send_ready(connection, rest)
+        if note_sent is not None:
+            note_sent(sent)
+        rest = rest[sent:]
+        if not rest:
+            return
         await trio.lowlevel.wait_writable(connection)
-        rest = rest[send_ready(connection, rest) :]
 
 
 def is_quiet(connection: socket.socket) -> bool:
--- a/tests/http1/test_callers.py
+++ b/tests/http1/test_callers.py
@@ -3,6 +3,7 @@
 import socket
 
 import trio
+import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from nose2.tools import params
@@ -22,6 +23,9 @@
     idle_timeout_s=0.2,
     body_timeout_s=0.2,
 )
+# More than the kernel keeps for a reader that takes nothing.
+LONG_BODY_BYTES = 4_000_000
+READ_BYTES = 65536
 
 
 async def _read(pieces: list[bytes], is_ended: bool = False):
@@ -121,3 +125,24 @@
         nursery.cancel_scope.cancel()
     caller.close()
     theirs.close()
+
+
+@runs_in_trio
+async def test_bytes_are_told_as_the_kernel_takes_them_and_not_all_at_the_end():
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    told: list[int] = []
+    caller = CallerConnection(ours, told.append)
+    body = b"x" * LONG_BODY_BYTES
+    headers = [(b"Content-Length", str(len(body)).encode())]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.send_answer, 200, b"OK", headers, body)
+        await trio.testing.wait_all_tasks_blocked()
+        assert 0 < sum(told) < len(body)
+        taken = 0
+        while taken < len(body):
+            await trio.lowlevel.wait_readable(theirs)
+            taken += len(theirs.recv(READ_BYTES))
+    assert sum(told) >= len(body)
+    caller.close()
+    theirs.close()
