--- a/packages/scaleloom-core/scaleloom_core/own_limits.py
+++ b/packages/scaleloom-core/scaleloom_core/own_limits.py
@@ -7,6 +7,7 @@
 """
 
 from enum import Enum
+from math import isfinite
 
 import msgspec
 
@@ -49,7 +50,7 @@
 
 class OwnMeans(msgspec.Struct, frozen=True):
     """
-    What a router has; 0 stands for what sets no limit.
+    What a router has; 0 and infinity stand for what sets no limit.
 
     Parameters
     ----------
@@ -83,7 +84,7 @@
         if self.descriptors:
             most = int(CALLERS_SHARE * self.free_descriptors)
             room[Limit.DESCRIPTORS] = max(1, most)
-        if self.memory_mb:
+        if self.memory_mb and isfinite(self.memory_mb):
             free_mb = self.memory_mb - OWN_MEMORY_MB
             room[Limit.MEMORY] = max(1, int(free_mb / MEMORY_PER_CALLER_MB))
         return room
--- a/packages/scaleloom-core/scaleloom_core/precedence.py
+++ b/packages/scaleloom-core/scaleloom_core/precedence.py
@@ -8,6 +8,8 @@
 HASH_BITS = 32
 WEAKNESS_BITS = 4
 MOST_WEAKNESS = (1 << WEAKNESS_BITS) - 1
+# Who has still less than this share of what is enough is no weaker.
+LEAST_SHARE = 2.0**-MOST_WEAKNESS
 # A process has one thread, which can't use more.
 ENOUGH_CORES = 1.0
 # A configuration of half a megabyte fills such a link for 0.04 s.
@@ -32,8 +34,8 @@
     shares = [cores / ENOUGH_CORES, link_mbps / ENOUGH_MBPS]
     if memory_mb:
         shares.append(memory_mb / ENOUGH_MEMORY_MB)
-    doublings = math.ceil(-math.log2(min(shares)))
-    return min(MOST_WEAKNESS, max(0, doublings))
+    scarcest = min(1.0, max(LEAST_SHARE, min(shares)))
+    return math.ceil(-math.log2(scarcest))
 
 
 def precedence(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
@@ -65,7 +65,7 @@
     """Return a socket that listens at `address`, or None if that cannot be had."""
     try:
         return sockets.listen(address)
-    except OSError as error:
+    except (OSError, OverflowError) as error:
         fields = {"address": str(address), "why": str(error)}
         _logger.error("metrics page not served", extra=fields)
         return None
--- a/tests/core/test_fleet_roster.py
+++ b/tests/core/test_fleet_roster.py
@@ -235,6 +235,12 @@
     assert weakness(cores=1e-9, link_mbps=1e-9, memory_mb=1e-9) == MOST_WEAKNESS
 
 
+def test_a_share_that_is_nothing_or_without_end_has_a_weakness_too():
+    assert weakness(cores=0.0, link_mbps=100.0, memory_mb=0.0) == MOST_WEAKNESS
+    endless = float("inf")
+    assert weakness(cores=endless, link_mbps=endless, memory_mb=endless) == 0
+
+
 def test_routers_that_differ_little_are_equal():
     assert weakness(0.51, 100.0, 200.0) == weakness(0.9, 190.0, 300.0)
 
--- a/tests/core/test_own_limits.py
+++ b/tests/core/test_own_limits.py
@@ -67,6 +67,10 @@
     assert limits.lacking_for_caller(101, 0) is Limit.MEMORY
 
 
+def test_memory_without_end_sets_no_limit():
+    assert OwnMeans(memory_mb=math.inf).callers == {}
+
+
 def test_a_machine_smaller_than_its_needs_still_takes_one_caller():
     limits = OwnLimits(OwnMeans(descriptors=30, memory_mb=10.0))
     assert limits.lacking_for_caller(1, 0) is not None
--- a/tests/gateway/test_metrics_page.py
+++ b/tests/gateway/test_metrics_page.py
@@ -36,6 +36,7 @@
 FETCH_LIMIT_S = 0.5
 WORK_S = 1.0
 REQUESTS = 40
+NO_PORT = 65536
 
 
 @asynccontextmanager
@@ -275,6 +276,14 @@
     assert answer.status == 200
 
 
+@runs_on_paused_clock
+async def test_a_gateway_whose_page_has_no_possible_port_serves_all_the_same():
+    observe = GatewayObserveSection(metrics_address=f"{FIRST_HOST}:{NO_PORT}")
+    async with running_site(observe=observe) as site:
+        answer = await site.ask("/safe/1")
+    assert answer.status == 200
+
+
 def test_the_reference_page_repeats_the_table_in_the_code():
     assert render_table() in REFERENCE.read_text(encoding="utf-8")
 
--- a/tests/gateway/test_reloading.py
+++ b/tests/gateway/test_reloading.py
@@ -16,6 +16,7 @@
 REFERENCE = Path(__file__).parents[2] / "docs" / "reference" / "gateway.ini"
 TEXT = REFERENCE.read_text(encoding="utf-8")
 MULTIPLE = "# load_multiple = 2.0"
+MANY_CALLERS = 10**6
 
 
 def _state_and_path(directory: str):
@@ -46,6 +47,14 @@
     assert state.chooser.bound_multiple == 2.0
 
 
+def test_a_limit_without_end_is_taken_and_limits_nothing():
+    with tempfile.TemporaryDirectory() as directory:
+        state, path = _state_and_path(directory)
+        path.write_text(TEXT.replace("# memory_mb = 0.0", "memory_mb = inf"))
+        assert reload_settings(state, path)
+    assert state.own_limits.lacking_for_caller(MANY_CALLERS, 0) is None
+
+
 @runs_in_trio
 async def test_a_hang_up_signal_reads_the_settings_again():
     with tempfile.TemporaryDirectory() as directory:
