--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import sys
+from collections.abc import Callable
 
 import trio
 
@@ -13,12 +14,18 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
+# Without descriptors a connection stays ready, and asking on would spin.
+ACCEPT_PAUSE_S = 0.02
 
 
 class ConnectionLost(Exception):
     """Raised when the other side reset the connection or fell silent."""
 
 
+class NoDescriptor(ConnectionLost):
+    """Raised when the system lets this process open no more connections."""
+
+
 def listen(address: Address) -> socket.socket:
     """Return a socket that listens at `address`, the one opened early if any."""
     early = listening.take_early(address.host, address.port)
@@ -36,6 +43,16 @@
     return connection
 
 
+async def accept(listener: socket.socket) -> socket.socket:
+    """Return the next connection that arrives at `listener`."""
+    while True:
+        await trio.lowlevel.wait_readable(listener)
+        connection = accept_ready(listener)
+        if connection is not None:
+            return connection
+        await trio.sleep(ACCEPT_PAUSE_S)
+
+
 async def connect(
     address: Address, timeout_s: float, silence_ms: int
 ) -> socket.socket | None:
@@ -49,9 +66,13 @@
     silence_ms : int
         How long sent bytes may stay unacknowledged before the connection is
         given up, in milliseconds.
+
+    Raises
+    ------
+    NoDescriptor
+        If none is left for it, which says nothing of `address`.
     """
-    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    connection.setblocking(False)
+    connection = _open()
     try:
         _watch_for_silence(connection, silence_ms)
         with trio.move_on_after(timeout_s):
@@ -64,6 +85,23 @@
     return None
 
 
+def _open() -> socket.socket:
+    """
+    Return a non-blocking socket.
+
+    Raises
+    ------
+    NoDescriptor
+        If none can be had.
+    """
+    try:
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise NoDescriptor(str(error)) from error
+    connection.setblocking(False)
+    return connection
+
+
 async def _finish_connecting(connection: socket.socket, address: Address) -> bool:
     """Return whether the connection came up."""
     code = connection.connect_ex((address.host, address.port))
@@ -125,20 +163,33 @@
         raise ConnectionLost(str(error)) from error
 
 
-async def send_all(connection: socket.socket, data: bytes) -> None:
+async def send_all(
+    connection: socket.socket,
+    data: bytes,
+    note_sent: Callable[[int], None] | None = None,
+) -> None:
     """
     Send all of `data`.
 
+    Parameters
+    ----------
+    note_sent : callable or None
+        Told how many bytes the kernel took, each time that it took some.
+
     Raises
     ------
     ConnectionLost
         If the connection was reset.
     """
-    sent = send_ready(connection, data)
-    rest = memoryview(data)[sent:]
-    while rest:
+    rest = memoryview(data)
+    while True:
+        sent = send_ready(connection, rest)
+        if note_sent is not None:
+            note_sent(sent)
+        rest = rest[sent:]
+        if not rest:
+            return
         await trio.lowlevel.wait_writable(connection)
-        rest = rest[send_ready(connection, rest) :]
 
 
 def is_quiet(connection: socket.socket) -> bool:
