--- a/packages/scaleloom-core/scaleloom_core/rollouts/answers.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/answers.py
@@ -7,7 +7,9 @@
 
 RouteKey = int
 TargetKey = int
-Count = Annotated[int, msgspec.Meta(ge=0)]
+# No fleet gives as many answers in a roll-out; sums of such counts can be sent.
+MOST_COUNTED = 2**32
+Count = Annotated[int, msgspec.Meta(ge=0, le=MOST_COUNTED)]
 
 # A service has some routes and tens of targets on trial; what is beyond shares.
 MOST_ROUTES = 32
@@ -30,9 +32,22 @@
     answered: Count = 0
     bad: Count = 0
 
+    def __post_init__(self) -> None:
+        """
+        Check that no more were bad than there were.
+
+        Raises
+        ------
+        ValueError
+            If more were bad; what tells so is not read.
+        """
+        if self.bad > self.answered:
+            raise ValueError("more bad answers than answers")
+
     def plus(self, other: "Tally") -> "Tally":
-        """Return both together."""
-        return Tally(self.answered + other.answered, self.bad + other.bad)
+        """Return both together, as far as may be counted."""
+        answered = min(self.answered + other.answered, MOST_COUNTED)
+        return Tally(answered, min(self.bad + other.bad, MOST_COUNTED))
 
 
 NOTHING = Tally()
--- a/tests/core/test_rollout_evidence.py
+++ b/tests/core/test_rollout_evidence.py
@@ -5,6 +5,7 @@
 import msgspec
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from nose2.tools import params
 
 from scaleloom_core.rollouts import answers, comparison, evidence
 from scaleloom_core.rollouts.answers import SeenAnswers, Tally, UntoldAnswers
@@ -288,12 +289,22 @@
     assert known.totals() == _at_current(3)
 
 
-def test_counts_below_zero_are_not_read():
-    written = msgspec.msgpack.encode([{ROUTE: [-8, 0]}, {}])
+@params([-8, 0], [8, -8], [8, 9], [0, 900], [2**64 - 1, 0])
+def test_counts_that_cannot_be_are_not_read(counts):
+    written = msgspec.msgpack.encode([{ROUTE: counts}, {}])
     with unittest.TestCase().assertRaises(msgspec.ValidationError):
         msgspec.msgpack.decode(written, type=SeenAnswers)
 
 
+def test_counts_from_many_that_tell_the_most_can_be_passed_on():
+    untold = UntoldAnswers()
+    most = Tally(answers.MOST_COUNTED, answers.MOST_COUNTED)
+    for _ in range(5):
+        untold.note_all(SeenAnswers({ROUTE: most}))
+    written = msgspec.msgpack.encode(untold.take())
+    assert msgspec.msgpack.decode(written, type=SeenAnswers).current == {ROUTE: most}
+
+
 def test_tables_of_routes_and_targets_are_bounded():
     known = Evidence()
     for number in range(300):
