--- a/packages/scaleloom-core/scaleloom_core/observations.py
+++ b/packages/scaleloom-core/scaleloom_core/observations.py
@@ -88,6 +88,7 @@
     _first_s: float = 0.0
     _held_up_s: float = 0.0
     _is_told: bool = False
+    _is_whole: bool = False
 
     def note_part(self, size: int, now_s: float) -> None:
         """Take in a part of the answer's body."""
@@ -111,9 +112,11 @@
         self._held_up_s += seconds
 
     def note_whole(self, now_s: float) -> None:
-        """Take in that a plain answer is there whole."""
+        """Take in that a plain answer is there whole; the rest is the caller's."""
         if self.is_warm:
             self._pace = now_s - self.sent_s
+        self._is_whole = True
+        self._tell(False, now_s)
 
     def note_end(self, is_failed: bool, now_s: float) -> None:
         """Take in that the exchange has ended with an answer, or failed to."""
@@ -122,6 +125,8 @@
 
     def note_deadline(self, now_s: float) -> None:
         """Take in that the request's time ran out at the target."""
+        if self._is_whole:
+            return
         if now_s - self.sent_s - self._held_up_s > self.patience_s:
             self._tell(True, now_s)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
@@ -66,14 +66,26 @@
     state: GatewayState, work: Work, link: Link, head: AnswerHead, gathered: bytes
 ) -> Verdict:
     """Pass on a long answer as it arrives."""
-    await _begin_answer(state, work, head, keeps_length=True)
-    await work.connection.send_data(gathered)
-    while (part := await link.read_data()) is not None:
-        await work.connection.send_data(part)
+    part: bytes | None = gathered
+    while part is not None:
+        taken_s = trio.current_time()
+        try:
+            if not work.is_answer_begun:
+                await _begin_answer(state, work, head, keeps_length=True)
+            await work.connection.send_data(part)
+        finally:
+            _note_held_up(work, taken_s)
+        part = await link.read_data()
     await work.connection.send_end()
     return Verdict.ANSWERED
 
 
+def _note_held_up(work: Work, since_s: float) -> None:
+    """Note for how long a caller took nothing, also if its time runs out."""
+    if work.observation is not None:
+        work.observation.note_held_up(trio.current_time() - since_s)
+
+
 async def pass_stream(
     state: GatewayState,
     work: Work,
@@ -109,11 +121,12 @@
         if not ready:
             continue
         taken_s = trio.current_time()
-        if not work.is_answer_begun:
-            await _begin_answer(state, work, head, keeps_length=splitter is None)
-        await work.connection.send_data(ready)
-        if work.observation is not None:
-            work.observation.note_held_up(trio.current_time() - taken_s)
+        try:
+            if not work.is_answer_begun:
+                await _begin_answer(state, work, head, keeps_length=splitter is None)
+            await work.connection.send_data(ready)
+        finally:
+            _note_held_up(work, taken_s)
         patience_s = EVENT_PATIENCE_S if can_repeat else float("inf")
     if splitter is not None and splitter.has_partial:
         raise AnswerBroken("the last event is not whole")
--- a/tests/core/test_observations.py
+++ b/tests/core/test_observations.py
@@ -133,3 +133,10 @@
     listener.note_answer(Track.CURRENT, 5, 6, True, AnswerTimes(9.0), 1.0)
     assert listener.usual.is_slow(5, AnswerTimes(0.4))
     assert not listener.usual.is_slow(5, AnswerTimes(0.15))
+
+
+def test_a_plain_answer_that_is_there_whole_is_no_bad_one_whenever_it_is_taken():
+    observed = _observation(is_stream=False)
+    observed.note_whole(1.1)
+    observed.note_deadline(9.0)
+    assert [answer.is_failed for answer in observed.listener.answers] == [False]
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -336,6 +336,28 @@
         assert trial.course.answers == []
 
 
+@params("/stream-once/1", "/once/1")
+@runs_on_paused_clock
+async def test_a_caller_that_takes_nothing_makes_no_bad_answer(path):
+    async with site_on_trial(slack=50.0) as trial:
+
+        async def send_much(runner, one) -> bool:
+            await one.stream.send_all(runners.stream_head(runner, one))
+            piece = runners.chunk(runners.event(1) * 4096)
+            while True:
+                await one.stream.send_all(piece)
+
+        for runner in trial.new:
+            runner.behaviour = send_much
+        gateway = trial.site.gateways[0]
+        caller = await trio.open_tcp_stream(gateway.host, gateway.front_port)
+        async with caller:
+            await caller.send_all(request_bytes(path, "r-idle"))
+            await trio.sleep(3.0)
+        assert asked(trial.new) == 1
+        assert [a for a in trial.course.answers if a.is_failed] == []
+
+
 @runs_on_paused_clock
 async def test_a_router_that_stops_makes_no_bad_answer():
     async with site_on_trial(slack=50.0) as trial:
