--- a/packages/scaleloom-core/scaleloom_core/observations.py
+++ b/packages/scaleloom-core/scaleloom_core/observations.py
@@ -70,6 +70,8 @@
         Whether the target need not read a prompt first, which takes time.
     is_cold : bool
         Whether the target has just started, so that its times say nothing.
+    is_judged : bool
+        Whether failures count, and not only usual times are learnt.
     """
 
     listener: AnswerListener
@@ -81,6 +83,7 @@
     is_stream: bool
     is_warm: bool
     is_cold: bool = False
+    is_judged: bool = True
     _begun_s: float | None = None
     _pace: float | None = None
     _parts: int = 0
@@ -90,6 +93,11 @@
     _is_told: bool = False
     _is_whole: bool = False
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether nothing that is still to come says any more."""
+        return self._is_told and not self.is_judged
+
     def note_part(self, size: int, now_s: float) -> None:
         """Take in a part of the answer's body."""
         if not self.is_stream or self._is_told:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
@@ -43,9 +43,20 @@
         is_stream=route.kind is RequestKind.STREAM,
         is_warm=is_warm,
         is_cold=record.is_cold(policy.cold_start_s, now_s),
+        is_judged=course is not None,
     )
 
 
+def note_part(work: Work, size: int) -> None:
+    """Take in a part of the answer's body; observe no further once all is known."""
+    observation = work.observation
+    if observation is None:
+        return
+    observation.note_part(size, trio.current_time())
+    if observation.is_over:
+        work.observation = None
+
+
 def note_end(work: Work, verdict: Verdict) -> None:
     """Take in how the exchange of `work` ended, unless that says nothing."""
     observation, work.observation = work.observation, None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
@@ -7,6 +7,7 @@
 from scaleloom_fleet.gateway.answering import closing_headers
 from scaleloom_fleet.gateway.figures import FIRST_BYTE
 from scaleloom_fleet.gateway.headers import answer_headers
+from scaleloom_fleet.gateway.observing import note_part
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.verdicts import Verdict
 from scaleloom_fleet.gateway.work import Work
@@ -68,22 +69,25 @@
     """Pass on a long answer as it arrives."""
     part: bytes | None = gathered
     while part is not None:
-        taken_s = trio.current_time()
-        try:
-            if not work.is_answer_begun:
-                await _begin_answer(state, work, head, keeps_length=True)
-            await work.connection.send_data(part)
-        finally:
-            _note_held_up(work, taken_s)
+        await _send_part(state, work, head, part, keeps_length=True)
         part = await link.read_data()
     await work.connection.send_end()
     return Verdict.ANSWERED
 
 
-def _note_held_up(work: Work, since_s: float) -> None:
-    """Note for how long a caller took nothing, also if its time runs out."""
-    if work.observation is not None:
-        work.observation.note_held_up(trio.current_time() - since_s)
+async def _send_part(
+    state: GatewayState, work: Work, head: AnswerHead, part: bytes, keeps_length: bool
+) -> None:
+    """Send a part on; what that takes is the caller's time, also if it is cut."""
+    observation = work.observation
+    since_s = trio.current_time() if observation is not None else 0.0
+    try:
+        if not work.is_answer_begun:
+            await _begin_answer(state, work, head, keeps_length)
+        await work.connection.send_data(part)
+    finally:
+        if observation is not None:
+            observation.note_held_up(trio.current_time() - since_s)
 
 
 async def pass_stream(
@@ -112,21 +116,14 @@
             return Verdict.SILENT
         if part is None:
             break
-        if work.observation is not None:
-            work.observation.note_part(len(part), trio.current_time())
+        note_part(work, len(part))
         if is_first:
             note_first_data()
             is_first = False
         ready = part if splitter is None else splitter.take(part)
         if not ready:
             continue
-        taken_s = trio.current_time()
-        try:
-            if not work.is_answer_begun:
-                await _begin_answer(state, work, head, keeps_length=splitter is None)
-            await work.connection.send_data(ready)
-        finally:
-            _note_held_up(work, taken_s)
+        await _send_part(state, work, head, ready, keeps_length=splitter is None)
         patience_s = EVENT_PATIENCE_S if can_repeat else float("inf")
     if splitter is not None and splitter.has_partial:
         raise AnswerBroken("the last event is not whole")
--- a/tests/core/test_observations.py
+++ b/tests/core/test_observations.py
@@ -140,3 +140,13 @@
     observed.note_whole(1.1)
     observed.note_deadline(9.0)
     assert [answer.is_failed for answer in observed.listener.answers] == [False]
+
+
+@params((True, False), (False, True))
+def test_without_an_order_a_stream_is_observed_until_its_pace_is_known(judged, over):
+    observed = _observation()
+    observed.is_judged = judged
+    _read(observed, PACED_PARTS - 1)
+    assert not observed.is_over
+    observed.note_part(PART_BYTES, 9.0)
+    assert observed.is_over is over
