--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
@@ -94,8 +94,10 @@
     return state.view.is_evacuated(service, track)
 
 
-def is_recalled(work: Work) -> bool:
-    """Return whether the version was rolled back since the target was chosen."""
-    if work.course is None or work.track is not Track.CANDIDATE:
+def is_recalled(state: GatewayState, work: Work) -> bool:
+    """Return whether the roll-out was ended since the target was chosen."""
+    course = work.course
+    if course is None or work.track is not Track.CANDIDATE:
         return False
-    return work.course.stage is Stage.ROLLED_BACK
+    is_newest = course is state.rollouts.course_of(work.match.service)
+    return course.stage is Stage.ROLLED_BACK or not is_newest
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -68,7 +68,7 @@
         # Nothing was sent yet, and nobody waits for the answer any more.
         state.pools.put_back(target.id, link)
         raise CallerGone
-    if is_recalled(work):
+    if is_recalled(state, work):
         state.pools.put_back(target.id, link)
         return Verdict.NEVER_SENT
     is_whole = False
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
@@ -43,7 +43,7 @@
         is_stream=route.kind is RequestKind.STREAM,
         is_warm=is_warm,
         is_cold=record.is_cold(policy.cold_start_s, now_s),
-        is_judged=course is not None,
+        is_judged=course is not None and not course.stage.is_final,
     )
 
 
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -28,6 +28,7 @@
     OLD,
     RolloutSite,
     asked,
+    recording_course,
     site_on_trial,
 )
 
@@ -512,6 +513,22 @@
         assert asked(trial.new) == 0
 
 
+@runs_on_paused_clock
+async def test_what_was_chosen_before_another_order_is_not_sent_after_it():
+    async with site_on_trial(slack=50.0) as trial:
+        acquire = trial.state.pools.acquire
+        (rollout,) = trial.state.rollouts.by_service.values()
+
+        async def acquire_as_the_order_is_replaced(target, is_repeatable):
+            link = await acquire(target, is_repeatable)
+            rollout.course = recording_course()
+            return link
+
+        trial.state.pools.acquire = acquire_as_the_order_is_replaced
+        assert (await trial.site.ask("/once/1", "r-1")).status == 200
+        assert asked(trial.new) == 0
+
+
 @runs_on_paused_clock
 async def test_an_answer_counts_for_the_order_under_which_it_was_sent():
     async with site_on_trial(slack=50.0) as trial:
