--- a/packages/scaleloom-core/scaleloom_core/rollouts/stages.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/stages.py
@@ -1,11 +1,15 @@
 """How far a roll-out has come, and what routers tell each other of it."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
 from scaleloom_core.ids import ServiceName, Version
 
+# Some thirty years; what is told of more is no time since an order.
+LONGEST_MS = 2**40
+
 
 class Stage(Enum):
     """
@@ -49,7 +53,7 @@
     service: ServiceName
     position: int
     stage: Stage
-    elapsed_ms: int
+    elapsed_ms: Annotated[int, msgspec.Meta(ge=0, le=LONGEST_MS)]
     replaced: frozenset[Version] = frozenset()
     rejected: frozenset[Version] = frozenset()
 
--- a/tests/core/test_rollout_stages.py
+++ b/tests/core/test_rollout_stages.py
@@ -7,6 +7,7 @@
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from nose2.tools import params
 
 from scaleloom_core.ids import ServiceName, Version
 from scaleloom_core.rollouts.stages import Stage, Standing
@@ -77,3 +78,10 @@
     merged = one.merged_with(other)
     assert merged.merged_with(other) == merged
     assert merged.merged_with(one) == merged
+
+
+@params(-1, 2**63, 2**64 - 1)
+def test_times_that_cannot_be_are_not_read(elapsed_ms):
+    written = msgspec.msgpack.encode(["chat", 1, Stage.RUNNING.value, elapsed_ms])
+    with unittest.TestCase().assertRaises(msgspec.ValidationError):
+        msgspec.msgpack.decode(written, type=Standing)
