--- a/packages/scaleloom-core/scaleloom_core/observations.py
+++ b/packages/scaleloom-core/scaleloom_core/observations.py
@@ -70,6 +70,8 @@
         Whether the target need not read a prompt first, which takes time.
     is_cold : bool
         Whether the target has just started, so that its times say nothing.
+    is_judged : bool
+        Whether failures count, and not only usual times are learnt.
     """
 
     listener: AnswerListener
@@ -81,6 +83,7 @@
     is_stream: bool
     is_warm: bool
     is_cold: bool = False
+    is_judged: bool = True
     _begun_s: float | None = None
     _pace: float | None = None
     _parts: int = 0
@@ -88,6 +91,12 @@
     _first_s: float = 0.0
     _held_up_s: float = 0.0
     _is_told: bool = False
+    _is_whole: bool = False
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether nothing that is still to come says any more."""
+        return self._is_told and not self.is_judged
 
     def note_part(self, size: int, now_s: float) -> None:
         """Take in a part of the answer's body."""
@@ -111,9 +120,11 @@
         self._held_up_s += seconds
 
     def note_whole(self, now_s: float) -> None:
-        """Take in that a plain answer is there whole."""
+        """Take in that a plain answer is there whole; the rest is the caller's."""
         if self.is_warm:
             self._pace = now_s - self.sent_s
+        self._is_whole = True
+        self._tell(False, now_s)
 
     def note_end(self, is_failed: bool, now_s: float) -> None:
         """Take in that the exchange has ended with an answer, or failed to."""
@@ -122,6 +133,8 @@
 
     def note_deadline(self, now_s: float) -> None:
         """Take in that the request's time ran out at the target."""
+        if self._is_whole:
+            return
         if now_s - self.sent_s - self._held_up_s > self.patience_s:
             self._tell(True, now_s)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/passing.py
@@ -7,6 +7,7 @@
 from scaleloom_fleet.gateway.answering import closing_headers
 from scaleloom_fleet.gateway.figures import FIRST_BYTE
 from scaleloom_fleet.gateway.headers import answer_headers
+from scaleloom_fleet.gateway.observing import note_part
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.verdicts import Verdict
 from scaleloom_fleet.gateway.work import Work
@@ -66,14 +67,29 @@
     state: GatewayState, work: Work, link: Link, head: AnswerHead, gathered: bytes
 ) -> Verdict:
     """Pass on a long answer as it arrives."""
-    await _begin_answer(state, work, head, keeps_length=True)
-    await work.connection.send_data(gathered)
-    while (part := await link.read_data()) is not None:
-        await work.connection.send_data(part)
+    part: bytes | None = gathered
+    while part is not None:
+        await _send_part(state, work, head, part, keeps_length=True)
+        part = await link.read_data()
     await work.connection.send_end()
     return Verdict.ANSWERED
 
 
+async def _send_part(
+    state: GatewayState, work: Work, head: AnswerHead, part: bytes, keeps_length: bool
+) -> None:
+    """Send a part on; what that takes is the caller's time, also if it is cut."""
+    observation = work.observation
+    since_s = trio.current_time() if observation is not None else 0.0
+    try:
+        if not work.is_answer_begun:
+            await _begin_answer(state, work, head, keeps_length)
+        await work.connection.send_data(part)
+    finally:
+        if observation is not None:
+            observation.note_held_up(trio.current_time() - since_s)
+
+
 async def pass_stream(
     state: GatewayState,
     work: Work,
@@ -100,20 +116,14 @@
             return Verdict.SILENT
         if part is None:
             break
-        if work.observation is not None:
-            work.observation.note_part(len(part), trio.current_time())
+        note_part(work, len(part))
         if is_first:
             note_first_data()
             is_first = False
         ready = part if splitter is None else splitter.take(part)
         if not ready:
             continue
-        taken_s = trio.current_time()
-        if not work.is_answer_begun:
-            await _begin_answer(state, work, head, keeps_length=splitter is None)
-        await work.connection.send_data(ready)
-        if work.observation is not None:
-            work.observation.note_held_up(trio.current_time() - taken_s)
+        await _send_part(state, work, head, ready, keeps_length=splitter is None)
         patience_s = EVENT_PATIENCE_S if can_repeat else float("inf")
     if splitter is not None and splitter.has_partial:
         raise AnswerBroken("the last event is not whole")
