--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decisions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decisions.py
@@ -8,7 +8,7 @@
 from scaleloom_core.catching_up import FOLLOWERS
 from scaleloom_core.fleet_roster import SETTLES_S
 from scaleloom_core.ids import ServiceName
-from scaleloom_core.rollouts.decisions import Decision
+from scaleloom_core.rollouts.decisions import Decision, FormerVersions
 from scaleloom_core.rollouts.stages import Stage, Standing
 from scaleloom_fleet.gateway.conditional_topic import ConditionalTopic
 from scaleloom_fleet.gateway.interfaces import Topic
@@ -190,15 +190,26 @@
             is_recent = now_s - written_s < REWRITTEN_S or standing.stage.is_final
             if written.standing.stage is standing.stage and is_recent:
                 return self._log.is_known
-        elif written is not None:
-            left = written.left_to_next().without(rollout.course.order.version)
-            standing = msgspec.structs.replace(
-                standing,
-                replaced=standing.replaced | left.replaced,
-                rejected=standing.rejected | left.rejected,
-            )
+        else:
+            standing = self._with_former(rollout, standing, written)
         return await self._write(rollout, standing)
 
+    def _with_former(
+        self, rollout: Rollout, standing: Standing, written: Decision | None
+    ) -> Standing:
+        """
+        Return `standing` with what is left of former orders.
+
+        One that was ended before anything of it was written down was not done.
+        """
+        left = written.left_to_next() if written is not None else FormerVersions()
+        left = left.without(rollout.course.order.version)
+        return msgspec.structs.replace(
+            standing,
+            replaced=standing.replaced | left.replaced | rollout.unwritten(written),
+            rejected=standing.rejected | left.rejected,
+        )
+
     async def _write(self, rollout: Rollout, standing: Standing) -> bool:
         """Write `standing` with the evidence; return whether it surely stands."""
         course = rollout.course
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_records.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_records.py
@@ -7,9 +7,9 @@
 from scaleloom_core.ids import Version
 from scaleloom_core.rollouts.clearance import Clearance
 from scaleloom_core.rollouts.course import RolloutCourse
-from scaleloom_core.rollouts.decisions import FormerVersions
+from scaleloom_core.rollouts.decisions import Decision, FormerVersions
 from scaleloom_core.rollouts.evidence import UntoldAnswers
-from scaleloom_core.rollouts.orders import RolloutOrder
+from scaleloom_core.rollouts.orders import UNKNOWN_POSITION, RolloutOrder
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.rollouts.versions import VersionRule
 from scaleloom_fleet.utils.metrics import Metrics
@@ -25,9 +25,10 @@
     ----------
     learned_s : float
         When this router learned of the order, on the runtime's clock.
-    presumed : frozenset of Version
-        Ordered before and not known to be done. They serve only where nothing
-        else is listed, until the log of decisions has told what became of them.
+    presumed : dict of Version to int
+        Ordered before and not known to be done, with the order's position. They
+        serve only where nothing else is listed, until the log of decisions has
+        told what became of them.
     is_grounded : bool
         Whether former versions are those that the log of decisions tells.
     lacks_evidence : bool
@@ -41,7 +42,7 @@
 
     course: RolloutCourse
     learned_s: float
-    presumed: frozenset[Version] = frozenset()
+    presumed: dict[Version, int] = msgspec.field(default_factory=dict)
     is_grounded: bool = False
     lacks_evidence: bool = False
     is_alone: bool = False
@@ -60,9 +61,14 @@
             rule = VersionRule(None, rule.replaced, rule.rejected)
         if not self.presumed:
             return rule
-        replaced = rule.replaced | self.presumed
+        replaced = rule.replaced.union(self.presumed)
         return VersionRule(rule.candidate, replaced, rule.rejected)
 
+    def unwritten(self, written: Decision | None) -> frozenset[Version]:
+        """Return what was ordered after the order that `written` is about."""
+        last = written.standing.position if written is not None else UNKNOWN_POSITION
+        return frozenset(v for v, position in self.presumed.items() if position > last)
+
 
 def carry_over(former: Rollout, later: Rollout) -> None:
     """
@@ -75,7 +81,11 @@
     left = FormerVersions(course.replaced, course.rejected).without(version)
     later.course.replaced, later.course.rejected = left.replaced, left.rejected
     if course.stage is not Stage.DONE:
-        later.presumed = (former.presumed | {course.order.version}) - {version}
+        later.presumed = {
+            **former.presumed,
+            course.order.version: course.order.position,
+        }
+        later.presumed.pop(version, None)
 
 
 def _names(order: RolloutOrder) -> dict[str, object]:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollouts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollouts.py
@@ -176,7 +176,7 @@
             return
         before = rollout.rule()
         if is_grounded:
-            rollout.is_grounded, rollout.presumed = True, frozenset()
+            rollout.is_grounded, rollout.presumed = True, {}
         if rollout.course.take_in(told, now_s):
             self._note_stage(rollout, by, now_s)
         elif rollout.rule() != before:
--- a/tests/gateway/test_rollout_orders.py
+++ b/tests/gateway/test_rollout_orders.py
@@ -196,6 +196,27 @@
         assert {rule.rejected for rule in rules} == {frozenset({NEW})}
 
 
+@params(Stage.RUNNING, Stage.ROLLED_BACK)
+@runs_on_paused_clock
+async def test_an_order_that_ends_one_never_written_down_bars_its_version(former):
+    async with rollout_site() as rolled:
+        rolled.store.fault = StoreFault.BUSY
+        rolled.store.faulty_topics = OWN_TOPICS
+        rolled.order(duration_s=LONG_S)
+        await rolled.reach(Stage.RUNNING)
+        if former is Stage.ROLLED_BACK:
+            rolled.judgement.assessment = Assessment.BAD
+            await rolled.reach(Stage.ROLLED_BACK)
+            rolled.judgement.assessment = Assessment.UNDECIDED
+        rolled.order(THIRD, LONG_S)
+        await rolled.reach(Stage.RUNNING)
+        rolled.store.fault = StoreFault.NONE
+        await rolled.told(("running", THIRD))
+        await trio.sleep(TOLD_S)
+        rules = [rolled.rule(gateway) for gateway in rolled.running()]
+        assert {rule.track_of(NEW) for rule in rules} == {None}
+
+
 @runs_on_paused_clock
 async def test_a_version_that_is_ordered_again_is_neither_rejected_nor_replaced():
     async with rollout_site() as rolled:
