--- a/packages/scaleloom-core/scaleloom_core/rollouts/course.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/course.py
@@ -37,6 +37,9 @@
 # The whole traffic is watched until so shortly before the deadline: a version that
 # is bad under load only shows it then. Writing it down takes two calls of the store.
 DONE_LEAD_S = 0.25
+# A router that the service does not use switches so shortly before the deadline:
+# the decider hears it by then, over a group's relay too.
+UNUSED_LEAD_S = 1.0
 # A version that takes over after the deadline is watched for so long: there is
 # no hurry any more, and a fault under load takes some answers to show.
 LATE_WATCH_S = 1.0
@@ -168,12 +171,17 @@
         if self.stage is not Stage.PROMOTING:
             return self.stage is Stage.DONE
         left_s = self.left_s(now_s)
-        if not self.is_switched and self.budget.lasts(left_s):
+        may_switch = self.budget.lasts(left_s) or self._is_unused(left_s, now_s)
+        if not self.is_switched and may_switch:
             is_good = self.evidence.assess(now_s) is Assessment.GOOD
             self.is_switched = is_good or left_s <= 0.0
             self.switched_s = now_s
         return self.is_switched
 
+    def _is_unused(self, left_s: float, now_s: float) -> bool:
+        """Return whether there is nothing here that could be moved."""
+        return left_s <= UNUSED_LEAD_S and self.budget.is_unused(now_s)
+
     def note_sent(self, track: Track, now_s: float) -> None:
         """Count a request that is sent to a target of the service."""
         self.budget.note_sent(track is Track.CANDIDATE, now_s)
@@ -315,7 +323,8 @@
     extra = bounds.slack / max(1, routers) if is_seen_given else 0.0
     stage = Stage.RUNNING if is_seen_given else Stage.UNKNOWN
     # One that was restarted may have begun before, with the same number.
-    budget = ExposureBudget(bounds, extra, drawn if is_seen_given else 1.0)
+    whole = drawn if is_seen_given else 1.0
+    budget = ExposureBudget(bounds, extra, whole, used_s=now_s)
     course = RolloutCourse(order, now_s, budget, lateness_limit_s, stage)
     if usual is not None:
         course.usual = usual
--- a/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
@@ -16,6 +16,8 @@
 # More requests may come than in the last interval.
 RATE_MARGIN = 1.1
 RATE_TIME_S = 1.0
+# A router to which nothing came for so long has no part in the service for now.
+UNUSED_AFTER_S = 4.0
 
 
 class ExposureBounds(msgspec.Struct, frozen=True):
@@ -52,6 +54,8 @@
         lets some of them begin before each has the share of a whole request: 31
         routers with 75 requests a second begin after 0.1 s instead of 4 s (by
         reckoning).
+    used_s : float
+        When the service had its last request here; at first since when this counts.
     """
 
     bounds: ExposureBounds
@@ -59,6 +63,7 @@
     whole: float = 1.0
     requests: int = 0
     exposed: int = 0
+    used_s: float = float("inf")
     _watched: "ExposureBudget | None" = None
     _rate_per_s: float = 0.0
     _recent: int = 0
@@ -68,6 +73,7 @@
         """Count a request that is sent to the service, to the version or not."""
         self.requests += 1
         self.exposed += is_exposed
+        self.used_s = now_s
         self._note_rate(now_s)
 
     def _note_rate(self, now_s: float) -> None:
@@ -115,6 +121,10 @@
         """Return whether a router that has switched may send one more there."""
         return self.left(SWITCHED_SHARE_IN_USE) >= self.whole
 
+    def is_unused(self, now_s: float) -> bool:
+        """Return whether the service had no request here for a while."""
+        return now_s - self.used_s >= UNUSED_AFTER_S
+
     def lasts(self, left_s: float) -> bool:
         """
         Return whether all requests of the next `left_s` may go to the version.
--- a/tests/core/test_rollout_course.py
+++ b/tests/core/test_rollout_course.py
@@ -135,6 +135,38 @@
     assert exposed <= 0.1 * course.budget.requests + course.budget.extra
 
 
+def test_a_router_without_requests_does_not_hold_up_the_end():
+    course = _good_course()
+    course.stage = Stage.PROMOTING
+    assert not course.has_switched(118.0)
+    assert course.has_switched(119.9 - DONE_LEAD_S)
+
+
+def test_a_router_whose_clients_have_left_does_not_hold_up_the_end():
+    course = _good_course()
+    course.note_sent(Track.CURRENT, 105.0)
+    course.stage = Stage.PROMOTING
+    assert course.has_switched(119.9 - DONE_LEAD_S)
+
+
+def test_a_router_with_few_requests_does_not_pass_for_one_without():
+    course = _good_course()
+    course.note_sent(Track.CURRENT, 118.5)
+    course.stage = Stage.PROMOTING
+    assert not course.has_switched(119.9 - DONE_LEAD_S)
+
+
+def test_an_unused_router_that_has_switched_keeps_its_share():
+    course = _course(is_seen_given=False)
+    course.stage = Stage.PROMOTING
+    _answer(course, Track.CURRENT, 60, 101.0)
+    _answer(course, Track.CANDIDATE, 30, 102.0)
+    assert course.has_switched(119.5)
+    assert course.pick_track(119.5) is Track.CURRENT
+    course.note_sent(Track.CURRENT, 119.5)
+    assert not course.has_switched(119.6)
+
+
 def test_a_promoted_version_gets_all_after_the_deadline():
     course = _course()
     course.take_in(_told(Stage.PROMOTING), 101.0)
