--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollouts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollouts.py
@@ -138,7 +138,7 @@
             self._drawn_for(order),
         )
         rollout = Rollout(course, now_s, lacks_evidence=not is_seen_given)
-        rollout.is_alone = is_seen_given and self._is_alone(order)
+        rollout.is_alone = is_seen_given and self._is_alone(order, former)
         if former is not None:
             carry_over(former, rollout)
         self.by_service[order.service] = rollout
@@ -150,10 +150,14 @@
         drawn = hash_text(self._own, order.service, str(order.position))
         return (drawn + 1) / HASH_SPAN
 
-    def _is_alone(self, order: RolloutOrder) -> bool:
-        """Return whether the service is listed in the ordered version only."""
+    def _is_alone(self, order: RolloutOrder, former: Rollout | None) -> bool:
+        """Return whether nothing but the ordered version is listed that serves."""
         listed = (record.listed for record in self._view.records.values())
         versions = {t.version for t in listed if t.service == order.service}
+        if former is not None and former.course.stage.is_final:
+            rule = former.rule()
+            barred = {v for v in versions if rule.track_of(v) is None}
+            versions -= barred - {order.version}
         return versions == {order.version}
 
     def change(self, rollout: Rollout, stage: Stage, by: str, now_s: float) -> None:
--- a/tests/gateway/test_rollout_orders.py
+++ b/tests/gateway/test_rollout_orders.py
@@ -5,6 +5,7 @@
 
 from scaleloom_core.rollouts.evidence import Assessment
 from scaleloom_core.rollouts.stages import Stage
+from scaleloom_core.rollouts.versions import Track
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
@@ -183,6 +184,20 @@
         await rolled.told(RUNNING, DONE)
 
 
+@runs_on_paused_clock
+async def test_an_order_of_the_version_that_a_roll_back_left_is_done_at_once():
+    async with rollout_site() as rolled:
+        rolled.order()
+        await rolled.told(RUNNING)
+        rolled.judgement.assessment = Assessment.BAD
+        await rolled.told(RUNNING, ROLLED_BACK)
+        rolled.judgement.assessment = Assessment.UNDECIDED
+        rolled.order(OLD, LONG_S)
+        await rolled.reach(Stage.DONE)
+        rules = [rolled.rule(gateway) for gateway in rolled.running()]
+        assert {rule.track_of(OLD) for rule in rules} == {Track.CURRENT}
+
+
 @runs_on_paused_clock
 async def test_a_later_order_ends_the_former_and_rejects_its_version():
     async with rollout_site() as rolled:
