Name a request that isn't served by what stays the same when it comes again

Cause: a log line names a request by the caller's try.

Change: the line of a request that is not served carries a 64-bit number of its customer, method, host, path and body. It is worked out for these lines only.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -127,6 +127,7 @@
     """Give a request that got no success its final answer."""
     fields = {
         "request": work.match.request_id,
+        "digest": f"{work.digest:016x}",
         "kind": error.kind.value,
         "service": work.match.service,
         "sends": work.sends,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from scaleloom_core.ids import TargetId
+from scaleloom_core.ids import RequestDigest, TargetId
 from scaleloom_core.observations import Observation
 from scaleloom_core.placement_key import PlacementKey
+from scaleloom_core.request_digests import request_digest
 from scaleloom_core.rollouts.course import RolloutCourse
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_fleet.gateway.events import EventSplitter
@@ -41,6 +42,18 @@
     course: RolloutCourse | None = None
     observation: Observation | None = None
     failure: tuple[AnswerHead, bytes] | None = None
+    _digest: RequestDigest | None = None
+
+    @property
+    def digest(self) -> RequestDigest:
+        """Return what stays the same when the request comes again."""
+        if self._digest is None:
+            request = self.request
+            host = request.values.get(b"host", b"").lower()
+            self._digest = request_digest(
+                self.match.customer, request.method, host, request.target, request.body
+            )
+        return self._digest
 
     @property
     def track(self) -> Track:
--- /dev/null
+++ b/tests/core/test_request_digests.py
@@ -0,0 +1,38 @@
+"""Tests of what stays the same when a request comes again."""
+
+from itertools import combinations
+
+from scaleloom_core.request_digests import request_digest
+
+FIRST = ("desk", b"POST", b"desk.example", b"/stream/1?page=2", b"a body")
+
+
+def test_the_same_request_has_the_same_digest():
+    assert request_digest(*FIRST) == request_digest(*FIRST)
+
+
+def test_another_caller_path_or_body_is_another_request():
+    others = [
+        FIRST,
+        ("other", *FIRST[1:]),
+        (None, *FIRST[1:]),
+        (FIRST[0], b"GET", *FIRST[2:]),
+        (*FIRST[:2], b"other.example", *FIRST[3:]),
+        (*FIRST[:3], b"/stream/1?page=3", FIRST[4]),
+        (*FIRST[:4], b"a bodz"),
+        (*FIRST[:4], b""),
+    ]
+    assert len({request_digest(*parts) for parts in others}) == len(others)
+
+
+def test_parts_that_are_cut_elsewhere_are_another_request():
+    split = [("d", b"GET", b"h", target, body) for target, body in _cuts(b"/abc")]
+    assert all(
+        request_digest(*one) != request_digest(*other)
+        for one, other in combinations(split, 2)
+    )
+
+
+def _cuts(data: bytes) -> list[tuple[bytes, bytes]]:
+    """Return every way to cut `data` in two."""
+    return [(data[:at], data[at:]) for at in range(len(data) + 1)]
