Count over the whole fleet what ends under a request, and hold what ends targets

Cause: a request that ends each target that begins to run it was judged by the try.

Change, in the order of a request: an exchange that breaks lets the router look whether its target still takes connections. If not, the target's end counts under every request that was under way there, known by customer, method, host, path and body. Routers tell each other ends at once and for a second, and write those of requests with two or more into a log in the store, first ends as well where a router hears no other. Such a request is tried apart, on a target that holds little, twice in all: a trial is begun by an append that holds only where the log ends as it was read. Whatever answers clears it, also in the log. While a trial is open the same request waits a little for its end; after that it is refused as not run, with when to come back. Where the store doesn't tell, a request with two ends is sent and one with three is held. On roll-outs it goes to the current version only.

Ruled out: refusing after so many ends without a trial (whoever was under way beside it is refused as well); counting in reports only (a router cut off from the others, or one that has just started, knows nothing); one owner for each request (dead, frozen or cut when it is needed).

--- a/packages/scaleloom-core/scaleloom_core/errors.py
+++ b/packages/scaleloom-core/scaleloom_core/errors.py
@@ -57,6 +57,7 @@
     OWNER_UNREACHABLE = "owner_unreachable"
     PEER_HAS_FEWER = "peer_has_fewer"
     REDIRECT = "redirect"
+    REQUEST_HELD = "request_held"
     ROUTER_FULL = "router_full"
     SENDER_TIMEOUT = "sender_timeout"
     STALE_PLAN = "stale_plan"
@@ -151,6 +152,9 @@
     ),
     _K.PEER_HAS_FEWER: Answer(503, _N, _LATER, _DEBUG, "A peer carries less", _REFUSED),
     _K.REDIRECT: Answer(503, _N, _LATER, _DEBUG, "Better placed elsewhere", _REFUSED),
+    _K.REQUEST_HELD: Answer(
+        503, _N, _LATER, _INFO, "Held back, since targets ended under it", _ENTRY
+    ),
     _K.ROUTER_FULL: Answer(
         503, _N, _LATER, _INFO, "Router is at a limit of its own", _ENTRY
     ),
--- a/packages/scaleloom-core/scaleloom_core/listed.py
+++ b/packages/scaleloom-core/scaleloom_core/listed.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from scaleloom_core.ids import DataCentreName, ServiceName, TargetId, Version
+from scaleloom_core.hashing import hash_text
+from scaleloom_core.ids import (
+    DataCentreName,
+    ServiceName,
+    TargetId,
+    TargetStart,
+    Version,
+)
 
 
 class ListedState(Enum):
@@ -33,3 +40,8 @@
     state: ListedState = ListedState.READY
     cold_left_ms: int = 0
     version: Version = Version("")
+
+    @property
+    def start(self) -> TargetStart:
+        """Return the number that stands for this start of the target."""
+        return TargetStart(hash_text(self.id))
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -9,7 +9,12 @@
 from scaleloom_core.cold_targets import ColdShares, suffers
 from scaleloom_core.fleet_load import FleetLoad, target_key
 from scaleloom_core.hashing import hash_text
-from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+from scaleloom_core.ids import (
+    DataCentreName,
+    RequestDigest,
+    ServiceName,
+    TargetId,
+)
 from scaleloom_core.listed import ListedTarget
 from scaleloom_core.placement_key import PlacementKey
 from scaleloom_core.prefix_holders import PrefixHolders, part_key
@@ -106,6 +111,32 @@
             among, lambda record: is_open(record) and has_room(record), pool
         )
 
+    def choose_apart(
+        self,
+        key: PlacementKey,
+        policy: ServicePolicy,
+        tried: set[TargetId],
+        now_s: float,
+        request: RequestDigest,
+    ) -> TargetRecord | None:
+        """
+        Return a target that holds little, another one for each request.
+
+        A request that may end its target goes where few others are, and apart
+        from those that were under way beside it.
+        """
+        pool = self._pool(key, now_s)
+        is_open = self._opens(policy, tried, now_s)
+        has_room, _ = self._room(policy, pool)
+        fitting = [r for r in pool.records if is_open(r) and has_room(r)]
+        fitting.sort(key=lambda record: self.load.held(record.listed.id))
+        idler = fitting[: math.ceil(len(fitting) / 2)]
+
+        def score(record: TargetRecord) -> int:
+            return hash_text(f"{request:x}", record.listed.id)
+
+        return max(idler, key=score, default=None)
+
     def _opens(self, policy: ServicePolicy, tried: set[TargetId], now_s: float) -> Fits:
         """Return whether a target may be asked at all."""
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -11,6 +11,10 @@
 from scaleloom_fleet.gateway import figures
 from scaleloom_fleet.gateway.answering import answer_error
 from scaleloom_fleet.gateway.choosing import choose_target, is_evacuated
+from scaleloom_fleet.gateway.crash_gate import (
+    note_verdict,
+    wait_for_leave,
+)
 from scaleloom_fleet.gateway.events import EventSplitter
 from scaleloom_fleet.gateway.exchanges import PROMISES_NOT_RUN, send_to
 from scaleloom_fleet.gateway.matching import Match, match_request
@@ -158,6 +162,9 @@
 async def _try_targets(state: GatewayState, work: Work) -> FleetError | None:
     """Try targets until one answers; return the error if none did."""
     for _ in range(HOP_LIMIT):
+        held = await wait_for_leave(state, work, _patient_until_s(work))
+        if held is not None:
+            return _no_leave(state, work, held)
         record = await _admit(state, work)
         if record is None:
             return _no_answer(state, work)
@@ -170,8 +177,8 @@
             told = verdict.value
         finally:
             state.figures.add(figures.ATTEMPTS, told)
-            state.waiting.release(record, work.match.customer)
-            state.returns.note_freed(work.match.service, trio.current_time())
+            _release(state, work, record)
+        await note_verdict(state, work, verdict)
         if verdict is Verdict.ANSWERED:
             return _client_error(work)
         if not _goes_on(state, work, verdict):
@@ -179,6 +186,17 @@
     return _no_answer(state, work)
 
 
+def _release(state: GatewayState, work: Work, record: TargetRecord) -> None:
+    """Give the place at a target back."""
+    state.waiting.release(record, work.match.customer)
+    state.returns.note_freed(work.match.service, trio.current_time())
+
+
+def _no_leave(state: GatewayState, work: Work, held: FleetError) -> FleetError:
+    """Return the error of a request that is sent to no further target."""
+    return _no_answer(state, work) if work.may_have_run else held
+
+
 def _client_error(work: Work) -> FleetError | None:
     """Return the error to conclude with if the answer was a failure."""
     if work.is_answer_begun:
@@ -236,11 +254,17 @@
             return record
     if is_evacuated(state, match.service):
         return None
-    patience_s = QUEUE_SHARE_OF_OBJECTIVE * match.route.objective_ms / 1000.0
-    waiter = Waiter(_claim(state, work), match.received_s + patience_s, choose)
+    waiter = Waiter(_claim(state, work), _patient_until_s(work), choose)
     return await state.waiting.wait(match.service, waiter)
 
 
+def _patient_until_s(work: Work) -> float:
+    """Return until when a request may wait before it is sent."""
+    match = work.match
+    patience_s = QUEUE_SHARE_OF_OBJECTIVE * match.route.objective_ms / 1000.0
+    return match.received_s + patience_s
+
+
 def _claim(state: GatewayState, work: Work) -> Claim:
     """Return what a request can say for itself while it waits."""
     match = work.match
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
@@ -37,9 +37,10 @@
     """
     Yield the tracks that a request may go to, in their order.
 
-    The current version takes what the candidate has no place for and what is
-    tried again. Once the candidate takes over and the time is up, nothing goes
-    to targets that are about to end, unless no other can be reached.
+    The current version takes what the candidate has no place for, what is tried
+    again, and whatever may end targets. Once the candidate takes over and the
+    time is up, nothing goes to targets that are about to end, unless no other
+    can be reached.
     """
     service, view = course.service, state.view
     if course.stage is Stage.PROMOTING and course.left_s(now_s) <= 0.0:
@@ -47,7 +48,8 @@
         if not view.usable(service, now_s, Track.CANDIDATE):
             yield Track.CURRENT
         return
-    if not work.tried and course.pick_track(now_s) is Track.CANDIDATE:
+    is_free = not work.tried and not work.is_on_trial
+    if is_free and course.pick_track(now_s) is Track.CANDIDATE:
         yield Track.CANDIDATE
     yield Track.CURRENT
     if course.stage in STANDS_IN and not view.is_listed(service, Track.CURRENT):
@@ -65,6 +67,8 @@
     if track is Track.CANDIDATE and _is_on_trial(course, now_s):
         staged = state.staged.of(state.view, course, now_s)
         found = chooser.choose_among(staged, key, match.policy, work.tried, now_s)
+    elif work.is_on_trial:
+        found = chooser.choose_apart(key, match.policy, work.tried, now_s, work.digest)
     else:
         found = chooser.choose(key, match.policy, work.tried, now_s)
     if found is None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/conditional_topic.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/conditional_topic.py
@@ -3,7 +3,7 @@
 import trio
 from returns.result import Failure
 
-from scaleloom_fleet.gateway.interfaces import NewestPage, Topic
+from scaleloom_fleet.gateway.interfaces import KeyedValue, NewestPage, Topic
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.gateway.store_client import CallFailure
 
@@ -65,7 +65,7 @@
             return False
         end, self._end = self._end, None
         written = await self._access.append_at(
-            self._client, self._topic, key, value, end
+            self._client, self._topic, [KeyedValue(key, value)], end
         )
         if isinstance(written, Failure):
             failure = written.failure()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -12,6 +12,7 @@
 from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway.choosing import is_recalled
+from scaleloom_fleet.gateway.crash_gate import may_be_sent
 from scaleloom_fleet.gateway.figures import CACHE_SOURCES
 from scaleloom_fleet.gateway.headers import request_for
 from scaleloom_fleet.gateway.observing import note_end, note_out_of_time, observe
@@ -69,11 +70,15 @@
         record.note_unreachable(trio.current_time())
         _tell_away(record)
         return Verdict.NEVER_SENT
-    if work.connection.has_just_left():
-        # Nothing was sent yet, and nobody waits for the answer any more.
+    try:
+        is_sent = not is_recalled(state, work) and await may_be_sent(state, work)
+        if work.connection.has_just_left():
+            # Nothing was sent yet, and nobody waits for the answer any more.
+            raise CallerGone
+    except BaseException:
         state.pools.put_back(target.id, link)
-        raise CallerGone
-    if is_recalled(state, work):
+        raise
+    if not is_sent:
         state.pools.put_back(target.id, link)
         return Verdict.NEVER_SENT
     is_whole = False
@@ -91,6 +96,8 @@
         else:
             link.close()
     _judge(state, record, verdict)
+    if verdict is Verdict.BROKEN or verdict is Verdict.SILENT:
+        work.end_check = state.crashes.checks.note_broken(target, work.digest)
     note_end(work, verdict)
     return verdict
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
@@ -168,6 +168,24 @@
     " label sets.",
 )
 
+TARGETS_ENDED = Definition(
+    "scaleloom_targets_ended_total",
+    _C,
+    "Targets that took no connection any more after an exchange with them broke.",
+)
+SUSPECTS = Definition(
+    "scaleloom_requests_suspected",
+    _G,
+    "Requests under which two targets or more ended, sent on trial only.",
+)
+TRIALS = Definition(
+    "scaleloom_request_trials_total",
+    _C,
+    "Times that a suspected request was about to be sent: begun here, left to"
+    " others, or uncounted since the store did not tell.",
+    ("outcome",),
+)
+
 ROLLOUT_STAGE = Definition(
     "scaleloom_rollout_stage",
     _G,
@@ -225,6 +243,9 @@
     LOG_LINES,
     LOG_WAITING,
     LABELS_FOLDED,
+    TARGETS_ENDED,
+    SUSPECTS,
+    TRIALS,
     ROLLOUT_STAGE,
     ROLLOUT_SENT,
     ROLLOUT_BAD,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -1,7 +1,7 @@
 """What the gateway needs of the platform it runs on, filled by an adapter."""
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 
 import msgspec
@@ -27,6 +27,7 @@
     THIRD_COPY = "third_copy"
     HOLDERS = "holders"
     DECISIONS = "decisions"
+    CRASHES = "crashes"
     STATUS = "status"
 
 
@@ -60,6 +61,13 @@
     reserved: frozenset[bytes]
 
 
+class KeyedValue(msgspec.Struct, frozen=True):
+    """A record to be written; an empty value drops its key."""
+
+    key: str
+    value: bytes
+
+
 class StoredRecord(msgspec.Struct, frozen=True):
     """The newest record of one key."""
 
@@ -102,9 +110,8 @@
         The call for a topic's records from an offset on, waiting for some
         milliseconds if there are none.
     append_request : callable
-        The call that appends a value under a key.
-    append_at_request : callable
-        The same, on the condition that the topic ends at an offset.
+        The call that appends records, all or none, on the condition that the
+        topic ends at an offset if one is given.
     decode_end : callable
         Where a topic ends after an append that was carried out.
     read_evacuation : callable
@@ -123,8 +130,7 @@
     config_key: str
     newest_request: Callable[[Topic, str | None], OutgoingRequest]
     read_request: Callable[[Topic, int, int], OutgoingRequest]
-    append_request: Callable[[Topic, str, bytes], OutgoingRequest]
-    append_at_request: Callable[[Topic, str, bytes, int], OutgoingRequest]
+    append_request: Callable[[Topic, Sequence[KeyedValue], int | None], OutgoingRequest]
     decode_end: Callable[[bytes], Result[int, str]]
     decode_newest: Callable[[bytes], Result[NewestPage, str]]
     decode_batch: Callable[[bytes, int], Result[RecordBatch, str]]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from scaleloom_core.crash_table import End
 from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_roster import FleetMember, GroupId
 from scaleloom_core.rollouts.evidence import SeenAnswers
@@ -66,6 +67,8 @@
         Those that the sender knows to stand.
     rollouts : list of RolloutNews
         Of each service with an order, as of the sender or of its group.
+    ends : list of End
+        Targets that ended lately, and what was under way there.
     """
 
     sender: FleetMember
@@ -82,6 +85,7 @@
     evacuations: Evacuations = Evacuations()
     orders: RolloutOrders = RolloutOrders()
     rollouts: list[RolloutNews] = []
+    ends: list[End] = []
 
 
 class PeerQuery(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from scaleloom_core.crash_table import End
 from scaleloom_core.fleet_load import TargetKey
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import InstanceId
@@ -151,7 +152,9 @@
         outcomes = self._state.outcomes.take()
         rollouts = self._rollouts.own_news(now_s)
         held = load.own_report(now_s)
-        report = self._report(held, news, outcomes, rollouts, now_s)
+        table = self._state.crashes.table
+        ends = table.to_tell(is_for_group=False, now_s=now_s)
+        report = self._report(held, news, outcomes, rollouts, ends, now_s)
         self._send_to(near, report)
         group_news, self._group_news = self._group_news + news, []
         self._group_outcomes.note_all(outcomes)
@@ -159,7 +162,10 @@
         rollouts = self._rollouts.group_news(now_s)
         if told:
             held = load.group_report()
-            summary = self._report(held, group_news, group_outcomes, rollouts, now_s)
+            ends = table.to_tell(is_for_group=True, now_s=now_s)
+            summary = self._report(
+                held, group_news, group_outcomes, rollouts, ends, now_s
+            )
             others = self._roster.near(now_s)
             summary = msgspec.structs.replace(summary, speaks_for=1 + len(others))
             if now_s >= self._others_due_s:
@@ -174,6 +180,7 @@
         news: list[Holding],
         outcomes: dict[TargetKey, Outcomes],
         rollouts: list[RolloutNews],
+        ends: list[End],
         now_s: float,
     ) -> PeerReport:
         """Return a report of what is held and seen, with what this router knows."""
@@ -192,6 +199,7 @@
             evacuations=state.evacuations,
             orders=state.rollouts.orders,
             rollouts=rollouts,
+            ends=ends,
         )
 
     def _send_to(self, routers: list[InstanceId], report: PeerReport) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peers.py
@@ -8,6 +8,7 @@
 import trio
 
 from scaleloom_core.catching_up import CatchUp, Knowledge
+from scaleloom_core.crash_table import Witness
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway.documents import apply_evacuations, apply_rollouts
@@ -139,6 +140,9 @@
             holders.note(part, target, now_s)
         is_near = report.group == self._roster.group
         self._state.view.note_outcomes(report.outcomes, is_near, now_s)
+        is_witness = is_near and not report.speaks_for
+        witness = Witness.NEAR if is_witness else Witness.FAR
+        self._state.crashes.note_ends(report.ends, witness)
         apply_evacuations(self._state, report.evacuations)
         apply_rollouts(self._state, report.orders)
         self._rollouts.take_in(report)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -20,6 +20,7 @@
 from scaleloom_fleet.gateway import accepting, readiness
 from scaleloom_fleet.gateway.config_watch import ConfigWatch
 from scaleloom_fleet.gateway.copies import DocumentCopies
+from scaleloom_fleet.gateway.crash_log import CrashLog
 from scaleloom_fleet.gateway.figures import DEFINITIONS
 from scaleloom_fleet.gateway.gauges import add_collectors
 from scaleloom_fleet.gateway.holder_copies import HolderCopies
@@ -70,6 +71,8 @@
     copies = DocumentCopies(state, access)
     holder_copies = HolderCopies(state, access)
     decisions = RolloutDecisions(state, access)
+    crash_log = CrashLog(state, access)
+    state.crashes.take_trial = crash_log.take_trial
     front = sockets.listen(settings.front_address)
     ready = sockets.listen(settings.ready_address)
     documents = peers.bind()
@@ -90,6 +93,10 @@
             holder_copies.read,
             holder_copies.write_forever,
             decisions.decide_forever,
+            crash_log.follow,
+            crash_log.write_forever,
+            crash_log.drop_forever,
+            state.crashes.checks.check_forever,
             state.pools.sweep_forever,
             state.waiting.pump_forever,
             partial(watch_lateness, state),
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -22,6 +22,7 @@
 from scaleloom_core.target_outcomes import OutcomeCounts
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
+from scaleloom_fleet.gateway.crashes import CrashDesk
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.rollouts import RolloutDesk
@@ -77,6 +78,8 @@
         What operators order of versions, and how far it has come.
     staged : StagedTargets
         The targets that versions on trial are tried at.
+    crashes : CrashDesk
+        Which requests end targets.
     router_count : int
         How many routers the fleet is known to have, this one included.
     follows_store : bool
@@ -127,6 +130,7 @@
     evacuations: Evacuations = Evacuations()
     rollouts: RolloutDesk = msgspec.field(default_factory=RolloutDesk)
     staged: StagedTargets = msgspec.field(default_factory=StagedTargets)
+    crashes: CrashDesk = msgspec.field(default_factory=CrashDesk)
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
     follows_store: bool = False
     followed_peers: int = 0
@@ -148,6 +152,8 @@
         self.rollouts.configure(self.settings.rollouts)
         own = str(self.settings.peer_address)
         self.rollouts.connect(own, self.view, self.report_soon)
+        self.crashes.connect(self.report_soon)
+        self.crashes.checks.configure(self.settings.targets)
 
     @property
     def knows_enough(self) -> bool:
@@ -180,6 +186,7 @@
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
         )
         self.pools.configure(settings.targets)
+        self.crashes.checks.configure(settings.targets)
         self.freshness.poll_s = settings.platform.list_poll_s
         self.rollouts.configure(settings.rollouts)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -1,13 +1,19 @@
 """Calls of the platform's store, and what they tell of it."""
 
 import logging
+from collections.abc import Sequence
 
 import trio
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.catching_up import FOLLOWERS
 from scaleloom_fleet.gateway.figures import STORE_CALLS, STORE_SECONDS
-from scaleloom_fleet.gateway.interfaces import NewestPage, StoredRecord, Topic
+from scaleloom_fleet.gateway.interfaces import (
+    KeyedValue,
+    NewestPage,
+    StoredRecord,
+    Topic,
+)
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_client import CallFailure, StoreClient
 
@@ -106,18 +112,26 @@
 
     async def append(self, topic: Topic, key: str, value: bytes) -> bool:
         """Write `value` under `key`; return whether the store said that it did."""
-        request = self._state.adapter.append_request(topic, key, value)
+        return await self.append_all(topic, [KeyedValue(key, value)])
+
+    async def append_all(self, topic: Topic, records: Sequence[KeyedValue]) -> bool:
+        """Write `records`; return whether the store said that it did."""
+        request = self._state.adapter.append_request(topic, records, None)
         client = self.new_client()
         answer = await client.call(request)
         client.drop()
         return not isinstance(answer, Failure)
 
     async def append_at(
-        self, client: StoreClient, topic: Topic, key: str, value: bytes, end: int
+        self,
+        client: StoreClient,
+        topic: Topic,
+        records: Sequence[KeyedValue],
+        end: int,
     ) -> Result[int, CallFailure | str]:
-        """Write `value` if `topic` ends at `end`; return where it ends then."""
+        """Write `records` if `topic` ends at `end`; return where it ends then."""
         adapter = self._state.adapter
-        answer = await client.call(adapter.append_at_request(topic, key, value, end))
+        answer = await client.call(adapter.append_request(topic, records, end))
         return answer.bind(adapter.decode_end)
 
     async def read_records(self, topic: Topic) -> list[StoredRecord] | None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
@@ -8,6 +8,7 @@
 from scaleloom_core.request_digests import request_digest
 from scaleloom_core.rollouts.course import RolloutCourse
 from scaleloom_core.rollouts.versions import Track
+from scaleloom_fleet.gateway.end_checks import EndCheck
 from scaleloom_fleet.gateway.events import EventSplitter
 from scaleloom_fleet.gateway.matching import Match
 from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
@@ -28,6 +29,10 @@
         Of the exchange that runs, if the service is rolled out.
     failure : tuple of AnswerHead and bytes, or None
         A target's own failure, passed on if nothing better comes.
+    end_check : EndCheck or None
+        The look at the target whose exchange broke last.
+    is_on_trial : bool
+        Whether targets ended under the request, so that it is tried apart.
     """
 
     connection: CallerConnection
@@ -42,6 +47,8 @@
     course: RolloutCourse | None = None
     observation: Observation | None = None
     failure: tuple[AnswerHead, bytes] | None = None
+    end_check: EndCheck | None = None
+    is_on_trial: bool = False
     _digest: RequestDigest | None = None
 
     @property
--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -11,7 +11,7 @@
 from scaleloom_core.rollouts.orders import RolloutOrder
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.routing import RequestKind
-from scaleloom_fleet.gateway.interfaces import StoredRecord, Topic
+from scaleloom_fleet.gateway.interfaces import KeyedValue, StoredRecord, Topic
 from scaleloom_platform import ADAPTER
 
 CONFIG = {
@@ -106,15 +106,25 @@
 
 
 def test_records_come_out_as_they_went_in():
-    call = ADAPTER.append_request(Topic.ROUTERS, "10.0.0.1:7340", b"a\x00b")
+    record = KeyedValue("10.0.0.1:7340", b"a\x00b")
+    call = ADAPTER.append_request(Topic.ROUTERS, [record])
     body = struct.pack(">QQ", 5, 0) + call.body
-    (record,) = ADAPTER.decode_batch(body, 4).unwrap().records
-    assert (record.key, record.value, record.offset) == ("10.0.0.1:7340", b"a\x00b", 4)
+    (read,) = ADAPTER.decode_batch(body, 4).unwrap().records
+    assert (read.key, read.value, read.offset) == (record.key, record.value, 4)
+
+
+def test_several_records_go_in_one_append():
+    records = [KeyedValue("a", b"1"), KeyedValue("b", b""), KeyedValue("", b"3")]
+    call = ADAPTER.append_request(Topic.ROUTERS, records)
+    body = struct.pack(">QQ", 7, 0) + call.body
+    read = ADAPTER.decode_batch(body, 4).unwrap().records
+    assert [KeyedValue(r.key, r.value) for r in read] == records
+    assert [r.offset for r in read] == [4, 5, 6]
 
 
 @params(0, 3, 8, 15, 17, 19, 21)
 def test_a_cut_batch_is_told(length):
-    call = ADAPTER.append_request(Topic.ROUTERS, "key", b"value")
+    call = ADAPTER.append_request(Topic.ROUTERS, [KeyedValue("key", b"value")])
     body = (struct.pack(">QQ", 5, 0) + call.body)[:length]
     assert isinstance(ADAPTER.decode_batch(body, 4), Failure)
 
@@ -183,8 +193,9 @@
 
 
 def test_an_append_may_depend_on_where_its_topic_ends():
-    call = ADAPTER.append_at_request(Topic.STATUS, "key", b"value", 12)
-    plain = ADAPTER.append_request(Topic.STATUS, "key", b"value")
+    records = [KeyedValue("key", b"value")]
+    call = ADAPTER.append_request(Topic.STATUS, records, 12)
+    plain = ADAPTER.append_request(Topic.STATUS, records)
     assert call.target == b"/scaleloom/log-append?topic=keyed.status&part=0&at=12"
     assert call.body == plain.body
     assert b"at=" not in plain.target
