--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(PYTHON) -m scaleloom_standins.demo
 
 test: $(READY)
-	$(PYTHON) -m nose2
+	$(PYTHON) -m tests.side_by_side
 
 lint: $(READY)
 	$(PYTHON) -m black --check --quiet .
