Keep what only the fleet can count from being counted by router, and versions from a request's doing

Routers that hear nobody for ten seconds take themselves for the only one and each may send half of the fleet's extra repeats: four that are cut off from each other twice the extra. A router that was cut off a moment ago did not write the first ends that it saw, since it still counted its peers. And a request that comes again after it ended a target of a version on trial could go to the next one of that version: two such ends with what ran there roll a good version back (one target may be ill, two are the version's fault).

Change: whoever was heard counts in what the fleet shares for 150 s, as for cold targets; routers write first ends when they hear nobody at the moment; what any target ended under goes to the current version.

The check that a lost router counts for ten seconds asks for 150 s now, and that it still counts after ten: the ten seconds were the fault.

--- a/packages/scaleloom-core/scaleloom_core/fleet_roster.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_roster.py
@@ -20,8 +20,8 @@
 # A group's relay tells of members that it heard within this, or the dead would
 # count as alive outside for twice as long as within the group.
 TOLD_S = LIVELY_S / 2
-# For so long a router that fell silent counts in what the fleet shares.
-COUNTED_S = 10.0
+# For so long a router counts in what the fleet shares that was named and not heard.
+NAMED_S = 10.0
 # Longer than the store's own list of routers takes to be read again.
 FORGOTTEN_S = 150.0
 # By then all routers that started together have told each other of themselves.
@@ -187,11 +187,16 @@
         return sum(seen.member.follows_store for seen in self._lively(now_s))
 
     def count(self, now_s: float) -> int:
-        """Return how many routers share what is the fleet's, this one included."""
-        horizon_s = now_s - COUNTED_S
-        heard = {r for r, seen in self._sightings.items() if seen.heard_s > horizon_s}
-        added = {r for r, added_s in self._added_s.items() if added_s > horizon_s}
-        return 1 + len(heard | added)
+        """
+        Return how many routers share what is the fleet's, this one included.
+
+        Those that fell silent count for long: they may be cut off from this
+        router only, and each would take the whole for its own.
+        """
+        heard_s, named_s = now_s - FORGOTTEN_S, now_s - NAMED_S
+        heard = {r for r, seen in self._sightings.items() if seen.heard_s > heard_s}
+        named = {r for r, added_s in self._added_s.items() if added_s > named_s}
+        return 1 + len(heard | named)
 
     def senders(self, now_s: float) -> int:
         """
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
@@ -38,7 +38,8 @@
     Yield the tracks that a request may go to, in their order.
 
     The current version takes what the candidate has no place for, what is tried
-    again, and whatever may end targets. Once the candidate takes over and the
+    again, and what targets ended under: if that ends the candidate's as well, it
+    says nothing of the version. Once the candidate takes over and the
     time is up, nothing goes to targets that are about to end, unless no other
     can be reached.
     """
@@ -48,14 +49,20 @@
         if not view.usable(service, now_s, Track.CANDIDATE):
             yield Track.CURRENT
         return
-    is_free = not work.tried and not work.is_on_trial
-    if is_free and course.pick_track(now_s) is Track.CANDIDATE:
+    is_tried_here = not work.tried and not _has_ended_targets(state, work)
+    if is_tried_here and course.pick_track(now_s) is Track.CANDIDATE:
         yield Track.CANDIDATE
     yield Track.CURRENT
     if course.stage in STANDS_IN and not view.is_listed(service, Track.CURRENT):
         yield Track.CANDIDATE
 
 
+def _has_ended_targets(state: GatewayState, work: Work) -> bool:
+    """Return whether any target ended while `work` was under way there before."""
+    table = state.crashes.table
+    return len(table) > 0 and table.find(work.digest) is not None
+
+
 def _choose_on(
     state: GatewayState, work: Work, track: Track, now_s: float
 ) -> TargetRecord | None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -188,7 +188,7 @@
 
     def _lacking(self) -> list[End]:
         """Return the ends that the log should hold and does not."""
-        is_alone = self._state.router_count <= 1
+        is_alone = not self._state.hears_peers
         return self._state.crashes.table.unlogged(is_alone)[:WRITE_LIMIT]
 
     async def drop_forever(self) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
@@ -132,6 +132,7 @@
         state, roster = self._state, self._roster
         state.load.forget_silent(now_s)
         state.router_count = roster.count(now_s)
+        state.hears_peers = bool(roster.lively(now_s))
         state.chooser.cold.routers = roster.senders(now_s)
         state.rank = roster.rank(self._own_member(now_s).precedence, now_s)
         state.followed_peers = roster.followers(now_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -92,6 +92,8 @@
         When a stopping process ends; a request that may take longer is not begun.
     outcomes : OutcomeCounts
         How the own requests fared, for peers.
+    hears_peers : bool
+        Whether any other router is heard at this moment.
     rank : int
         This router's place among those that are heard.
     refused_now : int
@@ -135,6 +137,7 @@
     follows_store: bool = False
     followed_peers: int = 0
     router_count: int = 1
+    hears_peers: bool = False
     rank: int = 0
     refused_now: int = 0
     serving: int = 0
--- a/tests/core/test_fleet_roster.py
+++ b/tests/core/test_fleet_roster.py
@@ -8,10 +8,10 @@
 
 from scaleloom_core.fleet_load import FleetLoad, target_key
 from scaleloom_core.fleet_roster import (
-    COUNTED_S,
     FORGOTTEN_S,
     LIVELY_S,
     MOST_IN_GROUP,
+    NAMED_S,
     SETTLES_S,
     TOLD_S,
     FleetMember,
@@ -19,6 +19,7 @@
 )
 from scaleloom_core.ids import DataCentreName, InstanceId, TargetId
 from scaleloom_core.precedence import MOST_WEAKNESS, precedence, weakness
+from scaleloom_core.retry_windows import SHARE_IN_USE
 
 ROUND_S = 0.2
 TARGET = TargetId("i-1")
@@ -292,7 +293,9 @@
     del fleet.routers[lost.id]
     fleet.play(int(LIVELY_S / ROUND_S) + 1)
     assert first.roster.count(fleet.now_s) == 3
-    fleet.play(int(COUNTED_S / ROUND_S) + 1)
+    fleet.play(int(NAMED_S / ROUND_S) + 1)
+    assert first.roster.count(fleet.now_s) == 3
+    fleet.play(int(FORGOTTEN_S / ROUND_S) + 1)
     assert first.roster.count(fleet.now_s) == 2
     assert first.roster.silent(fleet.now_s) == [lost.id]
     first.roster.forget(fleet.now_s + FORGOTTEN_S)
@@ -300,6 +303,20 @@
     assert second.roster.count(fleet.now_s) == 2
 
 
+def test_routers_that_are_cut_off_from_each_other_do_not_take_the_whole_each():
+    # Four routers that were cut off for longer than ten seconds each took
+    # themselves for the only one, and with it half of what all four may repeat:
+    # twice the extra in all.
+    fleet = _Fleet([4])
+    fleet.play(ROUNDS_TO_KNOW_ALL)
+    cut_for_s = 30.0
+    shares = [
+        SHARE_IN_USE / router.roster.count(fleet.now_s + cut_for_s)
+        for router in fleet.routers.values()
+    ]
+    assert sum(shares) <= 1.0
+
+
 def test_a_large_data_centre_is_split_and_joined_again():
     fleet = _Fleet([3 * MOST_IN_GROUP])
     fleet.play(ROUNDS_TO_KNOW_ALL)
