Try no two requests at one target, and let the soak send what ends targets

Change: a trial's record names its target, and none begins at a target where another is open. Any whole answer clears what is known of a request, not only that of a suspected one. The soak gets a kind of fault (a request that ends targets, again and again, at any gateway), targets that end like processes and come back under another name, two promises (what ends targets is sent to few, others are not held back for it) and two mechanisms to switch off.

Result: the test of trials fails without the exclusion.

--- a/packages/scaleloom-core/scaleloom_core/crash_table.py
+++ b/packages/scaleloom-core/scaleloom_core/crash_table.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from scaleloom_core.ids import RequestDigest, TargetStart
+from scaleloom_core.ids import RequestDigest, TargetId, TargetStart
 
 # One end says little: up to 64 requests of the users' engines share it. A second
 # one is explained by company only where targets end one after another.
@@ -95,6 +95,8 @@
         How often it was tried since.
     is_being_tried : bool
         Whether no end has become known since the last trial.
+    tried_at : TargetId
+        The target of that.
     ended_s, tried_s : float
         When this router last learned of an end, and of a trial.
     """
@@ -102,6 +104,7 @@
     starts: dict[TargetStart, bool] = msgspec.field(default_factory=dict)
     trials: int = 0
     is_being_tried: bool = False
+    tried_at: TargetId = TargetId("")
     ended_s: float = NEVER_S
     tried_s: float = NEVER_S
 
@@ -121,6 +124,10 @@
         life_s = HELD_LIFE_S if self.is_suspect else FIRST_END_LIFE_S
         return max(self.ended_s, self.tried_s) + life_s
 
+    def is_open(self, now_s: float) -> bool:
+        """Return whether a trial is under way, as far as is known."""
+        return self.is_being_tried and now_s < self.tried_s + TRIAL_PAUSE_S
+
     def standing(self, now_s: float) -> Standing:
         """Return whether the request may be sent."""
         ends = len(self.starts)
@@ -193,15 +200,23 @@
             self._told.append((now_s, end, witness))
         return True
 
-    def note_trial(self, request: RequestDigest, number: int, now_s: float) -> None:
-        """Take in that `request` is tried for the time `number`."""
+    def note_trial(
+        self, request: RequestDigest, number: int, target: TargetId, now_s: float
+    ) -> None:
+        """Take in that `request` is tried at `target`, for the time `number`."""
         seen = self._seen.setdefault(request, SeenEnds())
         if number > seen.trials:
             seen.trials = number
             seen.tried_s = now_s
             seen.is_being_tried = True
+            seen.tried_at = target
             self._keep(request, seen)
 
+    def on_trial(self, now_s: float) -> set[TargetId]:
+        """Return the targets at which some request is being tried."""
+        every = (self._seen[request] for request in self._suspects)
+        return {seen.tried_at for seen in every if seen.is_open(now_s)}
+
     def _keep(self, request: RequestDigest, seen: SeenEnds) -> None:
         """Keep `request` as the newest, and no more than may be kept."""
         self._seen.move_to_end(request)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
@@ -75,7 +75,8 @@
         staged = state.staged.of(state.view, course, now_s)
         found = chooser.choose_among(staged, key, match.policy, work.tried, now_s)
     elif work.is_on_trial:
-        found = chooser.choose_apart(key, match.policy, work.tried, now_s, work.digest)
+        avoided = work.tried | state.crashes.targets_on_trial()
+        found = chooser.choose_apart(key, match.policy, avoided, now_s, work.digest)
     else:
         found = chooser.choose(key, match.policy, work.tried, now_s)
     if found is None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_gate.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_gate.py
@@ -4,6 +4,7 @@
 
 from scaleloom_core.crash_table import HELD_ENDS, Leave, Standing
 from scaleloom_core.errors import ErrorKind, FleetError
+from scaleloom_core.ids import TargetId
 from scaleloom_fleet.gateway.crashes import TrialOutcome
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.verdicts import Verdict
@@ -61,9 +62,9 @@
     )
 
 
-async def may_be_sent(state: GatewayState, work: Work) -> bool:
+async def may_be_sent(state: GatewayState, work: Work, target: TargetId) -> bool:
     """
-    Return whether `work`, which has its target, is sent to it now.
+    Return whether `work` is sent to `target`, where it has a place, now.
 
     One trial is begun in the whole fleet. While nobody counts them a request is
     sent, unless so many targets ended under it that nothing else explains them.
@@ -76,7 +77,7 @@
     desk = state.crashes
     outcome = TrialOutcome.UNCOUNTED
     if trio.current_time() >= desk.uncounted_until_s:
-        outcome = await desk.take_trial(work.digest)
+        outcome = await desk.take_trial(work.digest, target)
     if outcome is not TrialOutcome.UNCOUNTED:
         return outcome is TrialOutcome.BEGUN
     desk.uncounted_until_s = trio.current_time() + UNCOUNTED_S
@@ -90,6 +91,5 @@
         if desk.table.find(work.digest) is not None:
             # One more end may be one too many for it to be sent again at once.
             await work.end_check.is_done.wait()
-    elif verdict in ANSWERS:
-        if work.end_check is not None or find_leave(state, work) is not None:
-            desk.clear(work.digest)
+    elif verdict in ANSWERS and len(desk.table):
+        desk.clear(work.digest)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 
 from scaleloom_core.crash_table import End, Leave, SeenEnds, Witness
-from scaleloom_core.ids import RequestDigest
+from scaleloom_core.ids import RequestDigest, TargetId
 from scaleloom_fleet.gateway.crash_records import (
     CrashRecord,
     CrashRecordKind,
@@ -118,27 +118,35 @@
         elif told.is_dropped:
             desk.table.drop_trial(told.request, told.number)
         else:
-            desk.note_trial(told.request, told.number)
+            desk.note_trial(told.request, told.number, told.target)
 
-    async def take_trial(self, request: RequestDigest) -> TrialOutcome:
-        """Begin a trial of `request` unless another router does, in a short time."""
+    async def take_trial(
+        self, request: RequestDigest, target: TargetId
+    ) -> TrialOutcome:
+        """
+        Begin a trial of `request` at `target`, in a short time.
+
+        None begins where another router has begun one, or where another request
+        is being tried there: what ends the target would speak against both.
+        """
         outcome = TrialOutcome.UNCOUNTED
         with trio.move_on_after(TRIAL_PATIENCE_S):
-            outcome = await self._race(request)
+            outcome = await self._race(request, target)
         self._state.figures.add(TRIALS, outcome.value)
         return outcome
 
-    async def _race(self, request: RequestDigest) -> TrialOutcome:
+    async def _race(self, request: RequestDigest, target: TargetId) -> TrialOutcome:
         """Begin a trial before anyone else does."""
         desk = self._state.crashes
         while True:
             moved = self._moved
             async with self._writing:
-                if desk.standing(request).leave is not Leave.ON_TRIAL:
+                is_on_trial = desk.standing(request).leave is Leave.ON_TRIAL
+                if not is_on_trial or target in desk.targets_on_trial():
                     return TrialOutcome.LEFT_TO_OTHERS
                 if self._end is None:
                     return TrialOutcome.UNCOUNTED
-                written = await self._write_trial(request, self._end)
+                written = await self._write_trial(request, target, self._end)
             if not isinstance(written, Failure):
                 return TrialOutcome.BEGUN
             failure = written.failure()
@@ -149,20 +157,20 @@
                 await moved.wait()
 
     async def _write_trial(
-        self, request: RequestDigest, end: int
+        self, request: RequestDigest, target: TargetId, end: int
     ) -> Result[int, CallFailure | str]:
         """Write that `request` is tried, and why, if the log ends at `end`."""
         desk = self._state.crashes
         seen = desk.table.find(request) or SeenEnds()
         number = seen.trials + 1
         ends = [End(request, start) for start in seen.starts]
-        records = [*map(ended_record, ends), tried_record(request, number)]
+        records = [*map(ended_record, ends), tried_record(request, number, target)]
         written = await self._access.append_at(
             self._writer, Topic.CRASHES, records, end
         )
         if not isinstance(written, Failure):
-            desk.note_trial(request, number)
-            fields = {"digest": f"{request:016x}", "trial": number}
+            desk.note_trial(request, number, target)
+            fields = {"digest": f"{request:016x}", "trial": number, "target": target}
             _logger.info("request on trial", extra=fields)
         return written
 
@@ -214,4 +222,4 @@
     """Return the records that drop all that the log may hold of a request."""
     ends = [ended_record(End(request, start), False) for start in seen.starts]
     numbers = range(1, seen.trials + 1)
-    return ends + [tried_record(request, number, False) for number in numbers]
+    return ends + [tried_record(request, number, None) for number in numbers]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_records.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_records.py
@@ -6,14 +6,14 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.crash_table import End
-from scaleloom_core.ids import RequestDigest, TargetStart
+from scaleloom_core.ids import RequestDigest, TargetId, TargetStart
 from scaleloom_fleet.gateway.interfaces import KeyedValue, StoredRecord
 
 _SEPARATOR = "/"
 _PARTS = 3
 _HEX = 16
 _DIGITS = frozenset("0123456789abcdef")
-# What a record holds says nothing; a record without a value drops its key.
+# A record without a value drops its key.
 _HELD = b"1"
 
 
@@ -34,12 +34,15 @@
         The target's start that ended, or how often the request was tried.
     is_dropped : bool
         Whether this holds no more.
+    target : TargetId
+        Where the request is tried, if it is.
     """
 
     request: RequestDigest
     kind: CrashRecordKind
     number: int
     is_dropped: bool
+    target: TargetId = TargetId("")
 
     @property
     def end(self) -> End:
@@ -49,22 +52,24 @@
 
 def ended_record(end: End, is_held: bool = True) -> KeyedValue:
     """Return the record that a target ended under a request, or that drops it."""
-    return _record(end.request, CrashRecordKind.ENDED, end.start, is_held)
+    value = _HELD if is_held else b""
+    return _record(end.request, CrashRecordKind.ENDED, end.start, value)
 
 
 def tried_record(
-    request: RequestDigest, number: int, is_held: bool = True
+    request: RequestDigest, number: int, target: TargetId | None
 ) -> KeyedValue:
-    """Return the record that a request is tried, or that drops it."""
-    return _record(request, CrashRecordKind.TRIED, number, is_held)
+    """Return the record that a request is tried at `target`, or that drops it."""
+    value = target.encode() if target is not None else b""
+    return _record(request, CrashRecordKind.TRIED, number, value)
 
 
 def _record(
-    request: RequestDigest, kind: CrashRecordKind, number: int, is_held: bool
+    request: RequestDigest, kind: CrashRecordKind, number: int, value: bytes
 ) -> KeyedValue:
     """Return a record of its own key, so that none replaces another."""
     key = _SEPARATOR.join((f"{request:016x}", kind.value, f"{number:016x}"))
-    return KeyedValue(key, _HELD if is_held else b"")
+    return KeyedValue(key, value)
 
 
 def read_crash_record(record: StoredRecord) -> Result[CrashRecord, str]:
@@ -77,13 +82,12 @@
         return Failure(f"{record.key!r} names no numbers")
     try:
         told = CrashRecordKind(kind)
+        target = TargetId(record.value.decode())
     except ValueError as error:
         return Failure(str(error))
-    return Success(
-        CrashRecord(
-            RequestDigest(int(request, 16)), told, int(number, 16), not record.value
-        )
-    )
+    digest = RequestDigest(int(request, 16))
+    is_dropped = not record.value
+    return Success(CrashRecord(digest, told, int(number, 16), is_dropped, target))
 
 
 def _is_number(text: str) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crashes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crashes.py
@@ -14,7 +14,7 @@
     Standing,
     Witness,
 )
-from scaleloom_core.ids import RequestDigest
+from scaleloom_core.ids import RequestDigest, TargetId
 from scaleloom_core.listed import ListedTarget
 from scaleloom_fleet.gateway.end_checks import EndChecks
 
@@ -29,14 +29,14 @@
     UNCOUNTED = "uncounted"
 
 
-TakeTrial = Callable[[RequestDigest], Awaitable[TrialOutcome]]
+TakeTrial = Callable[[RequestDigest, TargetId], Awaitable[TrialOutcome]]
 
 
 def _tell_nobody() -> None:
     """Do nothing, as long as there are no peers."""
 
 
-async def _count_none(request: RequestDigest) -> TrialOutcome:
+async def _count_none(request: RequestDigest, target: TargetId) -> TrialOutcome:
     """Begin no trial, as long as nobody counts them."""
     return TrialOutcome.UNCOUNTED
 
@@ -60,7 +60,7 @@
     is_outdated : trio.Event
         Set when something is added to that.
     take_trial : callable
-        Begins a trial of a request unless another router does.
+        Begins a trial of a request at a target unless another router does.
     uncounted_until_s : float
         Until when nobody is asked to count trials, since nobody did.
     """
@@ -105,9 +105,9 @@
         fields = {"digest": f"{request:016x}", "ends": ends, "by": witness.value}
         _logger.info("request suspected", extra=fields)
 
-    def note_trial(self, request: RequestDigest, number: int) -> None:
-        """Take in that `request` is tried for the time `number`."""
-        self.table.note_trial(request, number, trio.current_time())
+    def note_trial(self, request: RequestDigest, number: int, target: TargetId) -> None:
+        """Take in that `request` is tried at `target`, for the time `number`."""
+        self.table.note_trial(request, number, target, trio.current_time())
         self.note_change()
 
     def note_change(self) -> None:
@@ -116,6 +116,10 @@
         self.changed = trio.Event()
         self.log_lacks.set()
 
+    def targets_on_trial(self) -> set[TargetId]:
+        """Return the targets at which some request is being tried."""
+        return self.table.on_trial(trio.current_time())
+
     def standing(self, request: RequestDigest) -> Standing:
         """Return whether `request` may be sent."""
         return self.table.standing(request, trio.current_time())
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -71,7 +71,8 @@
         _tell_away(record)
         return Verdict.NEVER_SENT
     try:
-        is_sent = not is_recalled(state, work) and await may_be_sent(state, work)
+        is_sent = not is_recalled(state, work)
+        is_sent = is_sent and await may_be_sent(state, work, target.id)
         if work.connection.has_just_left():
             # Nothing was sent yet, and nobody waits for the answer any more.
             raise CallerGone
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,8 @@
 
 from soak.relays import Relay, RelayMode
 from soak.site import SoakSite
-from soak.targets import SoakTarget
+from soak.targets import CRASHING_BODY, GATEWAY_HEADER, SoakTarget
+from tests.fixtures.gateways import ask_raw, request_bytes
 from tests.fixtures.platform_store import StoreFault
 
 SERIES_COUNT = 2
@@ -20,6 +21,9 @@
 WORST_SHARE = 0.8
 STALE_RECORDS = 12
 DRAIN_S = 3.0
+# Few, so that the same one comes in several series, also at the same time.
+CRASHING_REQUESTS = 2
+CRASHING_PATIENCE_S = 2.5
 
 
 Fault = Callable[[SoakSite, random.Random], Awaitable[None]]
@@ -131,6 +135,21 @@
         await trio.sleep(DRAIN_S)
 
 
+async def send_crashing_request(site: SoakSite, draw: random.Random) -> None:
+    """Let a request that ends targets come again and again, at any gateway."""
+    body = CRASHING_BODY + b"%d" % draw.randrange(CRASHING_REQUESTS)
+    for _ in range(draw.randrange(4, 12)):
+        for gateway in draw.sample(site.gateways, 2):
+            header = {GATEWAY_HEADER.replace("-", "_"): gateway.name}
+            name = f"crash-{draw.getrandbits(48):x}"
+            data = request_bytes("/stream/1", name, method="POST", body=body, **header)
+            with trio.move_on_after(CRASHING_PATIENCE_S):
+                answer = await ask_raw(gateway.front_port, data, "POST", gateway.host)
+                if answer.status == 503:
+                    break
+        await trio.sleep(draw.uniform(*PAUSE_S))
+
+
 async def change_config(site: SoakSite, draw: random.Random) -> None:
     """Write one configuration, or several in quick succession."""
     for _ in range(draw.choice((1, 1, 5))):
@@ -148,4 +167,5 @@
     spoil_answers,
     replace_target,
     change_config,
+    send_crashing_request,
 )
--- a/soak/judging.py
+++ b/soak/judging.py
@@ -6,7 +6,7 @@
 
 from soak.callers import Observations, Outcome
 from soak.processes import RETRY_EXTRA, RETRY_RATIO, GatewayProcess
-from soak.site import ENGINE, PLAIN, SoakSite
+from soak.site import ENGINE, PLAIN, TARGETS_PER_SERVICE, SoakSite
 from soak.targets import Arrival
 from tests.fixtures.runners import EVENT_COUNT, event
 
@@ -24,6 +24,11 @@
 LOAD_SHARE = 0.03
 LOAD_SAMPLES = 20
 RETRY_WINDOW_S = 10.0
+ENDED_TARGETS = 3
+ALLOWED_RETRIES = 3
+HELD_BACK = b"request_held"
+# Requests that are alike to the byte wait for the trial of one of them.
+HELD_SHARE = 0.005
 _WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
 
 
@@ -185,7 +190,7 @@
         if not _is_load_judged(site, gateways.get(arrival.gateway), arrival.at_s):
             continue
         judged += 1
-        mean = sum(held.values()) / max(1, _listed_engines(site, arrival.at_s))
+        mean = sum(held.values()) / max(1, _listed(site, ENGINE, arrival.at_s))
         if held[arrival.target] > LOAD_MULTIPLE * mean + LOAD_EXTRA:
             over.append(f"{arrival.target} holds {held[arrival.target]}, mean {mean}")
     is_broken = judged >= LOAD_SAMPLES and len(over) > LOAD_SHARE * judged
@@ -202,10 +207,10 @@
     return all(is_calm(times_s, at_s - CALM_S, at_s) for times_s in strikes_s)
 
 
-def _listed_engines(site: SoakSite, at_s: float) -> int:
-    """Return how many engines took work at `at_s`."""
+def _listed(site: SoakSite, service: str, at_s: float) -> int:
+    """Return how many targets of `service` took work at `at_s`."""
     return sum(
-        target.service == ENGINE and target.joined_s <= at_s < target.left_s
+        target.service == service and target.joined_s <= at_s < target.left_s
         for target in site.every_target()
     )
 
@@ -236,6 +241,54 @@
     return sum(end_s - RETRY_WINDOW_S < at_s <= end_s for at_s in times_s)
 
 
+def judge_crashes(site: SoakSite, seen: Observations) -> list[str]:
+    """Return what reached targets of requests that are known to end them."""
+    gateways = {gateway.name: gateway for gateway in site.gateways}
+    broken: list[str] = []
+    for body, ended_s in site.crashes_s.items():
+        if len(ended_s) < ENDED_TARGETS:
+            continue
+        since_s = sorted(ended_s)[ENDED_TARGETS - 1] + CONTACT_S
+        late = [
+            arrival
+            for arrival in _arrivals(site)
+            if arrival.body == body
+            and arrival.at_s > since_s
+            and _is_in_touch_with_all(site, gateways.get(arrival.gateway), arrival)
+        ]
+        broken += [
+            f"{arrival.request_id} from {arrival.gateway} at {arrival.at_s:.2f}"
+            for arrival in late[ALLOWED_RETRIES:]
+        ]
+    return broken
+
+
+def _is_in_touch_with_all(
+    site: SoakSite, gateway: GatewayProcess | None, arrival: Arrival
+) -> bool:
+    """Return whether nothing struck a gateway or the store before an arrival."""
+    at_s = arrival.at_s
+    is_store_calm = is_calm(site.store_strikes_s, at_s - CONTACT_S, at_s)
+    return gateway is not None and is_store_calm and _in_touch(gateway, at_s, at_s)
+
+
+def judge_held(site: SoakSite, seen: Observations) -> list[str]:
+    """
+    Return the callers that were held back for another's request, if many were.
+
+    Where most targets are down, others fall with the last ones on their trial
+    too, and would be refused for want of a place.
+    """
+    held = [
+        f"{o.request_id} ({o.kind}) from {o.gateway.name} at {o.begun_s:.2f}"
+        for o in seen.outcomes
+        if o.answer.status == 503
+        and HELD_BACK in o.answer.body
+        and _listed(site, PLAIN, o.begun_s) >= TARGETS_PER_SERVICE / 2
+    ]
+    return held if len(held) > HELD_SHARE * len(seen.outcomes) else []
+
+
 def judge_own_ends(site: SoakSite, seen: Observations) -> list[str]:
     """Return the processes that ended by themselves."""
     return [
@@ -254,5 +307,7 @@
     "a planned stop cuts nothing": judge_stops,
     "no engine carries more than the bound": judge_load,
     "repeats keep to the fleet's budget": judge_retries,
+    "what ends targets is sent to few": judge_crashes,
+    "others are not held back for it": judge_held,
     "no process ends by itself": judge_own_ends,
 }
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -37,6 +37,7 @@
         self._listener = free_listener()
         self._changed = trio.Event()
         self._scopes: set[trio.CancelScope] = set()
+        self._serving = trio.CancelScope()
 
     @property
     def port(self) -> int:
@@ -52,9 +53,15 @@
             for scope in list(self._scopes):
                 scope.cancel()
 
+    def end(self) -> None:
+        """End every connection and take no more, like a process that is gone."""
+        self._serving.cancel()
+
     async def run(self) -> None:
-        """Serve until cancelled."""
-        await trio.serve_listeners(self._pass_on, [self._listener])
+        """Serve until cancelled or ended."""
+        with self._serving:
+            await trio.serve_listeners(self._pass_on, [self._listener])
+        await self._listener.aclose()
 
     async def _pass_on(self, caller: trio.SocketStream) -> None:
         """Pass one connection on until either end or a reset ends it."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -19,6 +19,9 @@
 PLAIN, ENGINE = "plain", "llm"
 TARGETS_PER_SERVICE = 4
 START_LIMIT_S = 20.0
+# As on the users' sheets: three heartbeats of silence, and some seconds.
+ENTRY_GOES_AFTER_S = 3.6
+BACK_AFTER_S = (1.5, 4.0)
 
 
 @dataclass
@@ -32,6 +35,8 @@
         When each version of the configuration was written.
     store_strikes_s : list of float
         When the store began or ceased to misbehave.
+    crashes_s : dict of bytes to list of float
+        When targets ended under a request, by its body.
     """
 
     draw: random.Random
@@ -45,6 +50,7 @@
     gone_targets: list[SoakTarget] = field(default_factory=list)
     puts_s: dict[int, float] = field(default_factory=dict)
     store_strikes_s: list[float] = field(default_factory=list)
+    crashes_s: dict[bytes, list[float]] = field(default_factory=dict)
     _started: int = 0
 
     def version_before(self, at_s: float) -> int:
@@ -67,6 +73,7 @@
         self._started += 1
         name = f"i-{self._started}"
         target = start_target(name, service, self.draw, self.nursery, version)
+        target.crash = self.crash
         target.strike()
         self.targets.append(target)
         self.store.put(TARGETS_TOPIC, name, target.entry())
@@ -87,6 +94,23 @@
         target.stop_at_once()
         self.store.drop(TARGETS_TOPIC, target.runner.id)
 
+    def crash(self, target: SoakTarget, body: bytes) -> None:
+        """End a target under a request; another one comes some seconds later."""
+        if target in self.targets:
+            self.crashes_s.setdefault(body, []).append(trio.current_time())
+            self.targets.remove(target)
+            self.gone_targets.append(target)
+            target.end()
+            self.nursery.start_soon(self._replace_crashed, target)
+
+    async def _replace_crashed(self, target: SoakTarget) -> None:
+        """Let a target come back under another name, and its entry go."""
+        back_s = self.draw.uniform(*BACK_AFTER_S)
+        await trio.sleep(min(back_s, ENTRY_GOES_AFTER_S))
+        self.add_target(target.service)
+        await trio.sleep(max(0.0, ENTRY_GOES_AFTER_S - back_s))
+        self.store.drop(TARGETS_TOPIC, target.runner.id)
+
     def every_target(self) -> list[SoakTarget]:
         """Return the targets that ever were."""
         return self.targets + self.gone_targets
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -5,6 +5,7 @@
 
 from msgspec.structs import replace
 
+from scaleloom_core.crash_table import CrashTable, Leave, SeenEnds, Standing
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.listed import ListedState
 from scaleloom_core.retry_windows import RetryWindow
@@ -120,6 +121,25 @@
     Evidence.assess = lambda self, now_s: Assessment.UNDECIDED
 
 
+def _count_no_ends() -> None:
+    """Count no ends of targets under requests."""
+    CrashTable.note_end = lambda self, end, witness, now_s: False
+
+
+def _hold_without_trial() -> None:
+    """Hold what targets ended under, and try none of it."""
+    standing = SeenEnds.standing
+
+    def hold(self, now_s):
+        found = standing(self, now_s)
+        if found.leave is Leave.ON_TRIAL:
+            return Standing(Leave.HELD, found.ends, self.lasts_until_s)
+        return found
+
+    SeenEnds.standing = hold
+    CrashTable.clear = lambda self, request: None
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     "one-send": _send_again_always,
     "proof-of-not-run": _claim_not_run_always,
@@ -131,6 +151,8 @@
     "draining": _stop_at_once,
     "load-bound": _lift_the_bound,
     "retry-budget": _lift_the_budget,
+    "crash-count": _count_no_ends,
+    "crash-trials": _hold_without_trial,
     "rollout-verdict": _believe_every_version,
     "rollout-exposure": _expose_every_request,
 }
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -1,6 +1,7 @@
 """Targets of the soak: stand-ins behind relays, with work that takes time."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -17,6 +18,9 @@
 # A target that was idle shows a fault under load as soon as it has some.
 RATE_SPAN_S = 0.25
 GATEWAY_HEADER = "soak-gateway"
+# Requests with such a body end whichever target begins to run them.
+CRASHING_BODY = b"ends whatever runs it, number "
+CRASHES_AFTER_S = 0.04
 BAD_ANSWERS = (
     runners.shed,
     runners.fail,
@@ -38,6 +42,7 @@
     at_s: float
     ended_s: float
     has_run: bool
+    body: bytes = b""
 
 
 @dataclass
@@ -55,6 +60,8 @@
         Of its software.
     version_fault : VersionFault or None
         What is wrong with that.
+    crash : callable or None
+        Told of a body under which the target ends.
     strikes_s : list of float
         When it, or the way to it, began or ceased to misbehave.
     """
@@ -68,6 +75,7 @@
     left_s: float = float("inf")
     version: str = "v1"
     version_fault: VersionFault | None = None
+    crash: Callable[["SoakTarget", bytes], None] | None = None
     strikes_s: list[float] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     begun_s: list[float] = field(default_factory=list)
@@ -96,6 +104,12 @@
         self.left_s = trio.current_time()
         self.strike()
 
+    def end(self) -> None:
+        """End like a process that crashed, with whatever it works on."""
+        self.relay.end()
+        self.left_s = trio.current_time()
+        self.strike()
+
     def _shows_fault(self, asked: Asked) -> bool:
         """Return whether its version's fault shows in the answer to `asked`."""
         if self.version_fault is None:
@@ -114,6 +128,10 @@
         is_slow = is_faulty and self.version_fault.badness is Badness.SLOW
         is_failing = is_faulty and not is_slow and self.draw.random() < FAILING_SHARE
         try:
+            if asked.body.startswith(CRASHING_BODY) and self.crash is not None:
+                await trio.sleep(CRASHES_AFTER_S)
+                self.crash(self, asked.body)
+                return False
             is_chat = asked.target.startswith("/chat")
             work_s = CHAT_WORK_S if is_chat else WORK_S
             await trio.sleep(self.draw.uniform(*work_s) * (SLOWDOWN if is_slow else 1))
@@ -135,6 +153,7 @@
                     arrived_s,
                     trio.current_time(),
                     has_run,
+                    asked.body,
                 )
             )
 
--- a/tests/core/test_crash_table.py
+++ b/tests/core/test_crash_table.py
@@ -20,8 +20,10 @@
     Leave,
     Witness,
 )
+from scaleloom_core.ids import TargetId
 
 BAD, OTHER = 1, 2
+TARGET = TargetId("i-1")
 ENDS = st.builds(End, st.integers(0, 3), st.integers(0, 5))
 
 
@@ -58,7 +60,7 @@
     _suspecting(table)
     for number in range(1, TRIALS + 1):
         assert _leave(table, now_s=now_s) is Leave.ON_TRIAL
-        table.note_trial(BAD, number, now_s)
+        table.note_trial(BAD, number, TARGET, now_s)
         assert table.standing(BAD, now_s).is_being_tried
         table.note_end(End(BAD, FREE_ENDS + number), Witness.OWN, now_s + 0.1)
         assert _leave(table, now_s=now_s + 0.2) is Leave.HELD
@@ -69,10 +71,24 @@
     assert held.until_s > now_s + HELD_LIFE_S - TRIAL_PAUSE_S
 
 
+def test_a_target_is_on_trial_until_it_is_known_what_came_of_it():
+    table = CrashTable()
+    for request in (BAD, OTHER):
+        _suspecting(table, request)
+    table.note_trial(BAD, 1, TARGET, 0.0)
+    table.note_trial(OTHER, 1, TargetId("i-2"), 0.0)
+    assert table.on_trial(0.1) == {"i-1", "i-2"}
+    table.note_end(End(BAD, 100), Witness.OWN, 0.1)
+    assert table.on_trial(0.2) == {"i-2"}
+    assert table.on_trial(TRIAL_PAUSE_S) == set()
+    table.clear(OTHER)
+    assert table.on_trial(0.2) == set()
+
+
 def test_an_answer_clears_a_request_for_good_of_what_ended_before():
     table = CrashTable()
     _suspecting(table)
-    table.note_trial(BAD, 1, 0.0)
+    table.note_trial(BAD, 1, TARGET, 0.0)
     cleared = table.clear(BAD)
     assert sorted(cleared.starts) == list(range(FREE_ENDS))
     assert cleared.trials == 1
@@ -87,7 +103,7 @@
 def test_what_the_log_drops_counts_no_more():
     table = CrashTable()
     _suspecting(table)
-    table.note_trial(BAD, 1, 0.0)
+    table.note_trial(BAD, 1, TARGET, 0.0)
     table.drop_trial(BAD, 1)
     table.drop_end(End(BAD, 0))
     assert _leave(table) is Leave.FREE
--- a/tests/gateway/test_crash_log.py
+++ b/tests/gateway/test_crash_log.py
@@ -10,6 +10,7 @@
     TRIALS,
     End,
 )
+from scaleloom_core.ids import RequestDigest, TargetId
 from scaleloom_core.request_digests import request_digest
 from scaleloom_fleet.gateway.crash_records import ended_record, tried_record
 from scaleloom_fleet.gateway.interfaces import KeyedValue, Topic
@@ -32,16 +33,26 @@
 LOG_TOPIC, _ = PLACES[Topic.CRASHES]
 PATH = "/stream/1"
 BODY = b"a prompt"
-REQUEST = request_digest(CUSTOMER, b"POST", HOST.encode(), PATH.encode(), BODY)
 # A log that was just written to has reached every router by then.
 TOLD_S = 0.3
+ELSEWHERE = TargetId("i-100")
 WORK_S = 0.5
 
 
+def _digest(body: bytes) -> RequestDigest:
+    """Return what stays the same of a request with `body`."""
+    return request_digest(CUSTOMER, b"POST", HOST.encode(), PATH.encode(), body)
+
+
+REQUEST = _digest(BODY)
+
+
 def _log(site: Site, ends: int, trials: int = 0, request: int = REQUEST) -> None:
     """Let the log say that targets ended under a request, and that it was tried."""
     records = [ended_record(End(request, start)) for start in range(ends)]
-    records += [tried_record(request, number + 1) for number in range(trials)]
+    records += [
+        tried_record(request, number + 1, ELSEWHERE) for number in range(trials)
+    ]
     for record in records:
         _append(site, record)
 
@@ -100,6 +111,29 @@
             assert (await _ask(gateway, f"again-{gateway.host}")).status == 200
 
 
+@runs_on_paused_clock
+async def test_no_two_requests_are_tried_at_one_target():
+    # Two requests that had each lost two targets were tried at the same moments,
+    # five seconds apart, and with few targets left at the same one: what ended
+    # it counted against both, and the one that did nothing was held.
+    bodies = [b"prompt %d" % number for number in range(4)]
+    async with running_site(runner_count=4, gateway_count=2) as site:
+        for runner in site.runners:
+            runner.behaviour = _work_long
+        for body in bodies:
+            _log(site, FREE_ENDS, request=_digest(body))
+        await trio.sleep(TOLD_S)
+
+        async def ask(number: int, body: bytes) -> None:
+            gateway = site.gateways[number % len(site.gateways)]
+            assert (await _ask(gateway, f"r-{number}", body)).status == 200
+
+        async with trio.open_nursery() as nursery:
+            for number, body in enumerate(bodies):
+                nursery.start_soon(ask, number, body)
+        assert [len(runner.asked) for runner in site.runners] == [1] * 4
+
+
 @runs_on_paused_clock
 async def test_whoever_waits_for_a_trial_is_sent_when_it_clears_the_request():
     async with running_site(runner_count=4, gateway_count=2) as site:
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -8,6 +8,7 @@
 
 from scaleloom_core.crash_table import End
 from scaleloom_core.fleet_roster import FleetMember, GroupId
+from scaleloom_core.ids import TargetId
 from scaleloom_fleet.gateway.crash_records import (
     CrashRecord,
     CrashRecordKind,
@@ -33,14 +34,15 @@
 def test_records_come_out_as_they_went_in(request, number, is_held):
     ended = _read(ended_record(End(request, number), is_held)).unwrap()
     assert (ended.end, ended.is_dropped) == (End(request, number), not is_held)
-    tried = _read(tried_record(request, number, is_held)).unwrap()
+    target = TargetId("i-1") if is_held else None
+    tried = _read(tried_record(request, number, target)).unwrap()
     kind = CrashRecordKind.TRIED
-    assert tried == CrashRecord(request, kind, number, not is_held)
+    assert tried == CrashRecord(request, kind, number, not is_held, target or "")
 
 
 def test_each_end_and_each_trial_has_a_key_of_its_own():
     records = [ended_record(End(r, n)) for r in range(3) for n in range(3)]
-    records += [tried_record(r, n) for r in range(3) for n in range(3)]
+    records += [tried_record(r, n, TargetId("i")) for r in range(3) for n in range(3)]
     assert len({record.key for record in records}) == len(records)
 
 
