Tell a target that started again from what it was, and read entries strictly

Cause: a target may start again under its id, and what was known of it stayed: that it took no connection (up to 4 s), failures, what it held, prompt parts, idle links. Entries that another writer left were taken for targets that are ready: a state that isn't named, missing fields, 0 or 10^30 places, ports that there can't be.

Change: the id of a target in the product stands for one of its starts (the entry's key and when it was born, where it tells), so that it is another target in lists, load, reports, digests, holders, outcomes, roll-outs, links and ends; the entry's key is what the target is called by. What starts again is no source of a copy and isn't kept as lapsed. Each field of an entry has a type and bounds; an entry that can't be read names no target, is told once for each change and counted on the metrics page.

--- a/packages/scaleloom-core/scaleloom_core/crash_table.py
+++ b/packages/scaleloom-core/scaleloom_core/crash_table.py
@@ -28,8 +28,8 @@
 # How long an end counts whose request does not come again.
 FIRST_END_LIFE_S = 600.0
 HELD_LIFE_S = 3600.0
-# More than the requests of 60 full engines.
-REQUEST_LIMIT = 4096
+# The requests of 32 full engines, a rack of them; 540 bytes each.
+REQUEST_LIMIT = 2048
 SUSPECT_LIMIT = 512
 ENDS_KEPT = 8
 # Reports are lost now and then, and some are relayed; this is ten of them.
--- a/packages/scaleloom-core/scaleloom_core/fleet_load.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_load.py
@@ -16,6 +16,8 @@
 RATE_TIME_S = 0.5
 LEAST_RATE_PER_S = 0.1
 DEFAULT_REPORT_PAUSE_S = 0.1
+# More than the targets of the largest fleet designed for, with some starts each.
+KEYS_KEPT = 50_000
 TargetKey = int
 
 
@@ -137,6 +139,8 @@
         """Return how many requests `target` holds."""
         key = self._keys.get(target)
         if key is None:
+            if len(self._keys) >= KEYS_KEPT:
+                self._keys.clear()
             key = self._keys[target] = target_key(target)
         return self.own.get(target, 0) + self._peer_sums.get(key, 0)
 
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -4,7 +4,7 @@
 
 from scaleloom_core.fleet_load import TargetKey, target_key
 from scaleloom_core.hashing import hash_text
-from scaleloom_core.ids import DataCentreName, ServiceName, TargetId
+from scaleloom_core.ids import DataCentreName, EntryKey, ServiceName, TargetId
 from scaleloom_core.listed import ListedState, ListedTarget
 from scaleloom_core.rollouts.versions import Track, VersionRule
 from scaleloom_core.target_comparison import without_failing
@@ -48,6 +48,7 @@
     _lapses_end_s: float = 0.0
     _departed: dict[TargetId, TargetRecord] = msgspec.field(default_factory=dict)
     _ids_by_key: dict[TargetKey, TargetId] = msgspec.field(default_factory=dict)
+    _ids_by_entry: dict[EntryKey, TargetId] = msgspec.field(default_factory=dict)
     _holds: VersionHolds = msgspec.field(default_factory=VersionHolds)
 
     def allow_lapses(self, now_s: float) -> None:
@@ -70,6 +71,7 @@
         self.list_position = position
         before = self.records
         self.records = {}
+        self._ids_by_entry = {target.key: target.id for target in listed}
         for target in listed:
             record = before.get(target.id)
             if record is None:
@@ -136,6 +138,9 @@
         for target, record in before.items():
             if target in self.records or record.listed.state is not ListedState.READY:
                 continue
+            if record.listed.key in self._ids_by_entry:
+                # It has started anew, and what it was has ended.
+                continue
             record.lapses_at_s = self._lapses_end_s
             self.records[target] = record
 
@@ -144,7 +149,8 @@
     ) -> None:
         """Remember for a while what is listed no more and may still serve."""
         for target, record in before.items():
-            if target not in self.records:
+            has_ended = record.listed.key in self._ids_by_entry
+            if target not in self.records and not has_ended:
                 record.ends_at_s = now_s + DEPARTED_SOURCE_S
                 self._departed[target] = record
         self._departed = {
@@ -180,6 +186,11 @@
             if record is not None:
                 record.note_outcomes(outcomes, is_near, now_s)
 
+    def find_entry(self, entry: EntryKey) -> TargetRecord | None:
+        """Return the target that the list names under `entry`."""
+        target = self._ids_by_entry.get(entry)
+        return None if target is None else self.records.get(target)
+
     def find_key(self, key: TargetKey) -> TargetId | None:
         """Return the listed target that `key` stands for."""
         return self._ids_by_key.get(key)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 
 from scaleloom_core.evacuations import Evacuations
-from scaleloom_core.ids import TargetId
+from scaleloom_core.ids import EntryKey
 from scaleloom_core.listed import ListedTarget
 from scaleloom_core.rollouts.orders import RolloutOrders
 from scaleloom_fleet.gateway.state import GatewayState
@@ -78,15 +78,20 @@
 def _decode_entries(
     state: GatewayState, documents: dict[str, bytes]
 ) -> list[ListedTarget]:
-    """Return the targets of a list; entries that are known are not read again."""
+    """Return the targets of a list; entries that did not change are not read again."""
     listed: list[ListedTarget] = []
     for key, document in documents.items():
-        target = TargetId(key)
-        known = state.view.records.get(target)
-        if known is not None and state.listed_documents.get(key) == document:
-            listed.append(known.listed)
+        entry = EntryKey(key)
+        known = state.view.find_entry(entry)
+        if state.listed_documents.get(key) == document:
+            # What could not be read before can't be now.
+            if known is not None:
+                listed.append(known.listed)
             continue
-        entry = state.adapter.decode_target(target, document).value_or(None)
-        if entry is not None:
-            listed.append(entry)
+        decoded = state.adapter.decode_target(entry, document)
+        if isinstance(decoded, Failure):
+            fields = {"entry": key, "why": decoded.failure()}
+            _logger.warning("entry of a target unreadable", extra=fields)
+            continue
+        listed.append(decoded.unwrap())
     return listed
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
@@ -135,6 +135,11 @@
 TARGETS = Definition(
     "scaleloom_targets", _G, "Targets that are listed, by state.", ("state",)
 )
+ENTRIES_UNREADABLE = Definition(
+    "scaleloom_entries_unreadable",
+    _G,
+    "Entries of the list of targets that name no target, since they can't be read.",
+)
 CONNECTIONS = Definition(
     "scaleloom_connections", _G, "Connections of callers that are open."
 )
@@ -236,6 +241,7 @@
     READY,
     FOLLOWS_STORE,
     TARGETS,
+    ENTRIES_UNREADABLE,
     CONNECTIONS,
     DESCRIPTORS,
     RESIDENT,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/gauges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/gauges.py
@@ -80,6 +80,7 @@
     told.set(figures.ROUTERS, state.router_count)
     told.set(figures.READY, int(state.is_ready))
     told.set(figures.FOLLOWS_STORE, int(state.follows_store))
+    told.set(figures.ENTRIES_UNREADABLE, state.entries_unreadable)
     told.set(figures.SUSPECTS, state.crashes.table.suspect_count)
     told.set(figures.TARGETS_ENDED, state.crashes.checks.ended_count)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/headers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/headers.py
@@ -49,7 +49,7 @@
         dropped.add(names.last_event_id.lower())
     ours: HeaderList = [
         (names.deadline, str(match.left_ms(now_s)).encode()),
-        (names.expected_target, target.id.encode()),
+        (names.expected_target, target.key.encode()),
     ]
     if match.policy.is_engine:
         urgency = min(HIGHEST_URGENCY_NUMBER, max(0, match.priority))
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from scaleloom_core.evacuations import EvacuationChange
-from scaleloom_core.ids import ServiceName, TargetId, Version
+from scaleloom_core.ids import EntryKey, ServiceName, Version
 from scaleloom_core.listed import ListedTarget
 from scaleloom_core.rollouts.orders import RolloutChange
 from scaleloom_core.rollouts.stages import Stage
@@ -135,7 +135,7 @@
     decode_newest: Callable[[bytes], Result[NewestPage, str]]
     decode_batch: Callable[[bytes, int], Result[RecordBatch, str]]
     decode_routing: Callable[[bytes], Result[RoutingTable, str]]
-    decode_target: Callable[[TargetId, bytes], Result[ListedTarget, str]]
+    decode_target: Callable[[EntryKey, bytes], Result[ListedTarget, str]]
     read_evacuation: Callable[[StoredRecord], EvacuationChange | None]
     read_rollout: Callable[[StoredRecord], Result[RolloutChange, str] | None]
     rollout_status: Callable[[ServiceName, Version, Stage], tuple[str, bytes]]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -8,7 +8,7 @@
 from scaleloom_core.catching_up import follows_peers, is_follower, is_heavy
 from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_load import FleetLoad
-from scaleloom_core.ids import TargetId
+from scaleloom_core.ids import EntryKey
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.list_history import ListHistory
 from scaleloom_core.own_limits import OwnLimits
@@ -92,6 +92,8 @@
         When a stopping process ends; a request that may take longer is not begun.
     outcomes : OutcomeCounts
         How the own requests fared, for peers.
+    entries_unreadable : int
+        How many entries of the list of targets can't be read.
     hears_peers : bool
         Whether any other router is heard at this moment.
     rank : int
@@ -134,6 +136,7 @@
     staged: StagedTargets = msgspec.field(default_factory=StagedTargets)
     crashes: CrashDesk = msgspec.field(default_factory=CrashDesk)
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
+    entries_unreadable: int = 0
     follows_store: bool = False
     followed_peers: int = 0
     router_count: int = 1
@@ -245,9 +248,9 @@
     def note_listed(self, documents: dict[str, bytes]) -> None:
         """Keep the entries of the list just taken in, for peers that lack them."""
         self.listed_documents = documents
-        records = self.view.records
-        keys = map(TargetId, documents)
-        listed = {key: records[key].listed for key in keys if key in records}
+        found = {key: self.view.find_entry(EntryKey(key)) for key in documents}
+        self.entries_unreadable = sum(record is None for record in found.values())
+        listed = {EntryKey(k): r.listed for k, r in found.items() if r is not None}
         self.list_history.note(self.view.digest, listed)
 
     def caller_limits(self) -> CallerLimits:
