Count the time for which the machine was suspended

Cause: all processes ran on the runtime's usual clock, which stands still while a machine is suspended. A router that wakes took its list, peers' reports, evacuations, evidence and its callers' time for as young as they were before.

Change: the programs run on the steady clock plus the time of suspensions, so that every age, lease and deadline is right without another line.

--- a/packages/scaleloom-fleet/scaleloom_fleet/main.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/main.py
@@ -17,6 +17,7 @@
     set_up,
     start_gateway,
 )
+from scaleloom_fleet.utils.clock import make_clock
 
 SETTINGS_OPTION = click.option(
     "--settings",
@@ -44,7 +45,7 @@
     loaded = load_or_exit(load_router_settings, settings)
     set_up(loaded)
     _set_up_tracing(loaded)
-    trio.run(run_router, loaded)
+    trio.run(run_router, loaded, clock=make_clock())
 
 
 @main.command()
@@ -56,7 +57,7 @@
     loaded = load_or_exit(load_sidecar_settings, settings)
     set_up(loaded)
     _set_up_tracing(loaded)
-    trio.run(run_sidecar, loaded)
+    trio.run(run_sidecar, loaded, clock=make_clock())
 
 
 @main.command()
--- a/packages/scaleloom-fleet/scaleloom_fleet/starting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/starting.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from scaleloom_fleet.conf import CheckMessage, load_gateway_settings
+from scaleloom_fleet.utils.clock import make_clock
 from scaleloom_fleet.utils.logs import set_up_logs
 
 EXIT_BAD_SETTINGS = 78
@@ -22,7 +23,7 @@
 
     settings = load_or_exit(load_gateway_settings, path)
     set_up(settings)
-    trio.run(run_gateway, settings, wait_signal, path)
+    trio.run(run_gateway, settings, wait_signal, path, clock=make_clock())
 
 
 def load_or_exit(load, path: Path):
