Remember what targets say of themselves in their answers

Cause: a rest that a target asked for was read nowhere, nor that it leaves; what 421 says was cleared by the next answer. The class: what a target says, taken for how one request fared, and forgotten with that request, its link or the entry.

Change: one place reads the head of every answer (the own one, surplus ones, those of streams, errors and refusals, and what is there when a try is given up), and one keeps what it says by the start of the target, apart from the list. A resting target is offered nothing, by no choice, and nothing that was offered before is sent; it isn't counted as failing, away or cold. Routers come back to it within 0.2 s of its rest, each at a moment of its own, and fill it within 0.25 s after that. Where all targets of a service rest, callers are told at once when the first has rested. A target that said it leaves is treated as one whose entry says so.

--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -141,8 +141,12 @@
         """Return whether a target may be asked at all."""
 
         def is_open(record: TargetRecord) -> bool:
-            if record.listed.id in tried or record.away_until_s > now_s:
+            if record.listed.id in tried or not record.takes_work(now_s):
                 return False
+            if record.news.is_returning(now_s):
+                places = record.news.places(record.listed.slots, now_s)
+                if self.load.held(record.listed.id) >= places:
+                    return False
             return self._bears_one_more(record, policy, now_s)
 
         return is_open
--- a/packages/scaleloom-core/scaleloom_core/target_records.py
+++ b/packages/scaleloom-core/scaleloom_core/target_records.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from scaleloom_core.listed import ListedTarget
+from scaleloom_core.listed import ListedState, ListedTarget
 from scaleloom_core.target_delays import PERCENT, DelayRatio
+from scaleloom_core.target_news import TargetNews
 from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 
 # Two limits for a connection to come up (0.25 s), so that trying a dead target
@@ -67,6 +68,10 @@
     reopened_s : float
         When it became open to work again after it was away or evacuated. It may
         have become cold meanwhile, which its entry tells a heartbeat later.
+    misplaced_until_s : float
+        Until when another target is taken to answer at its address.
+    news : TargetNews
+        What it said of itself in its answers to this router.
     """
 
     listed: ListedTarget
@@ -80,6 +85,22 @@
     ends_at_s: float = NEVER_S
     cold_until_s: float = LONG_AGO_S
     reopened_s: float = LONG_AGO_S
+    misplaced_until_s: float = LONG_AGO_S
+    news: TargetNews = msgspec.field(default_factory=TargetNews)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the target takes new work, by its entry and its answers."""
+        return self.listed.state is ListedState.READY and not self.news.is_leaving
+
+    def is_reachable(self, now_s: float) -> bool:
+        """Return whether the target is taken to be where its entry says."""
+        reached_s = max(self.away_until_s, self.misplaced_until_s)
+        return reached_s <= now_s < self.lapses_at_s
+
+    def takes_work(self, now_s: float) -> bool:
+        """Return whether the target can be reached and wants work now."""
+        return self.is_reachable(now_s) and self.news.takes_work(now_s)
 
     def note_answer(self) -> None:
         """Count an answer that shows the target well."""
@@ -124,6 +145,8 @@
         """Take in what the target's entry says."""
         if listed.cold_left_ms != self.listed.cold_left_ms:
             self.cold_until_s = now_s + listed.cold_left_ms / MS_PER_S
+        if (listed.host, listed.port) != (self.listed.host, self.listed.port):
+            self.misplaced_until_s = LONG_AGO_S
         self.listed = listed
 
     def is_cold(self, cold_start_s: float, now_s: float) -> bool:
@@ -132,4 +155,4 @@
 
     def note_misplaced(self, now_s: float) -> None:
         """Note that another target answers at this one's address."""
-        self.away_until_s = now_s + MISPLACED_S
+        self.misplaced_until_s = now_s + MISPLACED_S
--- a/packages/scaleloom-core/scaleloom_core/target_tracks.py
+++ b/packages/scaleloom-core/scaleloom_core/target_tracks.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from scaleloom_core.ids import ChatId, DataCentreName, ServiceName, TargetId
-from scaleloom_core.listed import ListedState
 from scaleloom_core.placement import PlacementTable, PoolMember
 from scaleloom_core.rollouts.versions import Track, VersionRule
 from scaleloom_core.target_records import TargetRecord
@@ -85,7 +84,7 @@
 
 def _is_ready(record: TargetRecord) -> bool:
     """Return whether a target says that it takes new work."""
-    return record.listed.state is ListedState.READY
+    return record.is_ready
 
 
 def _by_track(
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -5,9 +5,10 @@
 from scaleloom_core.fleet_load import TargetKey, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import DataCentreName, EntryKey, ServiceName, TargetId
-from scaleloom_core.listed import ListedState, ListedTarget
+from scaleloom_core.listed import ListedTarget
 from scaleloom_core.rollouts.versions import Track, VersionRule
 from scaleloom_core.target_comparison import without_failing
+from scaleloom_core.target_news import AnswerNews, TargetsNews
 from scaleloom_core.target_outcomes import Outcomes
 from scaleloom_core.target_records import MS_PER_S, NEVER_S, TargetRecord
 from scaleloom_core.target_tracks import TargetTracks, TrackKey, TrackTables
@@ -36,6 +37,8 @@
         Where targets are offered nothing new; their caches may be copied from.
     generation : int
         Rises whenever other targets than before may be offered work.
+    news : TargetsNews
+        What targets said of themselves in their answers to this router.
     """
 
     records: dict[TargetId, TargetRecord] = msgspec.field(default_factory=dict)
@@ -45,6 +48,7 @@
     digest: int = 0
     evacuated: frozenset[DataCentreName] = frozenset()
     generation: int = 0
+    news: TargetsNews = msgspec.field(default_factory=TargetsNews)
     _lapses_end_s: float = 0.0
     _departed: dict[TargetId, TargetRecord] = msgspec.field(default_factory=dict)
     _ids_by_key: dict[TargetKey, TargetId] = msgspec.field(default_factory=dict)
@@ -77,6 +81,7 @@
             if record is None:
                 cold_until_s = now_s + target.cold_left_ms / MS_PER_S
                 record = TargetRecord(target, cold_until_s=cold_until_s)
+                record.news = self.news.find(target.id) or record.news
             record.note_listed(target, now_s)
             record.lapses_at_s = NEVER_S
             record.ends_at_s = NEVER_S
@@ -86,6 +91,7 @@
         self._note_departed(before, now_s)
         self._holds.note_listed(listed, now_s)
         self.digest = _digest(listed)
+        self.news.forget_unlisted(set(self.records), now_s)
         known = [*self.records, *self._departed]
         self._ids_by_key = {target_key(target): target for target in known}
         self._group()
@@ -136,7 +142,7 @@
     def _keep_lapsed(self, before: dict[TargetId, TargetRecord]) -> None:
         """Keep for a while what took work before and is listed no more."""
         for target, record in before.items():
-            if target in self.records or record.listed.state is not ListedState.READY:
+            if target in self.records or not record.is_ready:
                 continue
             if record.listed.key in self._ids_by_entry:
                 # It has started anew, and what it was has ended.
@@ -218,9 +224,36 @@
         those that fail least stay.
         """
         listed = self._released(TrackKey(service, track), now_s)
-        reachable = [r for r in listed if r.away_until_s <= now_s < r.lapses_at_s]
+        reachable = [r for r in listed if r.takes_work(now_s)]
         return without_failing(reachable, now_s)
 
+    def note_news(self, target: TargetId, news: AnswerNews, now_s: float) -> None:
+        """Take in what an answer of `target` says of it."""
+        told = self.news.note(target, news, now_s)
+        record = self.records.get(target)
+        if record is None:
+            return
+        was_ready, record.news = record.is_ready, told
+        if was_ready and not record.is_ready:
+            self._group()
+
+    def may_be_sent(self, record: TargetRecord, now_s: float) -> bool:
+        """Return whether what was offered to `record` may still be sent there."""
+        newest = self.records.get(record.listed.id, record)
+        return newest.is_ready and newest.takes_work(now_s)
+
+    def rests_until(
+        self, service: ServiceName, now_s: float, track: Track = Track.CURRENT
+    ) -> float | None:
+        """Return when the first target rested, or None unless all rest that serve."""
+        if not len(self.news):
+            return None
+        listed = self._released(TrackKey(service, track), now_s)
+        reachable = [r for r in listed if r.is_reachable(now_s)]
+        if not reachable or not all(r.news.is_resting(now_s) for r in reachable):
+            return None
+        return min(record.news.opens_s for record in reachable)
+
     def _released(self, key: TrackKey, now_s: float) -> list[TargetRecord]:
         """Return the open targets of a track whose version is held no more."""
         listed = self.tracks.open.get(key, [])
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -5,12 +5,18 @@
 import trio
 
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
+from scaleloom_core.hashing import HASH_SPAN, hash_text
 from scaleloom_core.return_times import ReturnLine
+from scaleloom_core.target_news import RETURN_RAMP_S
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.waiting_order import Claim
 from scaleloom_fleet.gateway import figures
 from scaleloom_fleet.gateway.answering import answer_error
-from scaleloom_fleet.gateway.choosing import choose_target, is_evacuated
+from scaleloom_fleet.gateway.choosing import (
+    choose_target,
+    is_evacuated,
+    rests_until_s,
+)
 from scaleloom_fleet.gateway.crash_gate import (
     note_verdict,
     wait_for_leave,
@@ -26,7 +32,7 @@
 )
 from scaleloom_fleet.gateway.passing import pass_answer
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.verdicts import Verdict
+from scaleloom_fleet.gateway.verdicts import TURNED_AWAY, Verdict
 from scaleloom_fleet.gateway.waiting import Waiter
 from scaleloom_fleet.gateway.work import Work
 from scaleloom_fleet.http1.callers import CallerConnection, CallerGone, CallerRequest
@@ -113,11 +119,18 @@
     """
     Return when the caller should come back, or None for the usual time.
 
-    A router that holds nothing is not busy: it has just started, or reaches no
-    target for a moment, and both end sooner than places become free.
+    Where all targets rest, that is when the first of them has rested, however much
+    later than the caller's own time. A router that holds nothing is not busy: it has
+    just started, or reaches no target for a moment, and both end sooner than places
+    become free.
     """
     now_s = trio.current_time()
     match = work.match
+    rested_s = rests_until_s(state, match.service)
+    if rested_s is not None:
+        # Sooner, the caller would come in vain; all at once, in each other's way.
+        spread_s = RETURN_RAMP_S * hash_text(match.request_id) / HASH_SPAN
+        return rested_s - now_s + spread_s
     latest_s = RETURN_SHARE_OF_TIME_LEFT * (match.deadline_s - now_s)
     if is_evacuated(state, match.service):
         return min(latest_s, EVACUATED_RETURN_S)
@@ -214,7 +227,7 @@
     """Return whether another target is to be tried after `verdict`."""
     if verdict is Verdict.NEVER_SENT:
         return True
-    is_proof = verdict in (Verdict.NOT_RUN, Verdict.MISPLACED)
+    is_proof = verdict in TURNED_AWAY
     if not is_proof and not _may_send_again(work, 0):
         return False
     if is_proof:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/choosing.py
@@ -98,12 +98,22 @@
 
 def is_evacuated(state: GatewayState, service: ServiceName) -> bool:
     """Return whether all that may serve `service` now stands evacuated."""
+    return state.view.is_evacuated(service, _serving_track(state, service))
+
+
+def rests_until_s(state: GatewayState, service: ServiceName) -> float | None:
+    """Return when a target of `service` has rested, or None unless all rest."""
+    track = _serving_track(state, service)
+    return state.view.rests_until(service, trio.current_time(), track)
+
+
+def _serving_track(state: GatewayState, service: ServiceName) -> Track:
+    """Return the track that serves all requests of `service` but those on trial."""
     course = state.rollouts.course_of(service)
-    track = Track.CURRENT
     if course is not None and course.stage is Stage.PROMOTING:
         if course.has_switched(trio.current_time()):
-            track = Track.CANDIDATE
-    return state.view.is_evacuated(service, track)
+            return Track.CANDIDATE
+    return Track.CURRENT
 
 
 def is_recalled(state: GatewayState, work: Work) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -9,8 +9,10 @@
 from scaleloom_core.listed import ListedTarget
 from scaleloom_core.routing import RequestKind
 from scaleloom_core.target_delays import PERCENT
+from scaleloom_core.target_news import AnswerNews
 from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 from scaleloom_core.target_records import TargetRecord
+from scaleloom_fleet.gateway.answer_news import take_in, take_in_last
 from scaleloom_fleet.gateway.choosing import is_recalled
 from scaleloom_fleet.gateway.crash_gate import may_be_sent
 from scaleloom_fleet.gateway.figures import CACHE_SOURCES
@@ -29,11 +31,11 @@
     AnswerBroken,
     AnswerHead,
     Link,
+    OutgoingRequest,
     read_while_sending,
 )
 from scaleloom_fleet.http1.sockets import ConnectionLost, NoDescriptor
 
-MISDIRECTED = 421
 SURPLUS_LIMIT = 3
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 SAFE_PATIENCE = 0.8
@@ -73,6 +75,8 @@
     try:
         is_sent = not is_recalled(state, work)
         is_sent = is_sent and await may_be_sent(state, work, target.id)
+        # It may have asked for rest, or left, while the link was opened.
+        is_sent = is_sent and state.view.may_be_sent(record, trio.current_time())
         if work.connection.has_just_left():
             # Nothing was sent yet, and nobody waits for the answer any more.
             raise CallerGone
@@ -95,6 +99,7 @@
         if is_whole:
             state.pools.put_back(target.id, link)
         else:
+            take_in_last(state, target.id, link)
             link.close()
     _judge(state, record, verdict)
     if verdict is Verdict.BROKEN or verdict is Verdict.SILENT:
@@ -111,6 +116,8 @@
 
 def _judge(state: GatewayState, record: TargetRecord, verdict: Verdict) -> None:
     """Take what `verdict` tells of the target into its record, and tell peers."""
+    if verdict is Verdict.RESTING:
+        return
     if verdict is Verdict.MISPLACED:
         record.note_misplaced(trio.current_time())
         return
@@ -149,14 +156,15 @@
         state.figures.add(CACHE_SOURCES)
     link.start(outgoing)
     with trio.move_on_after(_head_patience_s(work, can_repeat)) as scope:
-        head = await _own_head(link, outgoing, work, names.request_id.lower())
+        head, news = await _own_head(state, work, record.listed.id, link, outgoing)
     if scope.cancelled_caught:
         return Verdict.SILENT
-    if head.status == MISDIRECTED or head.find(names.not_run.lower()) is not None:
+    if news.is_not_run:
         work.may_have_run = may_have_run_before
-        await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
-        is_misplaced = head.status == MISDIRECTED
-        return Verdict.MISPLACED if is_misplaced else Verdict.NOT_RUN
+        await _skip_body(link)
+        if news.is_misplaced:
+            return Verdict.MISPLACED
+        return Verdict.RESTING if news.rest_s > 0.0 else Verdict.NOT_RUN
     if not 200 <= head.status < 300:
         body = await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
         work.failure = (head, body)
@@ -212,13 +220,31 @@
     return max(LEAST_PATIENCE_S, share * route.objective_ms / 1000.0)
 
 
-async def _own_head(link: Link, outgoing, work: Work, id_name: bytes) -> AnswerHead:
+async def _skip_body(link: Link) -> None:
+    """Read over the body of an answer whose head has said all."""
+    try:
+        await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
+    except AnswerBroken:
+        # The proof stands; the link is closed, since its answer isn't whole.
+        return
+
+
+async def _own_head(
+    state: GatewayState,
+    work: Work,
+    target: TargetId,
+    link: Link,
+    outgoing: OutgoingRequest,
+) -> tuple[AnswerHead, AnswerNews]:
     """Return the head of this request's own answer, passing over surplus ones."""
+    id_name = state.adapter.headers.request_id.lower()
     own_id = work.match.request_id.encode("latin-1")
     head = await read_while_sending(link)
     for _ in range(SURPLUS_LIMIT):
+        # What a surplus answer says of its target is as true.
+        news = take_in(state, target, head)
         if head.find(id_name) == own_id:
-            return head
+            return head, news
         await link.skip_answer(outgoing)
         head = await link.read_head()
     raise AnswerBroken("only answers to other requests came")
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/figures.py
@@ -59,6 +59,11 @@
     _C,
     "Requests whose target was told to copy the prompt's shared part from another.",
 )
+RESTS = Definition(
+    "scaleloom_rests_asked_total",
+    _C,
+    "Answers by which targets asked this router for rest.",
+)
 STORE_CALLS = Definition(
     "scaleloom_store_calls_total",
     _C,
@@ -224,6 +229,7 @@
     FIRST_BYTE,
     WHOLE,
     CACHE_SOURCES,
+    RESTS,
     STORE_CALLS,
     STORE_SECONDS,
     WAITING,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/gauges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/gauges.py
@@ -3,7 +3,6 @@
 import trio
 
 from scaleloom_core.ids import ServiceName
-from scaleloom_core.listed import ListedState
 from scaleloom_core.rollouts.course import RolloutCourse
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.target_records import TargetRecord
@@ -112,7 +111,7 @@
 async def _set_targets(state: GatewayState, now_s: float) -> None:
     """Count the listed targets by what this router makes of them."""
     counts = dict.fromkeys(
-        ("ready", "cold", "left_out", "away", "evacuated", "draining"), 0
+        ("ready", "cold", "left_out", "resting", "away", "evacuated", "draining"), 0
     )
     records = list(state.view.records.values())
     for begin in range(0, len(records), TARGET_BATCH):
@@ -125,12 +124,14 @@
 
 def _target_state(state: GatewayState, record: TargetRecord, now_s: float) -> str:
     """Return what keeps work from a target, or that nothing does."""
-    if record.listed.state is not ListedState.READY:
+    if not record.is_ready:
         return "draining"
     if record.listed.data_centre in state.view.evacuated:
         return "evacuated"
-    if not record.away_until_s <= now_s < record.lapses_at_s:
+    if not record.is_reachable(now_s):
         return "away"
+    if record.news.is_resting(now_s):
+        return "resting"
     if record.failing_until_s > now_s:
         return "left_out"
     return "cold" if record.cold_until_s > now_s else "ready"
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -47,6 +47,8 @@
     reserved : frozenset of bytes
         In lower case, what only the gateway may tell a target. A caller's own
         value never reaches one.
+    leaving : bytes
+        By which a target that leaves says so in its answers, as ``1``.
     """
 
     request_id: bytes
@@ -58,6 +60,7 @@
     not_run: bytes
     priority: bytes
     cache_source: bytes
+    leaving: bytes
     reserved: frozenset[bytes]
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/observing.py
@@ -8,10 +8,10 @@
 from scaleloom_core.routing import RequestKind, route_key
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.verdicts import Verdict
+from scaleloom_fleet.gateway.verdicts import TURNED_AWAY, Verdict
 from scaleloom_fleet.gateway.work import Work
 
-NO_ANSWERS = frozenset({Verdict.NEVER_SENT, Verdict.NOT_RUN, Verdict.MISPLACED})
+NO_ANSWERS = frozenset({Verdict.NEVER_SENT, *TURNED_AWAY})
 FAILURES = frozenset({Verdict.FAILED, Verdict.BROKEN, Verdict.SILENT})
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -18,6 +18,7 @@
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway import accepting, readiness
+from scaleloom_fleet.gateway.choosing import rests_until_s
 from scaleloom_fleet.gateway.config_watch import ConfigWatch
 from scaleloom_fleet.gateway.copies import DocumentCopies
 from scaleloom_fleet.gateway.crash_log import CrashLog
@@ -65,6 +66,7 @@
     """
     state = make_state(settings)
     access = StoreAccess(state)
+    state.waiting.rests_until_s = partial(rests_until_s, state)
     config = ConfigWatch(state, access)
     targets = ListWatch(state, access, config.drop_call)
     peers = PeerExchange(state, access)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_facts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_facts.py
@@ -3,7 +3,6 @@
 from collections import Counter
 
 from scaleloom_core.ids import Version
-from scaleloom_core.listed import ListedState
 from scaleloom_core.rollouts.course import FleetFacts
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.target_records import TargetRecord
@@ -25,9 +24,9 @@
     slots: Counter[Track | None] = Counter()
     for record in _records(state, rollout):
         listed = record.listed
-        is_open = listed.state is ListedState.READY
+        is_open = record.is_ready
         is_open &= listed.data_centre not in state.view.evacuated
-        if is_open and record.away_until_s <= now_s < record.lapses_at_s:
+        if is_open and record.is_reachable(now_s):
             slots[rule.track_of(listed.version)] += listed.slots
     is_fleet_clear = is_clear(state, rollout, now_s)
     is_fleet_clear &= rollout.clearance.is_whole(now_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -159,6 +159,7 @@
         own = str(self.settings.peer_address)
         self.rollouts.connect(own, self.view, self.report_soon)
         self.crashes.connect(self.report_soon)
+        self.view.news.own = own
         self.crashes.checks.configure(self.settings.targets)
 
     @property
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/waiting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/waiting.py
@@ -15,6 +15,12 @@
 
 Choose = Callable[[], TargetRecord | None]
 FreedPerSecond = Callable[[ServiceName, float], float]
+RestsUntil = Callable[[ServiceName], float | None]
+
+
+def _rest_never(service: ServiceName) -> float | None:
+    """Return None, as long as nobody tells of rests."""
+    return None
 
 
 class Waiter(msgspec.Struct, eq=False):
@@ -46,10 +52,13 @@
     ----------
     freed_per_s : callable
         Returns how many places of a service this router lately freed a second.
+    rests_until_s : callable
+        Returns when a target of a service has rested, or None unless all rest.
     """
 
     load: FleetLoad
     freed_per_s: FreedPerSecond
+    rests_until_s: RestsUntil = _rest_never
     held_by_customer: Counter[CustomerId | None] = msgspec.field(
         default_factory=Counter
     )
@@ -101,6 +110,8 @@
             first = min(waiters, key=self._rank)
             target = first.choose()
             if target is None:
+                if self.rests_until_s(service) is not None:
+                    self._turn_away(service)
                 return
             waiters.remove(first)
             self.take(target, first.claim.customer)
@@ -116,10 +127,11 @@
         """
         now_s = trio.current_time()
         freed_per_s = self.freed_per_s(service, now_s)
+        rested_s = self.rests_until_s(service) or now_s
         staying: list[Waiter] = []
         for waiter in sorted(self._waiters[service], key=self._rank):
             wait_s = expected_wait_s(len(staying), freed_per_s)
-            if now_s + wait_s <= waiter.patient_until_s:
+            if max(now_s + wait_s, rested_s) <= waiter.patient_until_s:
                 staying.append(waiter)
             else:
                 waiter.is_decided.set()
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -131,6 +131,21 @@
                 event.status_code, event.reason, event.headers.raw_items()
             )
 
+    def ready_head(self) -> AnswerHead | None:
+        """Return the head of an answer that is here already, without waiting."""
+        try:
+            while not isinstance(event := self._protocol.next_event(), h11.Response):
+                if event is h11.NEED_DATA:
+                    data = sockets.receive_ready(self._connection)
+                    if not data:
+                        return None
+                    self._feed(data)
+                elif not isinstance(event, h11.InformationalResponse):
+                    return None
+        except (h11.RemoteProtocolError, AnswerBroken):
+            return None
+        return AnswerHead(event.status_code, event.reason, event.headers.raw_items())
+
     async def read_data(self) -> bytes | None:
         """
         Return the next part of the body, or None once it is whole.
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -146,6 +146,14 @@
             raise ConnectionLost(str(error)) from error
 
 
+def receive_ready(connection: socket.socket) -> bytes:
+    """Return the bytes that are here already, or none."""
+    try:
+        return connection.recv(READ_BYTES)
+    except OSError:
+        return b""
+
+
 def send_ready(connection: socket.socket, data: bytes) -> int:
     """
     Send what the kernel takes at once and return how many bytes that was.
