--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/answering.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/answering.py
@@ -1,7 +1,5 @@
 """Answers of the gateway's own: refusals and failures, each with its proof."""
 
-import math
-
 import msgspec
 import trio
 
@@ -13,9 +11,6 @@
 DEFAULT_RETRY_AFTER_S = 0.3
 # The longest time that is told; no caller has so much.
 LONGEST_RETRY_AFTER_S = 86_400.0
-TOLD_STEPS_PER_S = 100
-# Where 0.15 s are stored as a little more, they are 15 steps all the same.
-ROUNDING_DIGITS = 6
 _REASONS = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -63,9 +58,6 @@
     if is_not_run and answer.advice is RetryAdvice.LATER:
         after_s = error.retry_after_s or DEFAULT_RETRY_AFTER_S
         after_s = min(after_s, LONGEST_RETRY_AFTER_S)
-        # Whoever comes back a moment too soon comes in vain.
-        steps = math.ceil(round(after_s * TOLD_STEPS_PER_S, ROUNDING_DIGITS))
-        after_s = steps / TOLD_STEPS_PER_S
         headers.append((b"Retry-After", f"{after_s:.2f}".encode()))
     await answer_status(connection, answer.status, problem, headers)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -42,6 +42,8 @@
 QUEUE_SHARE_OF_OBJECTIVE = 0.22
 # A caller that came back later would have too little time for the answer.
 RETURN_SHARE_OF_TIME_LEFT = 0.3
+# Times are told in steps of this; a moment too soon would be in vain.
+TOLD_STEP_S = 0.01
 # Operators take an evacuation back after seconds at the soonest.
 EVACUATED_RETURN_S = 3.0
 _K = ErrorKind
@@ -130,7 +132,7 @@
     if rested_s is not None:
         # Sooner, the caller would come in vain; all at once, in each other's way.
         spread_s = RETURN_RAMP_S * hash_text(match.request_id) / HASH_SPAN
-        return rested_s - now_s + spread_s
+        return rested_s - now_s + spread_s + TOLD_STEP_S
     latest_s = RETURN_SHARE_OF_TIME_LEFT * (match.deadline_s - now_s)
     if is_evacuated(state, match.service):
         return min(latest_s, EVACUATED_RETURN_S)
