Don't count a trial whose target asked for rest before it was sent

Cause: a request that is tried apart is counted in the log first, and sent after that; a target that asks for rest, or leaves, in between got nothing, and the request had lost one of its two trials.

Change: what the target said is looked at before the trial is counted too, and a trial that isn't sent is dropped from the log, on the condition that nothing was written since it was read and while nobody may begin the next.

Result: one test; without the drop the request counts a trial that no target saw.

--- a/packages/scaleloom-core/scaleloom_core/crash_table.py
+++ b/packages/scaleloom-core/scaleloom_core/crash_table.py
@@ -212,6 +212,11 @@
             seen.tried_at = target
             self._keep(request, seen)
 
+    def open_trial(self, request: RequestDigest, now_s: float) -> int | None:
+        """Return the number of the trial that is under way, if there is one."""
+        seen = self._seen.get(request)
+        return seen.trials if seen is not None and seen.is_open(now_s) else None
+
     def on_trial(self, now_s: float) -> set[TargetId]:
         """Return the targets at which some request is being tried."""
         every = (self._seen[request] for request in self._suspects)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_gate.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_gate.py
@@ -84,6 +84,12 @@
     return standing.ends < HELD_ENDS
 
 
+def give_back_trial(state: GatewayState, work: Work) -> None:
+    """Take back the trial that was begun for `work`, which is not sent after all."""
+    if work.is_on_trial:
+        state.crashes.give_back_trial(work.digest)
+
+
 async def note_verdict(state: GatewayState, work: Work, verdict: Verdict) -> None:
     """Take in what the end of an exchange says of the request."""
     desk = state.crashes
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -204,9 +204,11 @@
         desk = self._state.crashes
         while True:
             outdated = desk.is_outdated = trio.Event()
-            if not desk.outdated:
+            if not desk.outdated and not desk.unused_trials:
                 with trio.move_on_after(FORGET_INTERVAL_S):
                     await outdated.wait()
+            while desk.unused_trials:
+                await self._drop_trial(*desk.unused_trials.pop())
             desk.forget_old(keeps_log=self._state.rank == 0)
             dropped = dict(desk.outdated)
             records = [r for item in dropped.items() for r in _dropped_records(*item)]
@@ -217,6 +219,27 @@
                 if desk.outdated[request] is seen:
                     del desk.outdated[request]
 
+    async def _drop_trial(self, request: RequestDigest, number: int) -> None:
+        """
+        Drop a trial from the log that was begun and not sent.
+
+        Until it is over nobody begins the next, and the log must not have grown
+        since it was read: so none is dropped but this one.
+        """
+        desk = self._state.crashes
+        record = tried_record(request, number, None)
+        while desk.table.open_trial(request, trio.current_time()) == number:
+            moved = self._moved
+            if self._end is not None:
+                async with self._writing:
+                    written = await self._access.append_at(
+                        self._writer, Topic.CRASHES, [record], self._end
+                    )
+                if not isinstance(written, Failure):
+                    return
+            with trio.move_on_after(RACE_PAUSE_S):
+                await moved.wait()
+
 
 def _dropped_records(request: RequestDigest, seen: SeenEnds) -> list[KeyedValue]:
     """Return the records that drop all that the log may hold of a request."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crashes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crashes.py
@@ -59,6 +59,8 @@
         What the log may hold and counts no more.
     is_outdated : trio.Event
         Set when something is added to that.
+    unused_trials : list of tuple
+        Requests and the numbers of trials that the log holds and were never sent.
     take_trial : callable
         Begins a trial of a request at a target unless another router does.
     uncounted_until_s : float
@@ -74,6 +76,7 @@
         self.is_outdated = trio.Event()
         self._tell: Callable[[], None] = _tell_nobody
         self.outdated: dict[RequestDigest, SeenEnds] = {}
+        self.unused_trials: list[tuple[RequestDigest, int]] = []
         self.take_trial: TakeTrial = _count_none
         self.uncounted_until_s = NEVER_S
 
@@ -124,6 +127,13 @@
         """Return whether `request` may be sent."""
         return self.table.standing(request, trio.current_time())
 
+    def give_back_trial(self, request: RequestDigest) -> None:
+        """Let the log count the last trial of `request` for nothing; it isn't sent."""
+        number = self.table.open_trial(request, trio.current_time())
+        if number is not None:
+            self.unused_trials.append((request, number))
+            self.is_outdated.set()
+
     def clear(self, request: RequestDigest) -> None:
         """Take in that a target answered `request` and goes on."""
         seen = self.table.clear(request)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -14,7 +14,7 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway.answer_news import take_in, take_in_last
 from scaleloom_fleet.gateway.choosing import is_recalled
-from scaleloom_fleet.gateway.crash_gate import may_be_sent
+from scaleloom_fleet.gateway.crash_gate import give_back_trial, may_be_sent
 from scaleloom_fleet.gateway.figures import CACHE_SOURCES
 from scaleloom_fleet.gateway.headers import request_for
 from scaleloom_fleet.gateway.observing import note_end, note_out_of_time, observe
@@ -73,10 +73,11 @@
         _tell_away(record)
         return Verdict.NEVER_SENT
     try:
-        is_sent = not is_recalled(state, work)
+        is_sent = not is_recalled(state, work) and _still_takes_work(state, record)
         is_sent = is_sent and await may_be_sent(state, work, target.id)
-        # It may have asked for rest, or left, while the link was opened.
-        is_sent = is_sent and state.view.may_be_sent(record, trio.current_time())
+        if is_sent and not _still_takes_work(state, record):
+            is_sent = False
+            give_back_trial(state, work)
         if work.connection.has_just_left():
             # Nothing was sent yet, and nobody waits for the answer any more.
             raise CallerGone
@@ -108,6 +109,11 @@
     return verdict
 
 
+def _still_takes_work(state: GatewayState, record: TargetRecord) -> bool:
+    """Return whether a target has not asked for rest, or left, since it was chosen."""
+    return state.view.may_be_sent(record, trio.current_time())
+
+
 def _tell_away(record: TargetRecord) -> None:
     """Log that a target takes no connection and is left alone for a while."""
     fields = {"target": record.listed.id, "absence_ms": int(record.absence_s * 1000)}
--- a/tests/gateway/test_crash_log.py
+++ b/tests/gateway/test_crash_log.py
@@ -12,6 +12,7 @@
 )
 from scaleloom_core.ids import RequestDigest, TargetId
 from scaleloom_core.request_digests import request_digest
+from scaleloom_core.target_news import AnswerNews
 from scaleloom_fleet.gateway.crash_records import ended_record, tried_record
 from scaleloom_fleet.gateway.interfaces import KeyedValue, Topic
 from scaleloom_platform.calls import PLACES
@@ -29,6 +30,7 @@
 )
 from tests.fixtures.http_standin import Asked
 from tests.fixtures.platform_store import StoreFault
+from tests.fixtures.states import seen_states
 
 LOG_TOPIC, _ = PLACES[Topic.CRASHES]
 PATH = "/stream/1"
@@ -74,6 +76,33 @@
     )
 
 
+@runs_on_paused_clock
+async def test_a_trial_whose_target_asked_for_rest_meanwhile_is_not_counted():
+    # The target rests from the moment in which the trial is counted.
+    with seen_states() as states:
+        async with running_site(1) as site:
+            _log(site, FREE_ENDS)
+            await trio.sleep(TOLD_S)
+            desk, view = states[0].crashes, states[0].view
+            take_trial = desk.take_trial
+
+            async def take_and_rest(request, target):
+                outcome = await take_trial(request, target)
+                news = AnswerNews(rest_s=TRIAL_PAUSE_S / 2)
+                view.note_news(target, news, trio.current_time())
+                return outcome
+
+            desk.take_trial = take_and_rest
+            answer = await _ask(site.gateways[0], "r-1")
+            assert answer.status == 503
+            assert site.runners[0].asked == []
+            await trio.sleep(TOLD_S)
+            assert desk.table.find(REQUEST).trials == 0
+            desk.take_trial = take_trial
+            await trio.sleep(TRIAL_PAUSE_S)
+            assert (await _ask(site.gateways[0], "r-2")).status == 200
+
+
 async def _work_long(runner: runners.Runner, asked: Asked) -> bool:
     """Answer well after a while."""
     await trio.sleep(WORK_S)
