Ask only what answers said before a request is sent

Cause: the look before sending also kept back what was offered to a target whose entry said since that it leaves, or that one connection didn't reach; both may be sent to, and were before.

Change: it asks for rest, leaving and a misdirected answer only.

--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -238,9 +238,9 @@
             self._group()
 
     def may_be_sent(self, record: TargetRecord, now_s: float) -> bool:
-        """Return whether what was offered to `record` may still be sent there."""
+        """Return whether no answer since keeps from `record` what it was offered."""
         newest = self.records.get(record.listed.id, record)
-        return newest.is_ready and newest.takes_work(now_s)
+        return newest.news.takes_work(now_s) and newest.misplaced_until_s <= now_s
 
     def rests_until(
         self, service: ServiceName, now_s: float, track: Track = Track.CURRENT
