Give back only the trial that this router began, also where the caller left

Cause: a trial was given back by what the table knew, which may be another router's; and a caller that left between the count and the sending cost the request a trial.

Change: the request knows the number of the trial that was begun for it. The steps before sending are functions of their own.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_gate.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_gate.py
@@ -78,6 +78,8 @@
     outcome = TrialOutcome.UNCOUNTED
     if trio.current_time() >= desk.uncounted_until_s:
         outcome = await desk.take_trial(work.digest, target)
+    if outcome is TrialOutcome.BEGUN:
+        work.trial_number = desk.table.open_trial(work.digest, trio.current_time())
     if outcome is not TrialOutcome.UNCOUNTED:
         return outcome is TrialOutcome.BEGUN
     desk.uncounted_until_s = trio.current_time() + UNCOUNTED_S
@@ -85,9 +87,10 @@
 
 
 def give_back_trial(state: GatewayState, work: Work) -> None:
-    """Take back the trial that was begun for `work`, which is not sent after all."""
-    if work.is_on_trial:
-        state.crashes.give_back_trial(work.digest)
+    """Take back the trial that was begun for `work`, if any; it isn't sent."""
+    if work.trial_number is not None:
+        state.crashes.give_back_trial(work.digest, work.trial_number)
+        work.trial_number = None
 
 
 async def note_verdict(state: GatewayState, work: Work, verdict: Verdict) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crashes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crashes.py
@@ -127,12 +127,10 @@
         """Return whether `request` may be sent."""
         return self.table.standing(request, trio.current_time())
 
-    def give_back_trial(self, request: RequestDigest) -> None:
-        """Let the log count the last trial of `request` for nothing; it isn't sent."""
-        number = self.table.open_trial(request, trio.current_time())
-        if number is not None:
-            self.unused_trials.append((request, number))
-            self.is_outdated.set()
+    def give_back_trial(self, request: RequestDigest, number: int) -> None:
+        """Let the log count a trial of `request` for nothing; it isn't sent."""
+        self.unused_trials.append((request, number))
+        self.is_outdated.set()
 
     def clear(self, request: RequestDigest) -> None:
         """Take in that a target answered `request` and goes on."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -61,31 +61,21 @@
         If the caller has left before anything was sent.
     """
     target = record.listed
-    is_repeatable = work.match.route.is_repeatable
-    try:
-        link = await state.pools.acquire(target, is_repeatable)
-    except NoDescriptor:
-        # It is the router that is short of something, and not the target.
-        _logger.warning("no descriptor for a target")
-        return Verdict.NEVER_SENT
+    link = await _open_link(state, work, record)
     if link is None:
-        record.note_unreachable(trio.current_time())
-        _tell_away(record)
         return Verdict.NEVER_SENT
+    is_sent = False
     try:
-        is_sent = not is_recalled(state, work) and _still_takes_work(state, record)
-        is_sent = is_sent and await may_be_sent(state, work, target.id)
-        if is_sent and not _still_takes_work(state, record):
-            is_sent = False
-            give_back_trial(state, work)
+        is_sent = await _is_sent(state, work, record)
         if work.connection.has_just_left():
             # Nothing was sent yet, and nobody waits for the answer any more.
+            is_sent = False
             raise CallerGone
-    except BaseException:
-        state.pools.put_back(target.id, link)
-        raise
+    finally:
+        if not is_sent:
+            give_back_trial(state, work)
+            state.pools.put_back(target.id, link)
     if not is_sent:
-        state.pools.put_back(target.id, link)
         return Verdict.NEVER_SENT
     is_whole = False
     try:
@@ -109,6 +99,32 @@
     return verdict
 
 
+async def _open_link(
+    state: GatewayState, work: Work, record: TargetRecord
+) -> Link | None:
+    """Return a link to a target, or None if there is none."""
+    is_repeatable = work.match.route.is_repeatable
+    try:
+        link = await state.pools.acquire(record.listed, is_repeatable)
+    except NoDescriptor:
+        # It is the router that is short of something, and not the target.
+        _logger.warning("no descriptor for a target")
+        return None
+    if link is None:
+        record.note_unreachable(trio.current_time())
+        _tell_away(record)
+    return link
+
+
+async def _is_sent(state: GatewayState, work: Work, record: TargetRecord) -> bool:
+    """Return whether `work` is sent to the target that was chosen, after all."""
+    work.trial_number = None
+    if is_recalled(state, work) or not _still_takes_work(state, record):
+        return False
+    is_let = await may_be_sent(state, work, record.listed.id)
+    return is_let and _still_takes_work(state, record)
+
+
 def _still_takes_work(state: GatewayState, record: TargetRecord) -> bool:
     """Return whether a target has not asked for rest, or left, since it was chosen."""
     return state.view.may_be_sent(record, trio.current_time())
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/work.py
@@ -33,6 +33,8 @@
         The look at the target whose exchange broke last.
     is_on_trial : bool
         Whether targets ended under the request, so that it is tried apart.
+    trial_number : int or None
+        Of the trial that this router has just begun.
     """
 
     connection: CallerConnection
@@ -49,6 +51,7 @@
     failure: tuple[AnswerHead, bytes] | None = None
     end_check: EndCheck | None = None
     is_on_trial: bool = False
+    trial_number: int | None = None
     _digest: RequestDigest | None = None
 
     @property
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -16,6 +16,7 @@
     raw_answer,
     serve_http,
 )
+from tests.fixtures.resting import Rest
 from tests.fixtures.runners import Runner, request_id
 
 WORK_S = (0.005, 0.04)
@@ -51,16 +52,6 @@
     body: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class Rest:
-    """A time for which a target wants nothing from a gateway."""
-
-    target: str
-    gateway: str
-    from_s: float
-    length_s: float
-
-
 @dataclass
 class SoakTarget:
     """
