--- a/packages/scaleloom-core/scaleloom_core/target_news.py
+++ b/packages/scaleloom-core/scaleloom_core/target_news.py
@@ -1,5 +1,7 @@
 """What targets say of themselves in their answers, kept for as long as it matters."""
 
+from collections.abc import Container
+
 import msgspec
 
 from scaleloom_core.hashing import HASH_SPAN, hash_text
@@ -112,7 +114,7 @@
         told.note(news, spread_s, now_s)
         return told
 
-    def forget_unlisted(self, listed: set[TargetId], now_s: float) -> None:
+    def forget_unlisted(self, listed: Container[TargetId], now_s: float) -> None:
         """Forget what was heard long ago of targets that are listed no more."""
         kept_s = now_s - UNLISTED_KEPT_S
         self._by_target = {
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -91,7 +91,7 @@
         self._note_departed(before, now_s)
         self._holds.note_listed(listed, now_s)
         self.digest = _digest(listed)
-        self.news.forget_unlisted(set(self.records), now_s)
+        self.news.forget_unlisted(self.records, now_s)
         known = [*self.records, *self._departed]
         self._ids_by_key = {target_key(target): target for target in known}
         self._group()
