Let a rested target be in full use within half a second also in a large pool

Cause: the spread, the ramp and the life of a large service's pool add up to 0.55 s. Change: routers come back within 0.15 s of a rest instead of 0.2 s. Result: the test of the return counts the pool's life too.

--- a/packages/scaleloom-core/scaleloom_core/target_news.py
+++ b/packages/scaleloom-core/scaleloom_core/target_news.py
@@ -8,9 +8,9 @@
 from scaleloom_core.ids import TargetId
 
 # A target that had many routers rest at a moment would get all of them back at
-# another. Both times together end within the half second after which a rested
-# target is to be in full use.
-RETURN_SPREAD_S = 0.2
+# another. Both times, and the 0.1 s for which a large pool is kept, end within the
+# half second after which a rested target is to be in full use.
+RETURN_SPREAD_S = 0.15
 RETURN_RAMP_S = 0.25
 # An entry may be gone while the store is away, and be back for the same target.
 UNLISTED_KEPT_S = 60.0
--- a/tests/core/test_target_news.py
+++ b/tests/core/test_target_news.py
@@ -4,6 +4,7 @@
 
 from scaleloom_core.ids import TargetId
 from scaleloom_core.listed import ListedState, ListedTarget, target_id
+from scaleloom_core.service_pools import LONGEST_LIFE_S
 from scaleloom_core.target_news import (
     RETURN_RAMP_S,
     RETURN_SPREAD_S,
@@ -24,7 +25,7 @@
 
 NOW_S = 100.0
 REST_S = 3.0
-ENTIRE_RETURN_S = RETURN_SPREAD_S + RETURN_RAMP_S
+ENTIRE_RETURN_S = RETURN_SPREAD_S + RETURN_RAMP_S + LONGEST_LIFE_S
 FIRST, SECOND = TargetId("i-0"), TargetId("i-1")
 RESTING = AnswerNews(is_not_run=True, rest_s=REST_S)
 LEAVING = AnswerNews(is_leaving=True)
