Let what a misdirected answer says go the way of all else that answers say

Change: the view takes it in from any answer, also where the target's record was replaced meanwhile; a target that said nothing of itself takes no row.

Result: 79 tests of targets, news, promises and starts pass.

--- a/packages/scaleloom-core/scaleloom_core/target_news.py
+++ b/packages/scaleloom-core/scaleloom_core/target_news.py
@@ -38,6 +38,11 @@
     rest_s: float = 0.0
     is_leaving: bool = False
 
+    @property
+    def speaks_of_target(self) -> bool:
+        """Return whether it says anything of the target that gave it."""
+        return self.is_leaving or self.rest_s > 0.0
+
 
 class TargetNews(msgspec.Struct):
     """
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -229,8 +229,12 @@
 
     def note_news(self, target: TargetId, news: AnswerNews, now_s: float) -> None:
         """Take in what an answer of `target` says of it."""
-        told = self.news.note(target, news, now_s)
         record = self.records.get(target)
+        if news.is_misplaced and record is not None:
+            record.note_misplaced(now_s)
+        if not news.speaks_of_target:
+            return
+        told = self.news.note(target, news, now_s)
         if record is None:
             return
         was_ready, record.news = record.is_ready, told
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/answer_news.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/answer_news.py
@@ -29,7 +29,7 @@
 def take_in(state: GatewayState, target: TargetId, head: AnswerHead) -> AnswerNews:
     """Remember what the head of an answer of `target` says of it, and return that."""
     news = read_news(head, state.adapter.headers)
-    if news.is_misplaced or news.is_leaving or news.rest_s > 0.0:
+    if news.is_misplaced or news.speaks_of_target:
         now_s = trio.current_time()
         _tell(state, target, news, now_s)
         state.view.note_news(target, news, now_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -138,10 +138,7 @@
 
 def _judge(state: GatewayState, record: TargetRecord, verdict: Verdict) -> None:
     """Take what `verdict` tells of the target into its record, and tell peers."""
-    if verdict is Verdict.RESTING:
-        return
-    if verdict is Verdict.MISPLACED:
-        record.note_misplaced(trio.current_time())
+    if verdict is Verdict.RESTING or verdict is Verdict.MISPLACED:
         return
     if verdict is Verdict.ANSWERED:
         if record.absence_s > 0.0:
