Settle a doubt late in a trial with what is kept for taking over

Cause: a version that fails 0.3 of its answers is found by some 20 bad ones, and a trial of 12 s gives 50 to 60 answers, so that luck of the draws let some be found only in the time after the deadline.

Change: from half of the time on, a version that looks bad gets all that is in use of the bound instead of half of it. It would not take over in time anyway.

--- a/packages/scaleloom-core/scaleloom_core/rollouts/comparison.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/comparison.py
@@ -141,10 +141,15 @@
             Each must have been tried and not speak against the candidate.
         """
         suspects = self._all.suspects(SUSPICIOUS_SUM)
-        if self._all.plain_without(suspects) > GOOD_SUM:
+        if self._all.plain_without(suspects) > GOOD_SUM or self.is_doubtful():
             return False
-        return all(self._is_good_on(route, suspects) for route in routes) and all(
-            sums.rest_without(suspects) < SUSPICIOUS_SUM
+        return all(self._is_good_on(route, suspects) for route in routes)
+
+    def is_doubtful(self) -> bool:
+        """Return whether the targets that aren't ill speak against the candidate."""
+        suspects = self._all.suspects(SUSPICIOUS_SUM)
+        return any(
+            sums.rest_without(suspects) >= SUSPICIOUS_SUM
             for sums in (self._all, *self._routes.values())
         )
 
--- a/packages/scaleloom-core/scaleloom_core/rollouts/course.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/course.py
@@ -34,6 +34,8 @@
 ROTATIONS = 5
 # A roll-out without a verdict goes on for this part of its time, then it ends.
 EXTENSION_PART = 0.5
+# From this part of the time on a version that looks bad gets what is kept for later.
+DOUBT_PART = 0.5
 # The whole traffic is watched until so shortly before the deadline: a version that
 # is bad under load only shows it then. Writing it down takes two calls of the store.
 DONE_LEAD_S = 0.25
@@ -142,14 +144,24 @@
     def pick_track(self, now_s: float) -> Track:
         """Return where a new request is sent first."""
         if self.stage is Stage.RUNNING:
-            return self._trial_track()
+            return self._trial_track(now_s)
         if self.stage is Stage.PROMOTING:
             return self._promotion_track(now_s)
         return Track.CURRENT
 
-    def _trial_track(self) -> Track:
-        """Return the candidate for a small part of the requests."""
-        return Track.CANDIDATE if self.budget.may_try else Track.CURRENT
+    def _trial_track(self, now_s: float) -> Track:
+        """
+        Return the candidate for a small part of the requests.
+
+        Where it looks bad late in the trial, what is kept for its taking over
+        settles the matter sooner: it would not take over in time.
+        """
+        if self.budget.may_try:
+            return Track.CANDIDATE
+        is_late = self.elapsed_s(now_s) >= DOUBT_PART * self.order.duration_s
+        if is_late and self.budget.may_settle and self.evidence.is_doubtful(now_s):
+            return Track.CANDIDATE
+        return Track.CURRENT
 
     def _promotion_track(self, now_s: float) -> Track:
         """Return the candidate once what it may get lasts until the deadline."""
--- a/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
@@ -102,6 +102,11 @@
             self._assessment = self._judge(self._latest)
         return self._assessment
 
+    def is_doubtful(self, now_s: float) -> bool:
+        """Return whether the answers so far speak against the candidate."""
+        self.assess(now_s)
+        return self._latest is not None and self._latest.is_doubtful()
+
     def _settle(self, now_s: float) -> int:
         """Settle what is long over; return the present second."""
         second = int(now_s)
--- a/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
@@ -96,6 +96,11 @@
         """Return whether the version may get one more while it is on trial."""
         return self._has_room(TRIAL_PART, self.requests, self.extra, self.exposed)
 
+    @property
+    def may_settle(self) -> bool:
+        """Return whether the version may get one more with nothing kept for later."""
+        return self._has_room(1.0, self.requests, self.extra, self.exposed)
+
     def _has_room(self, part: float, requests: int, extra: float, exposed: int) -> bool:
         """Return whether `part` of what is in use leaves room for one more."""
         allowed = part * (self.bounds.share * requests + extra)
--- a/tests/core/test_rollout_course.py
+++ b/tests/core/test_rollout_course.py
@@ -7,13 +7,14 @@
 from scaleloom_core.ids import ServiceName, TargetId, Version
 from scaleloom_core.rollouts.course import (
     DONE_LEAD_S,
+    DOUBT_PART,
     EXTENSION_PART,
     LATE_WATCH_S,
     FleetFacts,
     RolloutCourse,
     begin_course,
 )
-from scaleloom_core.rollouts.exposure import ExposureBounds
+from scaleloom_core.rollouts.exposure import SHARE_IN_USE, ExposureBounds
 from scaleloom_core.rollouts.orders import RolloutOrder
 from scaleloom_core.rollouts.paces import AnswerTimes
 from scaleloom_core.rollouts.stages import Stage, Standing
@@ -124,6 +125,30 @@
     assert 0 < tried <= 0.8 * (0.05 * len(tracks) + 10.0)
 
 
+def _doubtful_course() -> RolloutCourse:
+    """Return a course whose candidate looks bad, and not clearly so."""
+    course = _course()
+    _answer(course, Track.CURRENT, 60, 101.0)
+    _answer(course, Track.CANDIDATE, 3, 102.0, is_failed=True)
+    assert course.evidence.is_doubtful(102.0)
+    assert course.next_stage(READY, True, 102.0) is Stage.RUNNING
+    return course
+
+
+def test_a_version_that_looks_bad_late_in_its_trial_gets_more_within_the_bound():
+    half_s = 100.0 + DOUBT_PART * DURATION_S
+    tried = {}
+    for name, course in (("usual", _course()), ("doubtful", _doubtful_course())):
+        early = _send(course, half_s - 0.1).count(Track.CANDIDATE)
+        late = _send(course, 100.0 + DURATION_S, half_s).count(Track.CANDIDATE)
+        tried[name] = (early, late)
+    assert tried["doubtful"][0] == tried["usual"][0]
+    assert tried["doubtful"][1] > 1.5 * tried["usual"][1]
+    bounds = ExposureBounds()
+    allowed = bounds.share * RATE_PER_S * DURATION_S + bounds.slack / 5
+    assert sum(tried["doubtful"]) <= SHARE_IN_USE * allowed
+
+
 def test_a_promoted_version_gets_all_once_that_fits_to_the_deadline():
     course = _good_course()
     _send(course, 110.0)
