--- a/tests/gateway/test_answer_news.py
+++ b/tests/gateway/test_answer_news.py
@@ -22,6 +22,7 @@
 # A router returns within half a second of a rest's end.
 RETURN_S = 0.5
 FOUND_S = 0.3
+LEAVES_AFTER_S = 0.01
 # Less than what the other target has places for.
 BURST = 12
 
@@ -320,6 +321,44 @@
         assert await _reached(site, callers, first, "/safe/1") == 0
 
 
+@runs_on_paused_clock
+async def test_a_rest_counts_whose_caller_left_while_the_answer_was_on_its_way():
+    # Soak seed 8040, beside load: "i-7 asked g-1 for 1.79 s and got 27 requests". The
+    # caller left 10 ms after it had asked, the link was closed, and the answer to its
+    # request, the only one of that target to that router, was never read.
+    watched = Watched()
+
+    async def rest_soon(runner: Runner, asked: Asked) -> bool:
+        await trio.sleep(2 * LEAVES_AFTER_S)
+        return await watched.ask_rest(REST_S)(runner, asked)
+
+    async with running_site(2) as site:
+        for runner in site.runners:
+            runner.behaviour = watched.watch()
+        first = site.runners[0]
+        first.behaviour = rest_soon
+        callers = Callers(site)
+        while not first.asked:
+            with trio.move_on_after(LEAVES_AFTER_S):
+                await _reached(site, callers, first, "/safe/1")
+        await trio.sleep(RETURN_S)
+        assert watched.rests
+        first.behaviour = watched.watch()
+        assert await _reached(site, callers, first, "/safe/1") == 0
+
+
+@runs_on_paused_clock
+async def test_a_try_that_was_given_up_is_soon_cancelled_at_its_target():
+    async with running_site(1) as site:
+        (runner,) = site.runners
+        runner.behaviour = runners.stay_silent
+        with trio.move_on_after(LEAVES_AFTER_S):
+            await site.ask("/safe/1")
+        # Callers' leaving is to reach targets within half a second.
+        await trio.sleep(RETURN_S / 2)
+        assert (len(runner.asked), runner.broken_off) == (1, 1)
+
+
 @runs_on_paused_clock
 async def test_what_is_there_counts_when_a_try_is_given_up():
     with seen_states() as states:
