Hear links out for a moment whose try was given up

Cause: a caller that leaves closes the link of its request at once, and with it the answer that is on its way: the word of rest of a target that asks nothing else.

Change: a link whose request is young and has no answer yet is read until 0.15 s after the request was sent, and closed then, well within the half second in which a caller's leaving is to reach the target. Older ones are closed at once, with what is there taken in.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/answer_news.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/answer_news.py
@@ -12,7 +12,7 @@
 from scaleloom_fleet.gateway import figures
 from scaleloom_fleet.gateway.interfaces import HeaderNames
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.http1.links import AnswerHead, Link
+from scaleloom_fleet.http1.links import AnswerHead
 
 MISDIRECTED = 421
 TURNED_AWAY = 503
@@ -36,13 +36,6 @@
     return news
 
 
-def take_in_last(state: GatewayState, target: TargetId, link: Link) -> None:
-    """Remember what an answer says that is here already when its link is given up."""
-    head = link.ready_head()
-    if head is not None:
-        take_in(state, target, head)
-
-
 def read_news(head: AnswerHead, names: HeaderNames) -> AnswerNews:
     """Return what the head of an answer says of its target."""
     is_misplaced = head.status == MISDIRECTED
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -12,7 +12,7 @@
 from scaleloom_core.target_news import AnswerNews
 from scaleloom_core.target_outcomes import ONE_ANSWERED, ONE_FAILED, Outcomes
 from scaleloom_core.target_records import TargetRecord
-from scaleloom_fleet.gateway.answer_news import take_in, take_in_last
+from scaleloom_fleet.gateway.answer_news import take_in
 from scaleloom_fleet.gateway.choosing import is_recalled
 from scaleloom_fleet.gateway.crash_gate import give_back_trial, may_be_sent
 from scaleloom_fleet.gateway.figures import CACHE_SOURCES
@@ -90,8 +90,7 @@
         if is_whole:
             state.pools.put_back(target.id, link)
         else:
-            take_in_last(state, target.id, link)
-            link.close()
+            state.given_up.give_up(target.id, link)
     _judge(state, record, verdict)
     if verdict is Verdict.BROKEN or verdict is Verdict.SILENT:
         work.end_check = state.crashes.checks.note_broken(target, work.digest)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -18,6 +18,7 @@
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway import accepting, readiness
+from scaleloom_fleet.gateway.answer_news import take_in
 from scaleloom_fleet.gateway.choosing import rests_until_s
 from scaleloom_fleet.gateway.config_watch import ConfigWatch
 from scaleloom_fleet.gateway.copies import DocumentCopies
@@ -67,6 +68,7 @@
     state = make_state(settings)
     access = StoreAccess(state)
     state.waiting.rests_until_s = partial(rests_until_s, state)
+    state.given_up.connect(partial(take_in, state))
     config = ConfigWatch(state, access)
     targets = ListWatch(state, access, config.drop_call)
     peers = PeerExchange(state, access)
@@ -99,6 +101,7 @@
             crash_log.write_forever,
             crash_log.drop_forever,
             state.crashes.checks.check_forever,
+            state.given_up.hear_forever,
             state.pools.sweep_forever,
             state.waiting.pump_forever,
             partial(watch_lateness, state),
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -23,6 +23,7 @@
 from scaleloom_core.targets import TargetView
 from scaleloom_fleet.conf.gateway_schema import GatewaySettings
 from scaleloom_fleet.gateway.crashes import CrashDesk
+from scaleloom_fleet.gateway.given_up import GivenUpLinks
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
 from scaleloom_fleet.gateway.pools import LinkPools
 from scaleloom_fleet.gateway.rollouts import RolloutDesk
@@ -80,6 +81,8 @@
         The targets that versions on trial are tried at.
     crashes : CrashDesk
         Which requests end targets.
+    given_up : GivenUpLinks
+        Closes links whose try was given up.
     router_count : int
         How many routers the fleet is known to have, this one included.
     follows_store : bool
@@ -135,6 +138,7 @@
     rollouts: RolloutDesk = msgspec.field(default_factory=RolloutDesk)
     staged: StagedTargets = msgspec.field(default_factory=StagedTargets)
     crashes: CrashDesk = msgspec.field(default_factory=CrashDesk)
+    given_up: GivenUpLinks = msgspec.field(default_factory=GivenUpLinks)
     listed_documents: dict[str, bytes] = msgspec.field(default_factory=dict)
     entries_unreadable: int = 0
     follows_store: bool = False
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -67,6 +67,7 @@
         )
         self._unsent = b""
         self._is_closed = False
+        self.started_s = 0.0
         self.idle_since_s = 0.0
         self.keep_alive_s = NO_KEEP_ALIVE_S
 
@@ -79,6 +80,7 @@
         ConnectionLost
             If the connection was reset; some bytes may have arrived.
         """
+        self.started_s = trio.current_time()
         data = self._serialise(request)
         sent = sockets.send_ready(self._connection, data)
         self._unsent = data[sent:]
@@ -103,6 +105,12 @@
         """Return whether a part of the request is still to be sent."""
         return bool(self._unsent)
 
+    @property
+    def awaits_head(self) -> bool:
+        """Return whether a request was sent whose answer has not begun."""
+        is_asked = self._protocol.our_state is h11.DONE and not self._unsent
+        return is_asked and self._protocol.their_state is h11.SEND_RESPONSE
+
     async def send_rest(self) -> None:
         """Send what `start` left, and give up quietly if the link breaks."""
         try:
--- a/tests/gateway/test_answer_news.py
+++ b/tests/gateway/test_answer_news.py
@@ -8,7 +8,7 @@
 from nose2.tools import params
 
 from scaleloom_core.ids import TargetId
-from scaleloom_fleet.gateway.answer_news import take_in_last
+from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1.links import Link
 from tests.fixtures import runners
 from tests.fixtures.fleets import runs_on_paused_clock
@@ -364,17 +364,20 @@
     with seen_states() as states:
         async with running_site(2) as site:
             first = site.runners[0]
-            ours, theirs = socket.socketpair()
-            ours.setblocking(False)
-            link = Link(ours)
-            theirs.sendall(_said(raw_answer(503, {"Request-Id": "r-1"}))[:40])
-            take_in_last(states[0], TargetId(first.id), link)
+            whole = _said(raw_answer(503, {"Request-Id": "r-1"}))
+            _give_up_with(states[0], first.id, whole[:40])
             assert states[0].view.records[first.id].is_ready
-            theirs.sendall(_said(raw_answer(503, {"Request-Id": "r-1"}))[40:])
-            take_in_last(states[0], TargetId(first.id), link)
+            _give_up_with(states[0], first.id, whole)
             assert not states[0].view.records[first.id].is_ready
-            theirs.close()
-            link.close()
+
+
+def _give_up_with(state: GatewayState, target: str, answer: bytes) -> None:
+    """Give a link up on which an answer, or a part of it, has arrived."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    theirs.sendall(answer)
+    state.given_up.give_up(TargetId(target), Link(ours))
+    theirs.close()
 
 
 @runs_on_paused_clock
