--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,10 +10,9 @@
 import trio
 
 from soak.faults import FAULTS
-from soak.seed_run import SoakResult, run_seed
+from soak.seed_run import run_seed
 from soak.switched_off import MECHANISMS
 
-MAX_SHOWN_CASES = 4
 FAULTS_BY_NAME = {fault.__name__: fault for fault in FAULTS}
 
 
@@ -45,7 +44,9 @@
         arguments = (current_seed, length_s, directory, gateway_count, without, kinds)
         result = trio.run(run_seed, *arguments)
         failed += bool(result.broken)
-        _print_result(result, directory)
+        click.echo(result.describe())
+        if result.broken:
+            click.echo(f"  logs in {directory}")
     click.echo(f"{count - failed} seeds passed, {failed} broke a promise")
     sys.exit(1 if failed else 0)
 
@@ -59,18 +60,5 @@
     return directory
 
 
-def _print_result(result: SoakResult, directory: Path) -> None:
-    """Print the result of one seed."""
-    state = "passed" if not result.broken else "BROKEN"
-    click.echo(
-        f"seed {result.seed}: {state},"
-        f" {result.served_count} of {result.sent_count} requests served",
-    )
-    for promise, cases in result.broken.items():
-        click.echo(f"  {promise}: {len(cases)} cases, logs in {directory}")
-        for case in cases[:MAX_SHOWN_CASES]:
-            click.echo(f"    {case}")
-
-
 if __name__ == "__main__":
     main()
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -22,6 +22,7 @@
 from tests.fixtures.gateways import ask_raw
 
 SETTLE_S = 1.0
+MAX_SHOWN_CASES = 4
 READY_REQUEST = b"GET /scaleloom/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -43,6 +44,18 @@
     served_count: int
     broken: dict[str, list[str]]
 
+    def describe(self) -> str:
+        """Return the counts and the broken promises, with the first cases of each."""
+        state = "passed" if not self.broken else "BROKEN"
+        lines = [
+            f"seed {self.seed}: {state},"
+            f" {self.served_count} of {self.sent_count} requests served"
+        ]
+        for promise, cases in self.broken.items():
+            lines.append(f"  {promise}: {len(cases)} cases")
+            lines += [f"    {case}" for case in cases[:MAX_SHOWN_CASES]]
+        return "\n".join(lines)
+
 
 async def run_seed(
     seed: int,
--- a/tests/gateway/test_promises.py
+++ b/tests/gateway/test_promises.py
@@ -1,6 +1,7 @@
 """Tests of the guarantees to callers under random faults of targets and store."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 import trio
@@ -129,5 +130,6 @@
         outcomes = [CallerOutcome(*row, runs=site.run_count(row[1])) for row in asked]
     violations = [(o.find_violation(), o) for o in outcomes if o.find_violation()]
     assert violations == []
-    served = sum(outcome.answer.status == 200 for outcome in outcomes)
-    assert served > REQUEST_COUNT / 4
+    counts = Counter((outcome.path, outcome.answer.status) for outcome in outcomes)
+    served = sum(count for (_, status), count in counts.items() if status == 200)
+    assert served > REQUEST_COUNT / 4, counts
--- a/tests/gateway/test_rollout_whole.py
+++ b/tests/gateway/test_rollout_whole.py
@@ -9,7 +9,7 @@
 from tests.fixtures import stub_targets
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import GatewayFixture, eventually, request_bytes
-from tests.fixtures.rollout_sites import NEW, RolloutSite, rollout_site
+from tests.fixtures.rollout_sites import NEW, SERVICE, RolloutSite, rollout_site
 from tests.fixtures.stub_server import raw_answer
 
 RUNNING = ("running", NEW)
@@ -72,6 +72,18 @@
             await trio.sleep(1.0 / RATE_PER_S)
 
 
+def _describe_evidence(rollout: RolloutSite) -> str:
+    """Return what each router knows of both versions' answers."""
+    now_s = trio.current_time()
+    states = (rollout.controller(g).find_state(SERVICE) for g in rollout.running())
+    return "\n".join(
+        f"{state.stage.value} after {state.elapsed_s(now_s):.2f} s,"
+        f" {state.budget}, {state.evidence.summary(now_s)}"
+        for state in states
+        if state is not None
+    )
+
+
 @params((0.0, DONE), (0.3, ROLLED_BACK), (0.6, ROLLED_BACK), (1.0, ROLLED_BACK))
 @runs_on_paused_clock
 async def test_a_version_is_judged_by_its_answers(bad_share, end):
@@ -86,7 +98,10 @@
             async def has_ended() -> bool:
                 return len(rollout.statuses()) == 2
 
-            await eventually(has_ended, LIMIT_S)
+            try:
+                await eventually(has_ended, LIMIT_S)
+            except trio.TooSlowError:
+                raise AssertionError(_describe_evidence(rollout)) from None
             nursery.cancel_scope.cancel()
         assert rollout.statuses() == [RUNNING, end]
         if end is ROLLED_BACK:
--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -128,7 +128,8 @@
         await _start_draining(site, draining)
         for number in range(8):
             assert (await site.ask("/safe/1", f"r-{number}")).status == 200
-    assert (sum(draining.runs.values()), sum(staying.runs.values())) == (0, 8)
+    runs = (sum(draining.runs.values()), sum(staying.runs.values()))
+    assert runs == (0, 8), (runs, site.store.calls)
 
 
 @params(*OUTAGES)
@@ -141,7 +142,8 @@
         await trio.sleep(OUTAGE_AGE_S + 0.2)
         for number in range(8):
             assert (await site.ask("/once/1", f"r-{number}")).status == 200
-    assert (sum(draining.runs.values()), sum(staying.runs.values())) == (0, 8)
+    runs = (sum(draining.runs.values()), sum(staying.runs.values()))
+    assert runs == (0, 8), (runs, site.store.calls)
 
 
 @runs_on_paused_clock
--- a/tests/test_drawn_rollouts.py
+++ b/tests/test_drawn_rollouts.py
@@ -27,7 +27,7 @@
 def test_a_version_that_fails_is_rolled_back():
     result = _run(BAD_SEED)
     assert result.end == "rolled_back", result
-    assert result.broken == {}
+    assert result.broken == {}, result
 
 
 def test_the_operators_page_leads_to_why_a_version_was_rolled_back():
@@ -48,10 +48,11 @@
     lines = [msgspec.json.decode(line) for line in process.stdout.splitlines()]
     assert "roll-out ordered" in {line["message"] for line in lines}
     # Two routers may reach the verdict at the same time.
-    first = next(line for line in lines if line.get("by") == "evidence")
-    assert first["stage"] == "rolled_back"
-    assert first["bad_answers"] > first["answers"] / 5
-    assert first["current_bad_answers"] < first["current_answers"] / 10
+    first = next((line for line in lines if line.get("by") == "evidence"), None)
+    assert first is not None, lines
+    assert first["stage"] == "rolled_back", lines
+    assert first["bad_answers"] > first["answers"] / 5, lines
+    assert first["current_bad_answers"] < first["current_answers"] / 10, lines
     assert first["worst_route"] is not None and first["targets"] >= 2
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,7 @@
 
 def test_a_short_seed_with_every_fault_breaks_no_promise():
     result = _run(kinds=faults.FAULTS)
-    assert result.broken == {}
+    assert result.broken == {}, result.describe()
     assert result.served_count > result.sent_count / 4
 
 
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -17,6 +17,11 @@
 FAULT_COUNT = 10
 
 
+def _assert_kept(result: SoakResult) -> None:
+    """Assert that no promise was broken, and say which if one was."""
+    assert result.broken == {}, result.describe()
+
+
 def _run(seed: int, length_s: float, disabled_mechanism=None, kinds=None) -> SoakResult:
     with tempfile.TemporaryDirectory() as directory:
         arguments = (seed, length_s, Path(directory), 3, disabled_mechanism, kinds)
@@ -28,30 +33,33 @@
     # Draw from the first faults of the list only, so that a fault added at its end
     # doesn't change what these seeds draw.
     kinds = faults.draw_faults(random.Random(seed), faults.FAULTS[:FAULT_COUNT])
-    assert _run(seed, LENGTH_S, kinds=kinds).broken == {}
+    _assert_kept(_run(seed, LENGTH_S, kinds=kinds))
 
 
 @params(7101)
 def test_back_off_and_draining_signals_are_obeyed(seed):
     kinds = [faults.ask_for_rest, faults.leave_by_answers, faults.signal_gateway]
-    assert _run(seed, LENGTH_S, kinds=kinds).broken == {}
+    _assert_kept(_run(seed, LENGTH_S, kinds=kinds))
 
 
 def test_an_ignored_retry_after_is_detected():
     result = _run(7102, SIGNAL_LENGTH_S, "rests", [faults.ask_for_rest])
-    assert "gateways back off as Retry-After asks" in result.broken
+    assert "gateways back off as Retry-After asks" in result.broken, result.describe()
 
 
 def test_an_ignored_draining_signal_is_detected():
     result = _run(7102, SIGNAL_LENGTH_S, "said-leaving", [faults.leave_by_answers])
-    assert "a target that announces draining gets no new requests" in result.broken
+    promise = "a target that announces draining gets no new requests"
+    assert promise in result.broken, result.describe()
 
 
 def test_uncounted_crashes_are_detected():
     result = _run(7002, CRASH_LENGTH_S, "crash-count", [faults.send_crashing_request])
-    assert "a request that crashes targets is sent to few" in result.broken
+    promise = "a request that crashes targets is sent to few"
+    assert promise in result.broken, result.describe()
 
 
 def test_the_soak_notices_that_nothing_is_tried():
     result = _run(7002, CRASH_LENGTH_S, "crash-trials", [faults.send_crashing_request])
-    assert "requests that crash nothing are not quarantined" in result.broken
+    promise = "requests that crash nothing are not quarantined"
+    assert promise in result.broken, result.describe()
