Send no trial over a link that closed while the trial was recorded

What callers saw: a suspected request that crashes nothing was refused for 5 s more.

Cause: the link to a target is taken before the store records the trial.

Change: the link is looked at once more after the trial is recorded; a trial that can't be sent is deleted from the log, and a deleted trial delays no other. Since its number may be used again at once, the router that deletes it compares when the trial began.

Result: the new test (the target crashes while its trial is recorded) failed before, the request being refused 0.6 s later, and passes; so do the other tests of the crash log, of crash records and of back-off.

--- a/packages/scaleloom-core/scaleloom_core/crash_table.py
+++ b/packages/scaleloom-core/scaleloom_core/crash_table.py
@@ -53,6 +53,21 @@
     start: TargetStart
 
 
+class RunningTrial(msgspec.Struct, frozen=True):
+    """
+    A trial that is known to be running.
+
+    Parameters
+    ----------
+    began_s : float
+        When this router learned of it, on the runtime's clock. It tells the trial from
+        a later one under the same number, if the log has deleted this one.
+    """
+
+    number: int
+    began_s: float
+
+
 class ReportSource(Enum):
     """How this router learned of a crash."""
 
@@ -235,14 +250,14 @@
             history.trial_target = target
             self._mark_recent(request, history)
 
-    def find_running_trial(self, request: RequestDigest, now_s: float) -> int | None:
-        """Return the number of the running trial, or None if there is none."""
+    def find_running_trial(
+        self, request: RequestDigest, now_s: float
+    ) -> RunningTrial | None:
+        """Return the running trial, or None if there is none."""
         history = self._histories.get(request)
-        return (
-            history.trials
-            if history is not None and history.is_trial_running(now_s)
-            else None
-        )
+        if history is None or not history.is_trial_running(now_s):
+            return None
+        return RunningTrial(history.trials, history.last_trial_s)
 
     def trial_targets(self, now_s: float) -> set[TargetId]:
         """Return the targets at which some trial is running."""
@@ -309,10 +324,16 @@
             self._suspects.pop(crash.request, None)
 
     def remove_trial(self, request: RequestDigest, number: int) -> None:
-        """Remove a trial of `request` that the log no longer holds."""
+        """
+        Remove a trial of `request` that the log no longer holds.
+
+        It was never sent, so the next one need not wait for its result.
+        """
         history = self._histories.get(request)
         if history is not None and history.trials >= number:
             history.trials = number - 1
+            history.has_pending_trial = False
+            history.last_trial_s = NEVER_S
 
     def _remove(self, request: RequestDigest) -> None:
         """Remove all that is known of `request`."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -121,6 +121,7 @@
                 tracker.record_crashes([record.crash], ReportSource.LOG)
         elif record.is_deleted:
             tracker.table.remove_trial(record.request, record.number)
+            tracker.notify_change()
         else:
             tracker.record_trial(record.request, record.number, record.target)
 
@@ -243,12 +244,15 @@
         """
         Delete the record of a trial whose request was not sent.
 
-        No router begins the next trial before this one is over, and the append succeeds
-        only if the log has not grown since it was read, so no other trial is deleted.
+        The append succeeds only if the log has not grown since it was read, and another
+        trial under the same number begins later than this one, so no other is deleted.
         """
         tracker = self._state.crashes
         deletion = trial_record(request, number, None)
-        while tracker.table.find_running_trial(request, trio.current_time()) == number:
+        trial = tracker.table.find_running_trial(request, trio.current_time())
+        if trial is None or trial.number != number:
+            return
+        while tracker.table.find_running_trial(request, trio.current_time()) == trial:
             advanced = self._advanced
             if self._end_offset is not None:
                 async with self._write_lock:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -70,7 +70,7 @@
         return AttemptResult.NEVER_SENT
     is_sent = False
     try:
-        is_sent = await _may_still_send(state, context, record)
+        is_sent = await _may_still_send(state, context, record, link)
         if context.connection.check_disconnected():
             # Nothing has been sent yet, and no caller waits for the answer any more.
             is_sent = False
@@ -122,14 +122,18 @@
 
 
 async def _may_still_send(
-    state: GatewayState, context: RequestContext, record: TargetRecord
+    state: GatewayState, context: RequestContext, record: TargetRecord, link: Link
 ) -> bool:
-    """Return whether `context` may still be sent to the chosen target."""
+    """Return whether `context` may still be sent to the chosen target over `link`."""
     context.trial_number = None
     if is_rolled_back(state, context) or not _accepts_requests(state, record):
         return False
-    is_permitted = await may_send(state, context, record.listed.id)
-    return is_permitted and _accepts_requests(state, record)
+    if not await may_send(state, context, record.listed.id):
+        return False
+    # The target may have crashed while the store recorded the trial, which would then
+    # be blamed for the crash.
+    is_link_usable = context.trial_number is None or link.is_open_and_empty()
+    return is_link_usable and _accepts_requests(state, record)
 
 
 def _accepts_requests(state: GatewayState, record: TargetRecord) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
@@ -87,9 +87,8 @@
     if trio.current_time() >= tracker.store_retry_at_s:
         outcome = await tracker.begin_trial(context.digest, target)
     if outcome is TrialOutcome.BEGUN:
-        context.trial_number = tracker.table.find_running_trial(
-            context.digest, trio.current_time()
-        )
+        trial = tracker.table.find_running_trial(context.digest, trio.current_time())
+        context.trial_number = trial.number if trial is not None else None
     if outcome is not TrialOutcome.UNCOUNTED:
         return outcome is TrialOutcome.BEGUN
     tracker.store_retry_at_s = trio.current_time() + STORE_RETRY_S
--- a/tests/core/test_crash_table.py
+++ b/tests/core/test_crash_table.py
@@ -147,6 +147,18 @@
     table.remove_trial(OTHER, 1)
 
 
+def test_a_trial_removed_from_the_log_delays_no_other():
+    table = CrashTable()
+    _make_suspect(table)
+    table.record_trial(BAD, 1, TARGET, 0.0)
+    removed = table.find_running_trial(BAD, 0.1)
+    table.remove_trial(BAD, 1)
+    assert table.find_running_trial(BAD, 0.1) is None
+    assert _permission(table, now_s=0.1) is SendPermission.TRIAL_ONLY
+    table.record_trial(BAD, 1, TARGET, 0.2)
+    assert table.find_running_trial(BAD, 0.3) != removed
+
+
 @params((1, SINGLE_CRASH_RETENTION_S), (MIN_SUSPECT_CRASHES, SUSPECT_RETENTION_S))
 def test_crashes_expire(count, retention_s):
     table = CrashTable()
--- a/tests/gateway/test_crash_log.py
+++ b/tests/gateway/test_crash_log.py
@@ -17,6 +17,7 @@
 from scaleloom_fleet.gateway.interfaces import KeyedValue, Topic
 from scaleloom_platform.calls import TOPIC_PARTITIONS
 from tests.fixtures import stub_targets
+from tests.fixtures.crashing import Caller, crashing_site
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CUSTOMER,
@@ -39,6 +40,8 @@
 LOG_READ_S = 0.3
 ELSEWHERE = TargetId("i-100")
 WORK_S = 0.5
+IDLE_LINKS = 6
+CRASH_DETECTION_S = 0.02
 
 
 def _digest(body: bytes) -> RequestDigest:
@@ -105,6 +108,39 @@
             assert (await _ask(site.gateways[0], "r-2")).status == 200
 
 
+@runs_on_paused_clock
+async def test_a_trial_whose_target_crashed_before_it_was_sent_is_not_counted():
+    # The target crashes while the store records the trial. The request was then sent
+    # over the dead link, blamed for the crash, and refused for 5 s.
+    with captured_states() as states:
+        async with crashing_site(2, 1, lambda request: False) as (site, targets):
+            (gateway,) = site.gateways
+            caller = Caller(site)
+            # Leaves an idle link to each target.
+            async with trio.open_nursery() as nursery:
+                for number in range(2 * IDLE_LINKS):
+                    nursery.start_soon(caller.ask, gateway, b"%d" % number, PATH)
+            _append_history(site, MIN_SUSPECT_CRASHES)
+            await trio.sleep(LOG_READ_S)
+            tracker = states[0].crashes
+            begin_trial = tracker.begin_trial
+
+            async def begin_and_crash(request, target):
+                outcome = await begin_trial(request, target)
+                tracker.begin_trial = begin_trial
+                targets.crash(target)
+                await trio.sleep(CRASH_DETECTION_S)
+                return outcome
+
+            tracker.begin_trial = begin_and_crash
+            await _ask(gateway, "r-1")
+            crashed = targets.crashed_s
+            await trio.sleep(2 * LOG_READ_S)
+            answer = await _ask(gateway, "r-2")
+    assert len(crashed) == 1
+    assert answer.status == 200
+
+
 async def _answer_slowly(
     target: stub_targets.StubTarget, request: ReceivedRequest
 ) -> bool:
