Count all answers when a version on trial is in doubt

What callers saw: a version that fails 0.3 of its answers went on failing requests until half of the order's time beyond its deadline had passed.

Cause: from half of the time on a version in doubt gets all of the exposure bound, so that more answers settle the matter. Doubt, like the verdict, left out targets that may be ill by themselves. Where bad answers came mostly from one of three targets, the version was neither bad nor good nor in doubt, and got no more requests (16 or 17 at each of three routers, with 12 or 13 of 50 answers bad beside 0 of 700). Ruled out by the same logs: answers on their way while time jumped, lost reports, a low sum.

Change: `Evidence.is_doubtful` counts the answers of all targets of a version that is not found good. The verdict asks as much as before.

The new test of the evidence failed before.

--- a/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
@@ -107,9 +107,15 @@
         return self._assessment
 
     def is_doubtful(self, now_s: float) -> bool:
-        """Return whether the answers so far speak against the candidate."""
-        self.assess(now_s)
-        return self._latest is not None and self._latest.is_doubtful()
+        """
+        Return whether answers speak against a candidate that is not found good.
+
+        Answers of targets that may be outliers count as well: with three targets, the
+        one left out as an outlier holds most of the evidence against a bad version.
+        """
+        if self.assess(now_s) is Assessment.GOOD or self._latest is None:
+            return False
+        return self._latest.exceeds_doubt_threshold(frozenset())
 
     def _settle(self, now_s: float) -> int:
         """Settle the seconds that have been over for long; return the present one."""
--- a/packages/scaleloom-core/scaleloom_core/rollouts/sequential_test.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/sequential_test.py
@@ -159,9 +159,12 @@
 
     def is_doubtful(self) -> bool:
         """Return whether targets other than outliers speak against the candidate."""
-        outliers = self._overall.outliers(DOUBT_THRESHOLD)
+        return self.exceeds_doubt_threshold(self._overall.outliers(DOUBT_THRESHOLD))
+
+    def exceeds_doubt_threshold(self, excluded: frozenset[TargetKey]) -> bool:
+        """Return whether targets other than `excluded` speak against the candidate."""
         return any(
-            sums.cusum_excluding(outliers) >= DOUBT_THRESHOLD
+            sums.cusum_excluding(excluded) >= DOUBT_THRESHOLD
             for sums in (self._overall, *self._routes.values())
         )
 
--- a/tests/core/test_rollout_evidence.py
+++ b/tests/core/test_rollout_evidence.py
@@ -127,6 +127,22 @@
     assert evidence_so_far.assess(11.0) is GOOD
 
 
+def test_uneven_bad_answers_of_all_targets_leave_the_version_in_doubt():
+    # Without doubt no further requests were sent, and a version that failed a quarter
+    # of its answers was found bad only after the deadline.
+    evidence_so_far = _evidence_from(_at_current(700))
+    for target, bad in ((1, 7), (2, 3), (3, 2)):
+        evidence_so_far.record(_at_candidate([target], 17, bad), 10.1)
+    assert evidence_so_far.assess(10.1) is UNDECIDED
+    assert evidence_so_far.is_doubtful(10.1)
+
+
+def test_a_good_version_with_a_faulty_target_is_not_in_doubt():
+    evidence_so_far = _evidence_from(_at_current(100), _at_candidate([1, 2], 8))
+    evidence_so_far.record(_at_candidate([3], 24, 24), 10.1)
+    assert not evidence_so_far.is_doubtful(11.0)
+
+
 def test_two_faulty_targets_of_eight_do_not_make_a_version_bad():
     evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(6), 8))
     evidence_so_far.record(_at_candidate([6, 7], 10, 9), 10.1)
