Log a bad version that the decider finds as found by the evidence

What operators saw: `by` said `decider` for a version that was rolled back for its bad answers; by the operators' page that means no verdict in time, or no target.

Cause: every router rolls back a bad candidate before each report and logs `evidence`; the deciding router's round, ten times a second as well, came first now and then and logged its own name. On a busy machine the two drift apart.

Change: the decider's step rolls back what the evidence finds bad before it decides.

Result: the new test (paused clock, no report in between) failed before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decider.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decider.py
@@ -166,6 +166,8 @@
         """Change to the next stage; return whether the end has to be written."""
         now_s = trio.current_time()
         rollout_state = rollout.state
+        # Logged as found by the evidence, not as a decision for lack of a verdict.
+        self._state.rollouts.roll_back_bad(now_s)
         readiness = fleet_readiness(self._state, rollout, now_s)
         stage = rollout_state.next_stage(readiness, True, now_s)
         if rollout_state.stage is Stage.RUNNING and rollout.is_only_version:
--- a/tests/gateway/test_rollout_decisions.py
+++ b/tests/gateway/test_rollout_decisions.py
@@ -1,11 +1,15 @@
 """Tests of which router decides on a roll-out, and of writing decisions once."""
 
+from unittest import mock
+
 import trio
 from nose2.tools import params
 
 from scaleloom_core.rollouts.evidence import Assessment
 from scaleloom_core.rollouts.stages import Stage
+from scaleloom_fleet.gateway.rollout_reports import RolloutReporter
 from tests.fixtures.fleets import runs_on_paused_clock
+from tests.fixtures.logs import FieldsHandler
 from tests.fixtures.platform_store import StoreFault
 from tests.fixtures.rollout_sites import (
     DECISIONS_TOPIC,
@@ -46,6 +50,24 @@
         assert {rule.rejected for rule in rules} == {frozenset({NEW})}
 
 
+@runs_on_paused_clock
+async def test_a_bad_version_found_by_the_decider_is_logged_as_found_by_evidence():
+    # The operators' page says that `decider` means no verdict in time. It was logged
+    # for bad versions as well if the decider's round came before the next report.
+    with (
+        FieldsHandler.capture("scaleloom.rollouts", "roll-out stage") as stages,
+        mock.patch.object(RolloutReporter, "local_reports", lambda self, now_s: []),
+    ):
+        async with rollout_site(routers=1) as rollout:
+            rollout.order()
+            await rollout.wait_statuses(RUNNING)
+            rollout.forced.assessment = Assessment.BAD
+            await rollout.wait_statuses(RUNNING, ROLLED_BACK)
+    assert [stage["by"] for stage in stages if stage["stage"] == "rolled_back"] == [
+        "evidence"
+    ]
+
+
 @runs_on_paused_clock
 async def test_a_bad_version_is_rolled_back_while_the_store_is_down():
     async with rollout_site() as rollout:
