Wait for the list or the configuration to be read, not for any calls of the store

Cause: tests of the store's faults waited for three or four calls of the store after a change, of whatever topic. At start a gateway reads and writes several; the list of targets was then not read before the test sent its requests (all eight to the draining target, as listed) or before the store fell silent. Refuted by the same trace: that the gateway knew, and that an answer was on its way while time jumped.

The tests fail with the treatment of draining entries or of older configurations switched off.

--- a/tests/gateway/test_store_faults.py
+++ b/tests/gateway/test_store_faults.py
@@ -72,28 +72,19 @@
             return (await site.ask("/added/1")).status == 200
 
         await eventually(is_served)
-        site.store.put(CONFIG_TOPIC, "config", config(4))
-        before = len(site.store.calls)
-
-        async def is_read() -> bool:
-            assert await is_served()
-            return len(site.store.calls) > before + 4
-
-        await eventually(is_read)
+        position = site.store.put(CONFIG_TOPIC, "config", config(4))
+        await _wait_config_read(site, position)
+        assert await is_served()
 
 
 @runs_on_paused_clock
 async def test_an_undecodable_configuration_is_ignored():
     async with running_site() as site:
         site.store.topic(CONFIG_TOPIC).append("config", b'{"version": 9, "rou')
-        site.store.put(CONFIG_TOPIC, "config", {"version": 10, "routes": [{}]})
-        before = len(site.store.calls)
-
-        async def is_read() -> bool:
-            assert (await site.ask("/safe/1")).status == 200
-            return len(site.store.calls) > before + 3
-
-        await eventually(is_read)
+        document = {"version": 10, "routes": [{}]}
+        position = site.store.put(CONFIG_TOPIC, "config", document)
+        await _wait_config_read(site, position)
+        assert (await site.ask("/safe/1")).status == 200
 
 
 @runs_on_paused_clock
@@ -109,18 +100,37 @@
         await eventually(is_served)
 
 
-async def _start_draining(site: Site, draining: StubTarget) -> None:
-    """Mark a target as draining, and wait until the store was called three times."""
-    document = entry(draining, state="draining")
-    site.store.put(TARGETS_TOPIC, draining.id, document)
-    calls_before = len(site.store.calls)
+async def _wait_list_read(site: Site) -> None:
+    """
+    Wait until the gateway has received the list of targets as it is now.
+
+    It has once it asks for the second time.
+    """
+    reads_before = site.store.newest_read_counts[TARGETS_TOPIC]
 
     async def is_read() -> bool:
-        return len(site.store.calls) > calls_before + 2
+        return site.store.newest_read_counts[TARGETS_TOPIC] > reads_before + 1
 
     await eventually(is_read)
 
 
+async def _wait_config_read(site: Site, position: int) -> None:
+    """Wait until the gateway has received the configuration record at `position`."""
+
+    async def is_read() -> bool:
+        assert (await site.ask("/safe/1")).status == 200
+        return site.store.read_offsets.get(CONFIG_TOPIC, 0) > position
+
+    await eventually(is_read)
+
+
+async def _start_draining(site: Site, draining: StubTarget) -> None:
+    """Mark a target as draining, and wait until the gateway knows."""
+    document = entry(draining, state="draining")
+    site.store.put(TARGETS_TOPIC, draining.id, document)
+    await _wait_list_read(site)
+
+
 @runs_on_paused_clock
 async def test_a_draining_target_gets_nothing_new():
     async with running_site() as site:
@@ -207,10 +217,5 @@
         for runner in site.runners:
             site.store.drop(TARGETS_TOPIC, runner.id)
         site.store.fault = StoreFault.NONE
-        calls_before = len(site.store.calls)
-
-        async def is_read() -> bool:
-            return len(site.store.calls) > calls_before + 3
-
-        await eventually(is_read)
+        await _wait_list_read(site)
         assert (await site.ask("/safe/1")).status == 200
