Let a waiting request that excludes targets block no others

Cause: a retry that had been sent to every usable target waited for another one at the head of the queue. The queue was not empty, so new requests joined it; dispatching stopped at its head, and those behind were refused as hopeless. Ruled out: ejected or full targets (two usable, 0 to 2 requests in 8 slots), load of the machine (the same on a quiet one) and jumps of the paused clock (no try was under way).

Change: a waiting request tells whether it excludes targets; such requests don't make the queue count as occupied, and dispatching passes over them.

The new test of the queue covers it alone.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -291,7 +291,12 @@
             return record
     if is_evacuated(state, match.service):
         return None
-    waiter = Waiter(_queued_request(state, context), _wait_until_s(context), choose)
+    waiter = Waiter(
+        _queued_request(state, context),
+        _wait_until_s(context),
+        choose,
+        excludes_targets=bool(context.attempted) or context.is_on_trial,
+    )
     return await state.wait_queue.wait(match.service, waiter)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/wait_queue.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/wait_queue.py
@@ -38,6 +38,9 @@
         When a slot would come too late to be worth the wait.
     choose : callable
         Returns a target with a free slot for the request, or None.
+    excludes_targets : bool
+        Whether the request may not be sent to some targets, such as those that it was
+        sent to before, so that a free slot may be of no use to it.
     is_decided : trio.Event
         Set once the request has a slot or is not expected to get one.
     """
@@ -45,6 +48,7 @@
     queued: QueuedRequest
     expires_s: float
     choose: Choose
+    excludes_targets: bool = False
     is_decided: trio.Event = msgspec.field(default_factory=trio.Event)
     target: TargetRecord | None = None
 
@@ -71,8 +75,14 @@
     _waiters: dict[ServiceName, list[Waiter]] = msgspec.field(default_factory=dict)
 
     def is_empty(self, service: ServiceName) -> bool:
-        """Return whether no request waits for a target of `service`."""
-        return not self._waiters.get(service)
+        """
+        Return whether no request waits for any target of `service`.
+
+        Requests that exclude targets don't count: they may wait although slots of other
+        targets are free.
+        """
+        waiters = self._waiters.get(service, [])
+        return all(waiter.excludes_targets for waiter in waiters)
 
     @property
     def size(self) -> int:
@@ -113,16 +123,32 @@
         """Dispatch as many waiting requests of `service` as there are free slots."""
         waiters = self._waiters.get(service)
         while waiters:
-            first = min(waiters, key=self._rank)
-            target = first.choose()
-            if target is None:
+            if not self._dispatch_one(waiters):
                 if self.backoff_until_s(service) is not None:
                     self._refuse_hopeless(service)
                 return
-            waiters.remove(first)
-            self.acquire(target, first.queued.customer)
-            first.target = target
-            first.is_decided.set()
+
+    def _dispatch_one(self, waiters: list[Waiter]) -> bool:
+        """
+        Dispatch the first of `waiters` for which there is a slot, if any.
+
+        If there is none for a request that excludes no target, there is none for those
+        behind it either.
+        """
+        candidates = list(waiters)
+        while candidates:
+            first = min(candidates, key=self._rank)
+            target = first.choose()
+            if target is not None:
+                waiters.remove(first)
+                self.acquire(target, first.queued.customer)
+                first.target = target
+                first.is_decided.set()
+                return True
+            if not first.excludes_targets:
+                return False
+            candidates.remove(first)
+        return False
 
     def _refuse_hopeless(self, service: ServiceName) -> None:
         """
--- a/tests/gateway/test_wait_queue.py
+++ b/tests/gateway/test_wait_queue.py
@@ -21,6 +21,7 @@
         self.queue = WaitQueue(FleetLoad(), lambda service, now_s: freed_per_s)
         self.target = TargetRecord(listed_target(1))
         self.free_slots = 0
+        self.excluding: set[str] = set()
         self.ended: list[tuple[str, float, bool]] = []
 
     def _choose(self) -> TargetRecord | None:
@@ -34,7 +35,9 @@
         """Wait for a slot, and record when and how the wait ended."""
         now_s = trio.current_time()
         claim = QueuedRequest(name, CustomerId(name), priority, 0, now_s + 2.0)
-        waiter = Waiter(claim, now_s + MAX_WAIT_S, self._choose)
+        is_excluding = name in self.excluding
+        choose = (lambda: None) if is_excluding else self._choose
+        waiter = Waiter(claim, now_s + MAX_WAIT_S, choose, is_excluding)
         chosen = await self.queue.wait(SERVICE, waiter)
         waited_s = trio.current_time() - now_s
         self.ended.append((name, round(waited_s, 3), chosen is not None))
@@ -95,3 +98,21 @@
         nursery.start_soon(queue.ask, "second")
     assert queue.names(MAX_WAIT_S, got_slot=False) == ["first"]
     assert queue.names(0.0, got_slot=False) == ["second"]
+
+
+@runs_on_paused_clock
+async def test_a_request_that_excludes_the_free_target_blocks_no_others():
+    # A retry that had been sent to every usable target waited first in the queue, and
+    # all others waited behind it although slots were free.
+    queue = _Queue(freed_per_s=100.0)
+    queue.excluding = {"retry"}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(queue.ask, "retry", URGENT)
+        await trio.sleep(0.01)
+        assert queue.queue.is_empty(SERVICE)
+        nursery.start_soon(queue.ask, "other")
+        await trio.sleep(0.01)
+        assert not queue.queue.is_empty(SERVICE)
+        queue.free_slot()
+    assert queue.names(0.01, got_slot=True) == ["other"]
+    assert queue.names(MAX_WAIT_S, got_slot=False) == ["retry"]
