Soak: crash two targets that run the same requests, so that quarantine is tried

Cause: `test_the_soak_notices_that_nothing_is_tried` switches trials and clearing off and expects ordinary requests to be refused. The switched-off mechanism had nothing to do; the product was right.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults of the soak, which are injected in several concurrent sequences."""
 
+import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable, Sequence
@@ -7,7 +8,7 @@
 import trio
 
 from soak.relays import Relay, RelayMode
-from soak.site import SoakSite
+from soak.site import PLAIN, SoakSite
 from soak.targets import CRASHING_BODY, GATEWAY_HEADER, SoakTarget
 from tests.fixtures.gateways import ask_raw, request_bytes
 from tests.fixtures.platform_store import StoreFault
@@ -24,6 +25,9 @@
 # Few bodies, so that concurrent fault sequences also send the same one.
 CRASHING_BODY_COUNT = 2
 CRASHING_REQUEST_TIMEOUT_S = 2.5
+# Until replacements are ready, so that one target or more is left at all times.
+CRASH_PAUSE_S = 5.0
+IN_FLIGHT_POLL_S = 0.002
 RETRY_AFTER_RANGE_S = (1.0, 4.0)
 WHOLE_SERVICE_BACKOFF_SHARE = 0.2
 # Not shorter than the 2 s within which a gateway must stop sending requests.
@@ -163,6 +167,19 @@
         await trio.sleep(rng.uniform(*PAUSE_RANGE_S))
 
 
+async def crash_targets(site: SoakSite, rng: random.Random) -> None:
+    """Crash two targets at once that run requests with the same path."""
+    while True:
+        plain = [target for target in site.targets if target.service == PLAIN]
+        for first, second in itertools.combinations(plain, 2):
+            if any((first.in_flight & second.in_flight).values()):
+                site.crash_target(first)
+                site.crash_target(second)
+                await trio.sleep(CRASH_PAUSE_S)
+                return
+        await trio.sleep(IN_FLIGHT_POLL_S)
+
+
 async def change_config(site: SoakSite, rng: random.Random) -> None:
     """Write one new configuration, or five in quick succession."""
     for _ in range(rng.choice((1, 1, 5))):
@@ -209,4 +226,5 @@
     send_crashing_request,
     ask_for_rest,
     leave_by_answers,
+    crash_targets,
 )
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -104,9 +104,16 @@
             )
 
     def send_signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process, if it is running, and record when."""
+        """
+        Send a signal to the process, if it is running, and record when.
+
+        SIGHUP is not sent before the interpreter runs the gateway's first line: until
+        then no program can keep its default action from ending the process.
+        """
         if self._popen is None or self._popen.poll() is not None:
             return
+        if signal_number is signal.SIGHUP and not self._handles_sighup():
+            return
         if signal_number is signal.SIGTERM:
             self.is_stopping = True
             self.stopping_s.append(trio.current_time())
@@ -116,6 +123,13 @@
             self._is_exit_expected = True
         self._popen.send_signal(signal_number)
 
+    def _handles_sighup(self) -> bool:
+        """Return whether the process ignores or handles SIGHUP already."""
+        status = Path(f"/proc/{self._popen.pid}/status").read_text(encoding="ascii")
+        masks = dict(line.split(":", 1) for line in status.splitlines())
+        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(handled >> (signal.SIGHUP - 1) & 1)
+
     def record_disturbance(self) -> None:
         """Record that something disturbs the process now."""
         self.disturbances_s.append(trio.current_time())
--- a/soak/site.py
+++ b/soak/site.py
@@ -99,10 +99,18 @@
         target.stop_at_once()
         self.store.drop(TARGETS_TOPIC, target.stub.id)
 
-    def crash_target(self, target: SoakTarget, body: bytes) -> None:
-        """Crash a target because of a request; a replacement starts after a delay."""
+    def crash_target(self, target: SoakTarget, body: bytes | None = None) -> None:
+        """
+        Crash a target; a replacement starts after a delay.
+
+        Parameters
+        ----------
+        body : bytes or None
+            The body of the request that crashed the target, or None if none did.
+        """
         if target in self.targets:
-            self.crashes_s.setdefault(body, []).append(trio.current_time())
+            if body is not None:
+                self.crashes_s.setdefault(body, []).append(trio.current_time())
             self.targets.remove(target)
             self.removed_targets.append(target)
             target.crash()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -1,6 +1,7 @@
 """Targets of the soak: stub servers behind relays, which take time for each request."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -98,6 +99,8 @@
         When each request arrived.
     bad_answers_s : list of float
         When the version's defect spoiled an answer.
+    in_flight : Counter of str
+        The requests that the target runs now, by path.
     """
 
     stub: StubTarget
@@ -117,6 +120,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     request_starts_s: list[float] = field(default_factory=list)
     bad_answers_s: list[float] = field(default_factory=list)
+    in_flight: Counter[str] = field(default_factory=Counter)
 
     def record_disturbance(self) -> None:
         """Record that a fault begins or ends now."""
@@ -165,6 +169,7 @@
         runs_before = stub.runs[request_id(request)]
         arrived_s = trio.current_time()
         self.request_starts_s.append(arrived_s)
+        self.in_flight[request.target] += 1
         shows_defect = self._shows_defect(request)
         is_slow = shows_defect and self.version_defect.kind is DefectKind.SLOW
         is_failing = (
@@ -189,6 +194,7 @@
                 self.bad_answers_s.append(trio.current_time())
             return await (stub_targets.fail if is_failing else behave)(stub, request)
         finally:
+            self.in_flight[request.target] -= 1
             has_run = stub.runs[request_id(request)] > runs_before
             gateway = request.headers.get(GATEWAY_HEADER, "")
             self.arrivals.append(
