Name the queue's question after what it decides

Cause: `WaitQueue.is_empty` had come to be true while requests that exclude targets wait, which its name denied. Nothing else; the queue's tests pass.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -284,7 +284,7 @@
     def choose() -> TargetRecord | None:
         return choose_target(state, context)
 
-    if state.wait_queue.is_empty(match.service):
+    if not state.wait_queue.must_wait(match.service):
         record = choose()
         if record is not None:
             state.wait_queue.acquire(record, match.customer)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/wait_queue.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/wait_queue.py
@@ -74,15 +74,15 @@
     )
     _waiters: dict[ServiceName, list[Waiter]] = msgspec.field(default_factory=dict)
 
-    def is_empty(self, service: ServiceName) -> bool:
+    def must_wait(self, service: ServiceName) -> bool:
         """
-        Return whether no request waits for any target of `service`.
+        Return whether a new request has to wait behind others.
 
-        Requests that exclude targets don't count: they may wait although slots of other
-        targets are free.
+        It need not behind requests that exclude targets: they may wait although slots
+        of other targets are free.
         """
         waiters = self._waiters.get(service, [])
-        return all(waiter.excludes_targets for waiter in waiters)
+        return not all(waiter.excludes_targets for waiter in waiters)
 
     @property
     def size(self) -> int:
--- a/tests/gateway/test_wait_queue.py
+++ b/tests/gateway/test_wait_queue.py
@@ -109,10 +109,10 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(queue.ask, "retry", URGENT)
         await trio.sleep(0.01)
-        assert queue.queue.is_empty(SERVICE)
+        assert not queue.queue.must_wait(SERVICE)
         nursery.start_soon(queue.ask, "other")
         await trio.sleep(0.01)
-        assert not queue.queue.is_empty(SERVICE)
+        assert queue.queue.must_wait(SERVICE)
         queue.free_slot()
     assert queue.names(0.01, got_slot=True) == ["other"]
     assert queue.names(MAX_WAIT_S, got_slot=False) == ["retry"]
