--- a/soak/processes.py
+++ b/soak/processes.py
@@ -17,6 +17,7 @@
 NOTICE_S = 1.0
 RETRY_RATIO = 0.05
 RETRY_EXTRA = 5
+SHOWN_LOG_LINES = 12
 EXIT_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 
 
@@ -65,6 +66,13 @@
         """Return the path of the log file."""
         return self.directory / f"{self.name}.log"
 
+    def describe(self) -> str:
+        """Return the number of starts, unexpected exit codes and the end of the log."""
+        text = self.log_path.read_text(encoding="utf-8", errors="replace")
+        last_lines = "\n".join(text.splitlines()[-SHOWN_LOG_LINES:])
+        exits = self.unexpected_exits
+        return f"{self.name}: start {self.incarnation}, exits {exits}\n{last_lines}"
+
     def write_settings(self, seeds: str) -> None:
         """Write the settings file, with `seeds` as the addresses of the first peers."""
         parser = configparser.ConfigParser(interpolation=None)
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -17,12 +17,14 @@
     send_requests,
 )
 from soak.faults import FAULT_SEQUENCE_COUNT, Fault, draw_faults, inject_faults
+from soak.processes import GatewayProcess
 from soak.promise_checks import PROMISES
 from soak.site import START_TIMEOUT_S, SoakSite, running_soak
 from tests.fixtures.gateways import ask_raw
 
 SETTLE_S = 1.0
 MAX_SHOWN_CASES = 4
+READY_POLL_S = 0.05
 READY_REQUEST = b"GET /scaleloom/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -110,12 +112,26 @@
 
 
 async def wait_until_ready(site: SoakSite) -> None:
-    """Wait until every gateway reports that it is ready."""
-    with trio.fail_after(START_TIMEOUT_S):
+    """
+    Wait until every gateway reports that it is ready.
+
+    Raises
+    ------
+    TimeoutError
+        With the end of each gateway's log, after `START_TIMEOUT_S`.
+    """
+    with trio.move_on_after(START_TIMEOUT_S):
         for gateway in site.gateways:
-            while True:
-                port, host = gateway.ready_port, gateway.host
-                answer = await ask_raw(port, READY_REQUEST, host=host)
-                if answer.status == 200:
-                    break
-                await trio.sleep(0.05)
+            await _wait_until_answers(gateway)
+        return
+    raise TimeoutError("\n".join(gateway.describe() for gateway in site.gateways))
+
+
+async def _wait_until_answers(gateway: GatewayProcess) -> None:
+    """Wait until the readiness check of one gateway succeeds."""
+    while True:
+        port, host = gateway.ready_port, gateway.host
+        answer = await ask_raw(port, READY_REQUEST, host=host)
+        if answer.status == 200:
+            return
+        await trio.sleep(READY_POLL_S)
