Tell how each target's answer was delimited and how it ended

A broken-off answer that was taken for whole left no line, and nothing told what delimits an answer. The metrics page now counts answers by delimiter and by end (whole, broken, unknown), and one that is not known to be whole is logged with its request, target, status and the bytes that came.

No decision is changed. A table of six answers tests the count and the line.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -13,7 +13,7 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.target_signals import AnswerSignals
 from scaleloom_fleet.gateway.answer_signals import record_signals
-from scaleloom_fleet.gateway.attempt_results import AttemptResult
+from scaleloom_fleet.gateway.attempt_results import AttemptResult, answer_end
 from scaleloom_fleet.gateway.forwarding import (
     WHOLE_ANSWER_LIMIT_BYTES,
     forward_stream,
@@ -23,6 +23,7 @@
 from scaleloom_fleet.gateway.metric_definitions import PROMPT_PARTS_COPIED
 from scaleloom_fleet.gateway.quarantine import cancel_trial, may_send
 from scaleloom_fleet.gateway.request_context import RequestContext
+from scaleloom_fleet.gateway.request_metrics import record_answer_end
 from scaleloom_fleet.gateway.rollout_observations import (
     begin_observation,
     record_end,
@@ -97,6 +98,9 @@
             state.link_pools.release(target.id, link)
         else:
             state.abandoned_links.abandon(target.id, link)
+    end = answer_end(link.head, result)
+    if end is not None:
+        record_answer_end(state, context, target.id, link, end)
     _record_outcome(state, record, result)
     if result is AttemptResult.BROKEN or result is AttemptResult.SILENT:
         context.probe = state.crashes.prober.probe_after_break(target, context.digest)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -43,6 +43,14 @@
     "Attempts at targets; abandoned if the caller disconnected or time ran out.",
     ("verdict",),
 )
+ANSWERS = MetricDefinition(
+    "scaleloom_answers_total",
+    _COUNTER,
+    "Answers of targets that began, by what delimited the body (length, chunks,"
+    " connection or no_body) and by how they ended: whole, broken, or unknown since"
+    " only the end of the connection marked the end.",
+    ("delimiter", "end"),
+)
 FIRST_BYTE_SECONDS = MetricDefinition(
     "scaleloom_request_first_byte_seconds",
     _HISTOGRAM,
@@ -237,6 +245,7 @@
     REQUESTS,
     REQUESTS_UNSERVED,
     ATTEMPTS,
+    ANSWERS,
     FIRST_BYTE_SECONDS,
     REQUEST_SECONDS,
     PROMPT_PARTS_COPIED,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
@@ -5,9 +5,12 @@
 import trio
 
 from scaleloom_core.errors import FleetError, Outcome
+from scaleloom_core.ids import TargetId
 from scaleloom_fleet.gateway import metric_definitions
+from scaleloom_fleet.gateway.attempt_results import AnswerEnd
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.http1.links import Link
 
 _logger = logging.getLogger("scaleloom.gateway")
 
@@ -60,3 +63,28 @@
     state.metrics_registry.add(metric_definitions.RETRIES_REFUSED, service)
     fields = {"request": context.match.request_id, "service": service}
     _logger.info("retry refused by the retry budget", extra=fields)
+
+
+def record_answer_end(
+    state: GatewayState,
+    context: RequestContext,
+    target: TargetId,
+    link: Link,
+    end: AnswerEnd,
+) -> None:
+    """Count how the answer on `link` ended, and log one that may not be whole."""
+    head = link.head
+    state.metrics_registry.add(
+        metric_definitions.ANSWERS, head.delimiter.value, end.value
+    )
+    if end is AnswerEnd.WHOLE:
+        return
+    fields = {
+        "request": context.match.request_id,
+        "target": target,
+        "status": head.status,
+        "delimiter": head.delimiter.value,
+        "end": end.value,
+        "bytes": link.body_bytes,
+    }
+    _logger.info("answer not known to be whole", extra=fields)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -1,6 +1,7 @@
 """Client side of HTTP/1.1: connections to servers, one request at a time."""
 
 import socket
+from enum import Enum
 
 import h11
 import msgspec
@@ -13,12 +14,22 @@
 HeaderList = list[tuple[bytes, bytes]]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class AnswerProtocolError(Exception):
     """Raised when an answer is truncated or violates HTTP/1.1."""
 
 
+class BodyDelimiter(Enum):
+    """What tells where the body of an answer ends (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    NO_BODY = "no_body"
+
+
 class AnswerHead(msgspec.Struct, frozen=True):
     """
     The status and headers of an answer.
@@ -27,11 +38,14 @@
     ----------
     headers : list of tuple of bytes
         In the order and the spelling in which they were sent.
+    delimiter : BodyDelimiter
+        What tells where the body ends.
     """
 
     status: int
     reason: bytes
     headers: HeaderList
+    delimiter: BodyDelimiter
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of the header `name`, given in lower case, or None."""
@@ -41,6 +55,25 @@
         return None
 
 
+def _answer_head(event: h11.Response, method: bytes) -> AnswerHead:
+    """Return the head of an answer to a request with `method`."""
+    headers = event.headers.raw_items()
+    delimiter = body_delimiter(event, method)
+    return AnswerHead(event.status_code, event.reason, headers, delimiter)
+
+
+def body_delimiter(event: h11.Response, method: bytes) -> BodyDelimiter:
+    """Return what tells where the body ends that follows the head `event`."""
+    if method == b"HEAD" or event.status_code in STATUSES_WITHOUT_BODY:
+        return BodyDelimiter.NO_BODY
+    names = {name for name, _ in event.headers}
+    if b"transfer-encoding" in names:
+        return BodyDelimiter.CHUNKS
+    if b"content-length" in names:
+        return BodyDelimiter.LENGTH
+    return BodyDelimiter.CONNECTION
+
+
 class OutgoingRequest(msgspec.Struct, frozen=True):
     """A request to a server, with its whole body."""
 
@@ -58,6 +91,10 @@
     ----------
     connection : socket
         Connected and non-blocking.
+    head : AnswerHead or None
+        Of the answer to the request under way, once it has been read.
+    body_bytes : int
+        How much of the body of that answer has been read.
     """
 
     def __init__(self, connection: socket.socket) -> None:
@@ -67,6 +104,9 @@
         )
         self._unsent = b""
         self._is_closed = False
+        self._method = b""
+        self.head: AnswerHead | None = None
+        self.body_bytes = 0
         self.started_s = 0.0
         self.idle_since_s = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -81,6 +121,8 @@
             If the connection was reset; the server may have received some bytes.
         """
         self.started_s = trio.current_time()
+        self._method = request.method
+        self.head = None
         data = self._serialise(request)
         sent = sockets.send_nowait(self._connection, data)
         self._unsent = data[sent:]
@@ -141,9 +183,9 @@
                     "connection ended before the head of the answer"
                 )
             self._record_keep_alive(event)
-            return AnswerHead(
-                event.status_code, event.reason, event.headers.raw_items()
-            )
+            self.head = _answer_head(event, self._method)
+            self.body_bytes = 0
+            return self.head
 
     def read_head_nowait(self) -> AnswerHead | None:
         """Return the head of an answer if it has already arrived, else None."""
@@ -158,7 +200,7 @@
                     return None
         except (h11.RemoteProtocolError, AnswerProtocolError):
             return None
-        return AnswerHead(event.status_code, event.reason, event.headers.raw_items())
+        return _answer_head(event, self._method)
 
     async def read_data(self) -> bytes | None:
         """
@@ -171,6 +213,7 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
--- a/tests/gateway/test_metrics_page.py
+++ b/tests/gateway/test_metrics_page.py
@@ -23,6 +23,7 @@
     MetricType,
 )
 from scaleloom_standins.ports import free_port
+from tests.fixtures import stub_targets
 from tests.fixtures.expositions import ParsedPage, parse_page
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
@@ -34,7 +35,10 @@
     request_bytes,
     running_site,
 )
+from tests.fixtures.logs import FieldsHandler
 from tests.fixtures.stub_server import raw_answer
+from tests.fixtures.stub_targets import body_of
+from tests.fixtures.unframed import answer_unframed, short_body
 
 PAGE_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
 REFERENCE = Path(__file__).parents[2] / "docs" / "reference" / "metrics.md"
@@ -98,6 +102,29 @@
     assert page.value("scaleloom_attempts_total", verdict="answered") == 4
 
 
+@params(
+    (stub_targets.answer_normally, "/safe/1", "length", "whole"),
+    (stub_targets.answer_normally, "/stream/1", "chunks", "whole"),
+    (stub_targets.cut_body, "/once/1", "length", "broken"),
+    (stub_targets.cut_body, "/stream-once/1", "chunks", "broken"),
+    (answer_unframed(body_of), "/once/1", "connection", "unknown"),
+    (answer_unframed(short_body, is_reset=True), "/once/1", "connection", "broken"),
+)
+@runs_on_paused_clock
+async def test_answers_are_counted_by_delimiter_and_end(behave, path, delimiter, end):
+    message = "answer not known to be whole"
+    with FieldsHandler.capture("scaleloom.gateway", message) as lines:
+        async with _site_with_page() as (site, port):
+            for target in site.runners:
+                target.behaviour = behave
+            await site.ask(path)
+            page = await _fetch(port)
+    name = "scaleloom_answers_total"
+    assert page.value(name, delimiter=delimiter, end=end) == page.total(name) == 1
+    logged = [(line["delimiter"], line["end"]) for line in lines]
+    assert logged == ([] if end == "whole" else [(delimiter, end)])
+
+
 @runs_on_paused_clock
 async def test_an_unhandled_exception_is_counted_as_internal():
     async def fail(*_) -> None:
