--- /dev/null
+++ b/tests/gateway/test_unframed_answers.py
@@ -0,0 +1,179 @@
+"""
+Tests of answers that have neither a length nor chunks and end with their connection.
+
+Guards against broken-off answers that reach callers framed as complete: a target that
+breaks off such an answer ends its connection as normally as behind a whole one.
+"""
+
+import trio
+from nose2.tools import params
+
+from scaleloom_fleet.http1.links import BodyDelimiter
+from tests.fixtures import stub_targets, unframed
+from tests.fixtures.fleets import runs_on_paused_clock
+from tests.fixtures.gateways import Answer, Site, ask_on, request_bytes, running_site
+from tests.fixtures.stub_targets import EVENT_COUNT, event
+from tests.fixtures.unframed import answer_unframed
+
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
+HALF_AN_EVENT = event(2)[:-5]
+
+
+async def _ask_all(site: Site, behaviour, path: str, **kwargs) -> Answer:
+    """Return the answer to a request at targets that all have `behaviour`."""
+    for target in site.runners:
+        target.behaviour = behaviour
+    return await site.ask(path, **kwargs)
+
+
+# Path and body of an answer that may be whole or broken off.
+UNKNOWN_ENDS = [
+    ("/safe/1", unframed.short_body),
+    ("/safe/1", unframed.empty_body),
+    ("/safe/1", unframed.long_body),
+    ("/once/1", unframed.short_body),
+    ("/once/1", unframed.empty_body),
+    ("/once/1", unframed.long_body),
+    ("/stream/1", unframed.two_events),
+    ("/stream-once/1", unframed.two_events),
+]
+
+
+@params(*UNKNOWN_ENDS)
+@runs_on_paused_clock
+async def test_an_answer_of_unknown_end_is_not_framed_as_complete(path, make_body):
+    async with running_site() as site:
+        answer = await _ask_all(site, answer_unframed(make_body), path)
+        (request,) = [r for target in site.runners for r in target.received]
+    assert answer.status == 200
+    assert answer.delimiter is BodyDelimiter.CONNECTION
+    assert answer.headers["connection"] == "close"
+    assert answer.body == make_body(request)
+    assert answer.headers["response-seal"].startswith("seal-i-")
+
+
+@params(
+    ("/safe/1", unframed.body_of, b"body of r-1"),
+    ("/once/1", unframed.body_of, b"body of r-1"),
+    ("/stream/1", unframed.all_events, WHOLE_STREAM),
+    ("/stream-once/1", unframed.all_events, WHOLE_STREAM),
+)
+@runs_on_paused_clock
+async def test_a_whole_answer_without_a_length_is_served_once(path, make_body, body):
+    async with running_site() as site:
+        answer = await _ask_all(site, answer_unframed(make_body), path)
+        assert site.run_count() == 1
+    assert (answer.status, answer.body, answer.is_complete) == (200, body, True)
+
+
+@params("/stream/1", "/stream-once/1")
+@runs_on_paused_clock
+async def test_a_stream_cut_inside_an_event_is_visibly_broken(path):
+    async with running_site() as site:
+        behaviour = answer_unframed(unframed.half_an_event)
+        answer = await _ask_all(site, behaviour, path)
+    assert (answer.status, answer.is_complete) == (200, False)
+
+
+@params("/stream/1", "/stream-once/1")
+@runs_on_paused_clock
+async def test_a_framed_stream_cut_inside_an_event_is_visibly_broken(path):
+    async def end_chunks_early(target, request) -> bool:
+        target.runs[stub_targets.request_id(request)] += 1
+        head = stub_targets.stream_head(target, request)
+        cut = stub_targets.chunk(unframed.half_an_event(request))
+        await request.stream.send_all(head + cut + b"0\r\n\r\n")
+        return True
+
+    async with running_site() as site:
+        answer = await _ask_all(site, end_chunks_early, path)
+    assert (answer.status, answer.is_complete) == (200, False)
+
+
+@params("/stream/1", "/stream-once/1")
+@runs_on_paused_clock
+async def test_a_stream_cut_before_its_first_event_is_an_error(path):
+    async with running_site() as site:
+        behaviour = answer_unframed(unframed.empty_body)
+        answer = await _ask_all(site, behaviour, path)
+    assert (answer.status, answer.is_complete) == (502, True)
+    assert "response-seal" not in answer.headers
+
+
+@params("/safe/1", "/once/1", "/stream/1", "/stream-once/1")
+@runs_on_paused_clock
+async def test_a_reset_after_a_part_is_not_framed_as_complete(path):
+    async with running_site() as site:
+        make_body = (
+            unframed.two_events if path.startswith("/stream") else unframed.short_body
+        )
+        behaviour = answer_unframed(make_body, is_reset=True)
+        answer = await _ask_all(site, behaviour, path)
+    assert answer.status == 502 or not answer.is_complete
+
+
+@params(404, 500)
+@runs_on_paused_clock
+async def test_a_failure_of_unknown_end_is_not_framed_as_complete(status):
+    async with running_site() as site:
+        behaviour = answer_unframed(unframed.short_body, status)
+        answer = await _ask_all(site, behaviour, "/once/1")
+    assert answer.status == status
+    assert answer.delimiter is BodyDelimiter.CONNECTION
+
+
+@runs_on_paused_clock
+async def test_a_stream_that_goes_on_without_a_length_is_not_ended_as_complete():
+    async with running_site() as site:
+        site.runners[0].behaviour = stub_targets.cut_body
+        site.runners[1].behaviour = answer_unframed(unframed.two_events)
+        answers = [await site.ask("/stream/1", f"r-{n}") for n in range(4)]
+    for answer in answers:
+        assert (
+            not answer.is_complete or answer.delimiter is BodyDelimiter.CONNECTION
+        ), answer
+
+
+@params("/safe/1", "/stream-once/1")
+@runs_on_paused_clock
+async def test_the_connection_of_a_caller_is_not_used_again(path):
+    async with running_site() as site:
+        make_body = (
+            unframed.all_events if path.startswith("/stream") else unframed.body_of
+        )
+        for target in site.runners:
+            target.behaviour = answer_unframed(make_body)
+        port = site.gateways[0].front_port
+        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+            answer = await ask_on(stream, request_bytes(path), "GET")
+            assert answer.is_complete
+            assert await stream.receive_some() == b""
+
+
+@params((unframed.two_events, True), (unframed.half_an_event, False))
+@runs_on_paused_clock
+async def test_a_caller_of_http_1_0_can_tell_a_broken_stream(make_body, is_clean):
+    async with running_site() as site:
+        for target in site.runners:
+            target.behaviour = answer_unframed(make_body)
+        data = request_bytes("/stream-once/1").replace(b"HTTP/1.1", b"HTTP/1.0")
+        answer = await site.gateways[0].ask(data)
+    assert (answer.status, answer.is_complete) == (200, is_clean)
+    assert answer.delimiter is BodyDelimiter.CONNECTION
+
+
+@runs_on_paused_clock
+async def test_a_stopping_router_says_once_that_it_closes():
+    async with running_site() as site:
+        gateway = site.gateways[0]
+        for target in site.runners:
+            target.behaviour = answer_unframed(unframed.body_of)
+        stream = await trio.open_tcp_stream(gateway.host, gateway.front_port)
+        async with stream:
+            data = request_bytes("/safe/1")
+            await stream.send_all(data[:-2])
+            gateway.stop.set()
+            await trio.sleep(0.05)
+            answer = await ask_on(stream, data[-2:], "GET")
+    assert answer.headers["connection"] == "close"
+    assert answer.delimiter is BodyDelimiter.CONNECTION
