Frame an answer as complete only where the target told its end

What callers saw: streams and bodies that a target broke off arrived with a fulfilled Content-Length or a last chunk.

Cause: an answer with neither length nor chunks ends with its connection. Behind a body that was broken off and the connection closed, the parser reports the same normal end as behind a whole one. The router had chosen a framing of its own by then (chunks for streams and long bodies, a length for buffered ones), and ended it as if it knew. The same held for a stream that ended inside an event on a route without resumption: only resumable streams were split into events.

Breaks that the connection shows were told before.

Change: an answer whose end is unknown is passed on as it came, delimited by the end of the caller's connection, so that nothing claims that it is whole; a whole one is served as soon as before. A stream that ends inside an event, has no event at all, or whose caller was already promised chunks, is broken off: it goes on at another target where the route allows it, and else the caller's connection is reset, or the request fails if nothing was sent yet.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -2,10 +2,41 @@
 
 import re
 
+# The last bytes of a stream that ends behind an event.
+_ENDS_OF_EVENTS = (b"\n\n", b"\n\r\n")
+_LONGEST_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+class EventBoundary:
+    """Passes a stream on as it arrives, and tells whether it ends inside an event."""
+
+    def __init__(self) -> None:
+        self._last_bytes = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return `data` unchanged."""
+        last_bytes = self._last_bytes + data[-_LONGEST_END_BYTES:]
+        self._last_bytes = last_bytes[-_LONGEST_END_BYTES:]
+        return data
+
+    @property
+    def has_partial(self) -> bool:
+        """Return whether an event is incomplete."""
+        return bool(self._last_bytes) and not self._last_bytes.endswith(_ENDS_OF_EVENTS)
+
+
+class UnsplitBody:
+    """Passes a body on that is no stream of events."""
+
+    has_partial = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return `data` unchanged."""
+        return data
+
+
 class EventSplitter:
     """Holds back incomplete events of a stream, and remembers the last event id."""
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -6,6 +6,7 @@
 
 from scaleloom_fleet.gateway.attempt_results import AttemptResult
 from scaleloom_fleet.gateway.error_responses import closing_headers
+from scaleloom_fleet.gateway.event_splitter import EventBoundary, UnsplitBody
 from scaleloom_fleet.gateway.headers import answer_headers
 from scaleloom_fleet.gateway.metric_definitions import FIRST_BYTE_SECONDS
 from scaleloom_fleet.gateway.request_context import RequestContext
@@ -15,6 +16,7 @@
 
 WHOLE_ANSWER_LIMIT_BYTES = 1 << 20
 EVENT_TIMEOUT_S = 1.0
+EVENT_STREAM_TYPE = b"text/event-stream"
 
 
 async def forward_whole(
@@ -38,12 +40,15 @@
 async def forward_answer(
     state: GatewayState, context: RequestContext, head: AnswerHead, body: bytes
 ) -> None:
-    """Send a target's complete answer to the caller."""
+    """Send a target's answer, which has been read to its end, to the caller."""
     headers = answer_headers(head, keeps_length=False)
-    headers.append((b"Content-Length", str(len(body)).encode()))
+    if head.has_known_end:
+        headers.append((b"Content-Length", str(len(body)).encode()))
     headers += closing_headers(state.is_stopping)
     context.is_answer_started = True
-    await context.connection.send_answer(head.status, head.reason, headers, body)
+    await context.connection.send_answer(
+        head.status, head.reason, headers, body, head.has_known_end
+    )
 
 
 def _record_first_byte(state: GatewayState, context: RequestContext) -> None:
@@ -62,7 +67,9 @@
     headers = answer_headers(head, keeps_length)
     headers += closing_headers(state.is_stopping)
     context.is_answer_started = True
-    await context.connection.send_head(head.status, head.reason, headers)
+    await context.connection.send_head(
+        head.status, head.reason, headers, head.has_known_end
+    )
 
 
 async def _forward_long(
@@ -123,7 +130,8 @@
         Called once when the first data arrives.
     """
     is_first = True
-    splitter = context.splitter
+    is_events = _is_event_stream(head)
+    events = context.splitter or (EventBoundary() if is_events else UnsplitBody())
     can_retry = timeout_s < float("inf")
     while True:
         with trio.move_on_after(timeout_s) as scope:
@@ -136,14 +144,38 @@
         if is_first:
             record_first_data()
             is_first = False
-        ready = part if splitter is None else splitter.feed(part)
+        ready = events.feed(part)
         if not ready:
             continue
-        await _send_part(state, context, head, ready, keeps_length=splitter is None)
+        await _send_part(state, context, head, ready, keeps_length=not is_events)
         timeout_s = EVENT_TIMEOUT_S if can_retry else float("inf")
-    if splitter is not None and splitter.has_partial:
+    if events.has_partial:
         raise AnswerProtocolError("stream ended in the middle of an event")
+    _check_unknown_end(context, head, link)
     if not context.is_answer_started:
         await _begin_answer(state, context, head, keeps_length=False)
     await context.connection.send_end()
     return AttemptResult.ANSWERED
+
+
+def _is_event_stream(head: AnswerHead) -> bool:
+    """Return whether a stream has events, as it has unless its type says otherwise."""
+    content_type = head.find(b"content-type")
+    return content_type is None or content_type.lower().startswith(EVENT_STREAM_TYPE)
+
+
+def _check_unknown_end(context: RequestContext, head: AnswerHead, link: Link) -> None:
+    """
+    Check that the end of a stream may be passed on if it is unknown.
+
+    Raises
+    ------
+    AnswerProtocolError
+        If the stream has no event, or if the caller was promised to be told its end.
+    """
+    if head.has_known_end:
+        return
+    if not link.body_bytes:
+        raise AnswerProtocolError("connection ended before the first event")
+    if context.is_answer_started and not context.connection.ends_with_connection:
+        raise AnswerProtocolError("connection ended, maybe before the last event")
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -15,6 +15,8 @@
 CHUNK_MARGIN_BYTES = 65536
 # An answer to HEAD has no body, whatever its Content-Length.
 HEAD_METHOD = b"HEAD"
+VERSION_WITHOUT_CHUNKS = b"1.0"
+CHUNKS_SINCE_VERSION = b"1.1"
 
 
 class CallerDisconnected(Exception):
@@ -236,8 +238,37 @@
             else:
                 raise RequestRejected(400)
 
-    async def send_head(self, status: int, reason: bytes, headers: HeaderList) -> None:
-        """Send the status line and headers of the answer."""
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection delimits the next body."""
+        return self._protocol.their_http_version < CHUNKS_SINCE_VERSION
+
+    def _delimit_by_connection(self) -> None:
+        """
+        Let only the end of the connection delimit the next body.
+
+        h11 does so for callers of HTTP/1.0, and sends chunks to all others.
+        """
+        self._protocol.their_http_version = VERSION_WITHOUT_CHUNKS
+
+    async def send_head(
+        self,
+        status: int,
+        reason: bytes,
+        headers: HeaderList,
+        has_known_end: bool = True,
+    ) -> None:
+        """
+        Send the status line and headers of the answer.
+
+        Parameters
+        ----------
+        has_known_end : bool
+            Whether the end of the body will be known. Otherwise only the end of the
+            connection delimits it, and nothing tells the caller that it is whole.
+        """
+        if not has_known_end:
+            self._delimit_by_connection()
         self.is_answer_started = True
         response = h11.Response(status_code=status, reason=reason, headers=headers)
         await self._send(self._protocol.send(response))
@@ -254,9 +285,23 @@
         self.is_answer_complete = True
 
     async def send_answer(
-        self, status: int, reason: bytes, headers: HeaderList, body: bytes
+        self,
+        status: int,
+        reason: bytes,
+        headers: HeaderList,
+        body: bytes,
+        has_known_end: bool = True,
     ) -> None:
-        """Send a complete answer in one write, without its body for a HEAD request."""
+        """
+        Send an answer in one write, without its body for a HEAD request.
+
+        Parameters
+        ----------
+        has_known_end : bool
+            Whether `body` is known to be whole; see `send_head`.
+        """
+        if not has_known_end:
+            self._delimit_by_connection()
         self.is_answer_started = True
         response = h11.Response(status_code=status, reason=reason, headers=headers)
         data = self._protocol.send(response)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -47,6 +47,16 @@
     headers: HeaderList
     delimiter: BodyDelimiter
 
+    @property
+    def has_known_end(self) -> bool:
+        """
+        Return whether the answer itself tells where its body ends.
+
+        Otherwise the end of the connection does, as it does behind a body that the
+        server broke off.
+        """
+        return self.delimiter is not BodyDelimiter.CONNECTION
+
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of the header `name`, given in lower case, or None."""
         for key, value in self.headers:
@@ -206,6 +216,8 @@
         """
         Return the next part of the body, or None at its end.
 
+        If the head has no known end, the body may be truncated all the same.
+
         Raises
         ------
         AnswerProtocolError
