Don't clear a request by an answer that may have been broken off

What callers saw: nothing yet; a request that crashes its targets behind a part of an answer without a length would never be quarantined.

Cause: an answer whose end is unknown counted as an answer, so that it cleared the request, and its target was not probed, so that its crash wasn't counted either.

Change: only a whole answer clears a request; a target whose answer has an unknown end is probed like one whose answer broke.

Evidence: with targets that send two events and crash, the new test failed before (more than 6 crashes in 12 tries) and passes now.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempt_results.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempt_results.py
@@ -22,6 +22,8 @@
 NOT_RUN_RESULTS = frozenset(
     {AttemptResult.NOT_RUN, AttemptResult.BACKING_OFF, AttemptResult.WRONG_TARGET}
 )
+# Results of an exchange that ended before the answer did.
+BROKEN_RESULTS = frozenset({AttemptResult.BROKEN, AttemptResult.SILENT})
 
 
 class AnswerEnd(Enum):
@@ -52,7 +54,7 @@
     """
     if head is None or result in NOT_RUN_RESULTS:
         return None
-    if result is AttemptResult.BROKEN or result is AttemptResult.SILENT:
+    if result in BROKEN_RESULTS:
         return AnswerEnd.BROKEN
     if head.delimiter is BodyDelimiter.CONNECTION:
         return AnswerEnd.UNKNOWN
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -13,7 +13,12 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.target_signals import AnswerSignals
 from scaleloom_fleet.gateway.answer_signals import record_signals
-from scaleloom_fleet.gateway.attempt_results import AttemptResult, answer_end
+from scaleloom_fleet.gateway.attempt_results import (
+    BROKEN_RESULTS,
+    AnswerEnd,
+    AttemptResult,
+    answer_end,
+)
 from scaleloom_fleet.gateway.forwarding import (
     WHOLE_ANSWER_LIMIT_BYTES,
     forward_stream,
@@ -66,6 +71,7 @@
         If the caller disconnected before anything was sent.
     """
     target = record.listed
+    context.answer_end = None
     link = await _open_link(state, context, record)
     if link is None:
         return AttemptResult.NEVER_SENT
@@ -85,9 +91,7 @@
     is_whole = False
     try:
         result = await _exchange(state, context, record, link, can_retry)
-        is_whole = (
-            result is not AttemptResult.SILENT and result is not AttemptResult.BROKEN
-        )
+        is_whole = result not in BROKEN_RESULTS
     except (AnswerProtocolError, ConnectionLost):
         result = AttemptResult.BROKEN
     except trio.Cancelled:
@@ -98,11 +102,11 @@
             state.link_pools.release(target.id, link)
         else:
             state.abandoned_links.abandon(target.id, link)
-    end = answer_end(link.head, result)
+    context.answer_end = end = answer_end(link.head, result)
     if end is not None:
         record_answer_end(state, context, target.id, link, end)
     _record_outcome(state, record, result)
-    if result is AttemptResult.BROKEN or result is AttemptResult.SILENT:
+    if result in BROKEN_RESULTS or end is AnswerEnd.UNKNOWN:
         context.probe = state.crashes.prober.probe_after_break(target, context.digest)
     record_end(context, result)
     return result
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
@@ -9,14 +9,15 @@
 )
 from scaleloom_core.errors import ErrorKind, FleetError
 from scaleloom_core.ids import TargetId
-from scaleloom_fleet.gateway.attempt_results import AttemptResult
+from scaleloom_fleet.gateway.attempt_results import (
+    BROKEN_RESULTS,
+    AnswerEnd,
+    AttemptResult,
+)
 from scaleloom_fleet.gateway.crash_tracker import TrialOutcome
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
 
-# A target that answered is still running, so the request did not crash it.
-ANSWERED_RESULTS = frozenset({AttemptResult.ANSWERED, AttemptResult.FAILED})
-BROKEN_RESULTS = frozenset({AttemptResult.BROKEN, AttemptResult.SILENT})
 # After the store failed to record a trial, the time before it is asked again and
 # before refused callers are asked to retry.
 STORE_RETRY_S = 1.0
@@ -111,5 +112,6 @@
         if tracker.table.find_history(context.digest) is not None:
             # One more crash may quarantine the request, so wait for the probe.
             await context.probe.is_done.wait()
-    elif result in ANSWERED_RESULTS:
+    elif context.answer_end is AnswerEnd.WHOLE:
+        # The target was still running at the end, so the request did not crash it.
         tracker.record_answer(context.digest)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -8,6 +8,7 @@
 from scaleloom_core.request_digests import request_digest
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
+from scaleloom_fleet.gateway.attempt_results import AnswerEnd
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
 from scaleloom_fleet.gateway.matching import Match
 from scaleloom_fleet.gateway.target_probes import TargetProbe
@@ -33,8 +34,10 @@
         Of the exchange under way, if the service is rolled out.
     failure : tuple of AnswerHead and bytes, or None
         A target's own failure, forwarded if no other target succeeds.
+    answer_end : AnswerEnd or None
+        What is known of the end of the last answer that began.
     probe : TargetProbe or None
-        Of the target whose exchange broke last.
+        Of the target whose last answer is not known to be whole.
     is_on_trial : bool
         Whether the request is suspected of crashing targets and sent as a trial.
     trial_number : int or None
@@ -53,6 +56,7 @@
     rollout_state: RolloutState | None = None
     observation: AnswerObservation | None = None
     failure: tuple[AnswerHead, bytes] | None = None
+    answer_end: AnswerEnd | None = None
     probe: TargetProbe | None = None
     is_on_trial: bool = False
     trial_number: int | None = None
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -10,11 +10,20 @@
 
 from scaleloom_fleet.http1.links import BodyDelimiter
 from tests.fixtures import stub_targets, unframed
+from tests.fixtures.crashing import (
+    ALLOWED_RETRIES,
+    CRASHED_TARGETS,
+    CRASHING_BODY,
+    Caller,
+    arrivals_beyond_allowed,
+    crashing_site,
+)
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, Site, ask_on, request_bytes, running_site
 from tests.fixtures.stub_targets import EVENT_COUNT, event
 from tests.fixtures.unframed import answer_unframed
 
+REPEAT_INTERVAL_S = 0.4
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
 HALF_AN_EVENT = event(2)[:-5]
 
@@ -177,3 +186,16 @@
             answer = await ask_on(stream, data[-2:], "GET")
     assert answer.headers["connection"] == "close"
     assert answer.delimiter is BodyDelimiter.CONNECTION
+
+
+@runs_on_paused_clock
+async def test_an_answer_of_unknown_end_does_not_clear_a_request():
+    behaviour = answer_unframed(unframed.two_events)
+    async with crashing_site(6, 1, before_crash=behaviour) as (site, targets):
+        caller = Caller(site)
+        for _ in range(12):
+            await caller.ask(site.gateways[0], CRASHING_BODY)
+            await trio.sleep(REPEAT_INTERVAL_S)
+    crash_count = len(targets.crash_times_s(CRASHING_BODY))
+    assert CRASHED_TARGETS <= crash_count <= CRASHED_TARGETS + ALLOWED_RETRIES
+    assert not arrivals_beyond_allowed(targets, CRASHING_BODY, {})
