Don't take a body with a length and no type for a stream of events

Only a body that says that it is a stream of events, or that tells neither its type nor its length, is judged by where its last event ends.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -12,7 +12,12 @@
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.rollout_observations import record_body_part
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.http1.links import AnswerHead, AnswerProtocolError, Link
+from scaleloom_fleet.http1.links import (
+    AnswerHead,
+    AnswerProtocolError,
+    BodyDelimiter,
+    Link,
+)
 
 WHOLE_ANSWER_LIMIT_BYTES = 1 << 20
 EVENT_TIMEOUT_S = 1.0
@@ -159,9 +164,15 @@
 
 
 def _is_event_stream(head: AnswerHead) -> bool:
-    """Return whether a stream has events, as it has unless its type says otherwise."""
+    """
+    Return whether the answer on a stream route is a stream of events.
+
+    One that names no type is taken for a stream unless it tells its length.
+    """
     content_type = head.find(b"content-type")
-    return content_type is None or content_type.lower().startswith(EVENT_STREAM_TYPE)
+    if content_type is None:
+        return head.delimiter is not BodyDelimiter.LENGTH
+    return content_type.lower().startswith(EVENT_STREAM_TYPE)
 
 
 def _check_unknown_end(context: RequestContext, head: AnswerHead, link: Link) -> None:
