Don't count an answer that may have been broken off as a good answer of a version

Cause: an answer whose end is unknown was reported to the roll-out as good, for a stream already after its eighth part.

Change: such an answer is reported only if it is known to have failed. Its version gets neither a good nor a bad answer from it.

--- a/packages/scaleloom-core/scaleloom_core/answer_observations.py
+++ b/packages/scaleloom-core/scaleloom_core/answer_observations.py
@@ -82,6 +82,9 @@
     counts_failures : bool
         Whether failures count. Otherwise the exchange only serves to learn the
         baseline.
+    has_known_end : bool
+        Whether the answer tells where it ends. Otherwise it may have been broken off,
+        and is reported only if it is known to have failed.
     """
 
     observer: AnswerObserver
@@ -94,6 +97,7 @@
     is_warm: bool
     is_cold: bool = False
     counts_failures: bool = True
+    has_known_end: bool = True
     _start_delay_s: float | None = None
     _pace: float | None = None
     _parts: int = 0
@@ -149,7 +153,9 @@
             self._report(True, now_s)
 
     def _report(self, is_failed: bool, now_s: float) -> None:
-        """Report the answer to the observer."""
+        """Report the answer to the observer, unless it may not be whole."""
+        if not is_failed and not self.has_known_end:
+            return
         self._is_reported = True
         times = NO_TIMINGS
         if not is_failed and not self.is_cold:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -213,6 +213,8 @@
             if signals.retry_after_s > 0.0
             else AttemptResult.NOT_RUN
         )
+    if context.observation is not None:
+        context.observation.has_known_end = head.has_known_end
     if not 200 <= head.status < 300:
         body = await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
         context.failure = (head, body)
--- a/tests/gateway/test_rollout_sending.py
+++ b/tests/gateway/test_rollout_sending.py
@@ -10,7 +10,7 @@
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.routing import route_key
 from scaleloom_core.version_holds import VERSION_HOLD_S
-from tests.fixtures import stub_targets
+from tests.fixtures import stub_targets, unframed
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
@@ -291,6 +291,21 @@
         assert recorded.route == route_key("once")
 
 
+@params(
+    ("/once/1", unframed.body_of, []),
+    ("/once/1", unframed.short_body, []),
+    ("/stream-once/1", unframed.two_events, []),
+    ("/stream-once/1", unframed.half_an_event, [True]),
+)
+@runs_on_paused_clock
+async def test_an_answer_of_unknown_end_is_not_a_good_answer(path, make_body, failed):
+    async with site_on_trial(slack=50.0) as trial:
+        for runner in trial.new:
+            runner.behaviour = unframed.answer_unframed(make_body)
+        await trial.site.ask(path, "r-unframed")
+        assert [each.is_failed for each in trial.rollout_state.answers] == failed
+
+
 @runs_on_paused_clock
 async def test_the_duration_of_a_plain_answer_is_recorded():
     async with site_on_trial(slack=50.0) as trial:
