Forget the cached prompt of which only a broken answer told

Cause: a target counted as a holder of a prompt part from the head of its answer on, also if the answer then broke off and nothing else had shown that the part is there.

Change: what the exchange itself added is taken back when its answer breaks.

--- a/packages/scaleloom-core/scaleloom_core/prefix_holders.py
+++ b/packages/scaleloom-core/scaleloom_core/prefix_holders.py
@@ -94,6 +94,13 @@
         if len(self._unreported) < MAX_UNREPORTED:
             self._unreported.append(holding)
 
+    def discard_local(self, part: PartKey, target: TargetKey) -> None:
+        """Forget a part that this router recorded at `target`."""
+        self._used_s.get(part, {}).pop(target, None)
+        self._reported_s.pop((part, target), None)
+        if (part, target) in self._unreported:
+            self._unreported.remove((part, target))
+
     def pop_unreported(self) -> list[Holding]:
         """Return and reset the holders that have not been reported to peers."""
         unreported, self._unreported = self._unreported, []
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -246,6 +246,12 @@
             part = part_key(key.shared_part)
             self.holders.add_local(part, target_key(target), now_s)
 
+    def forget_cached(self, key: PlacementKey, target: TargetId) -> None:
+        """Forget that `target` holds the request's shared part."""
+        if key.shared_part is not None:
+            part = part_key(key.shared_part)
+            self.holders.discard_local(part, target_key(target))
+
     def has_capacity(self, service: ServiceName, now_s: float) -> bool:
         """Return whether some target of `service` could accept a request."""
         return any(map(self._has_queue_slot, self.view.usable_targets(service, now_s)))
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -72,6 +72,7 @@
     """
     target = record.listed
     context.answer_end = None
+    context.has_new_holder = False
     link = await _open_link(state, context, record)
     if link is None:
         return AttemptResult.NEVER_SENT
@@ -105,6 +106,8 @@
     context.answer_end = end = answer_end(link.head, result)
     if end is not None:
         record_answer_end(state, context, target.id, link, end)
+    if end is AnswerEnd.BROKEN:
+        _forget_cached_prompt(state, context, target.id)
     _record_outcome(state, record, result)
     if result in BROKEN_RESULTS or end is AnswerEnd.UNKNOWN:
         context.probe = state.crashes.prober.probe_after_break(target, context.digest)
@@ -262,9 +265,20 @@
     """Record that `target`, which began its answer, caches the shared prompt part."""
     if context.match.policy.is_engine:
         now_s = trio.current_time()
+        context.has_new_holder = not state.chooser.is_cached(
+            context.placement, target, now_s
+        )
         state.chooser.record_cached(context.placement, target, now_s)
 
 
+def _forget_cached_prompt(
+    state: GatewayState, context: RequestContext, target: TargetId
+) -> None:
+    """Forget what only an answer that broke off has told of the cache of `target`."""
+    if context.has_new_holder:
+        state.chooser.forget_cached(context.placement, target)
+
+
 def _head_timeout_s(context: RequestContext, can_retry: bool) -> float:
     """Return how long a target may stay silent before another is attempted."""
     if not can_retry:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -34,6 +34,9 @@
         Of the exchange under way, if the service is rolled out.
     failure : tuple of AnswerHead and bytes, or None
         A target's own failure, forwarded if no other target succeeds.
+    has_new_holder : bool
+        Whether the last answer was the first to show that its target caches the shared
+        prompt part.
     answer_end : AnswerEnd or None
         What is known of the end of the last answer that began.
     probe : TargetProbe or None
@@ -56,6 +59,7 @@
     rollout_state: RolloutState | None = None
     observation: AnswerObservation | None = None
     failure: tuple[AnswerHead, bytes] | None = None
+    has_new_holder: bool = False
     answer_end: AnswerEnd | None = None
     probe: TargetProbe | None = None
     is_on_trial: bool = False
--- a/tests/gateway/test_cache_sources.py
+++ b/tests/gateway/test_cache_sources.py
@@ -1,6 +1,7 @@
 """Tests of the cache source that a target is sent for a shared prompt part."""
 
 import trio
+from nose2.tools import params
 
 from tests.fixtures import stub_targets
 from tests.fixtures.fleets import runs_on_paused_clock
@@ -47,6 +48,19 @@
     assert _sources(site, "r-3") == [None]
 
 
+@params((stub_targets.cut_body, True), (stub_targets.answer_normally, False))
+@runs_on_paused_clock
+async def test_a_broken_answer_tells_nothing_of_the_cache(behaviour, copies_again):
+    async with running_site() as site:
+        await serve_engines(site)
+        for target in site.runners:
+            target.behaviour = behaviour
+        for request_id in ("r-1", "r-2"):
+            await site.ask("/drafts/1", request_id, Prompt_Prefix=PARTS)
+    (source,) = _sources(site, "r-2")
+    assert (source is not None) is copies_again
+
+
 async def _ask_and_wait_arrival(
     site: Site, nursery: trio.Nursery, request_id: str
 ) -> None:
