Keep the length that a target tells for HEAD

Callers of HEAD got a Content-Length of 0, counted from the body that such an answer does not have. An answer without a body now keeps the length that its target told. The new test failed before (0 instead of 11) and passes now.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -46,8 +46,9 @@
     state: GatewayState, context: RequestContext, head: AnswerHead, body: bytes
 ) -> None:
     """Send a target's answer, which has been read to its end, to the caller."""
-    headers = answer_headers(head, keeps_length=False)
-    if head.has_known_end:
+    has_body = head.delimiter is not BodyDelimiter.NO_BODY
+    headers = answer_headers(head, keeps_length=not has_body)
+    if has_body and head.has_known_end:
         headers.append((b"Content-Length", str(len(body)).encode()))
     headers += closing_headers(state.is_stopping)
     context.is_answer_started = True
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -20,6 +20,7 @@
 )
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, Site, ask_on, request_bytes, running_site
+from tests.fixtures.stub_server import raw_answer
 from tests.fixtures.stub_targets import EVENT_COUNT, event
 from tests.fixtures.unframed import answer_unframed
 
@@ -199,3 +200,17 @@
     crash_count = len(targets.crash_times_s(CRASHING_BODY))
     assert CRASHED_TARGETS <= crash_count <= CRASHED_TARGETS + ALLOWED_RETRIES
     assert not arrivals_beyond_allowed(targets, CRASHING_BODY, {})
+
+
+@runs_on_paused_clock
+async def test_the_answer_to_head_keeps_the_length_of_the_body():
+    async def answer_head(target, request) -> bool:
+        whole = raw_answer(200, target.seal(request), unframed.body_of(request))
+        head, _, _ = whole.partition(b"\r\n\r\n")
+        await request.stream.send_all(head + b"\r\n\r\n")
+        return True
+
+    async with running_site() as site:
+        answer = await _ask_all(site, answer_head, "/safe/1", method="HEAD")
+    assert (answer.status, answer.is_complete) == (200, True)
+    assert answer.headers["content-length"] == str(len("body of r-1"))
