Don't take an unframed answer of a service or an engine for a whole one

Callers saw: behind a sidecar, an answer with neither a length nor chunks whose target broke it off came back as 200 with a Content-Length of what had arrived, and was kept for its idempotency key and replayed as the outcome of the call.

Cause: httpcore ends such a body at a clean close, whole or not, and `HttpClient.request` called it complete; so did the router for what it buffers.

Change: `read_whole` accepts such an answer only if its content proves it whole: one closed JSON value of a type that holds a single value (a number may have been cut, and so may the lines of application/x-ndjson). Anything else is `AnswerEndUnknown`, one of the transport errors that every caller of the client already treats as a broken answer: a call without a key is tried elsewhere or told `target_failed`, one with a key is `outcome_unknown` and not kept. Documents of the platform are decoded by type, which is their proof; an order to load is answered by the status alone.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -9,6 +9,8 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from scaleloom_fleet.http.answer_ends import Proof, is_labelled_json, read_whole
+
 IDLE_CONNECTION_TIMEOUT_S = 50.0
 NEVER_SENT_ERRORS = (
     httpcore.ConnectError,
@@ -117,21 +119,37 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         timeout_s: float | None = None,
+        proves_whole: Proof = is_labelled_json,
     ) -> Result[ClientAnswer, RequestFailure]:
-        """Send a request; return its complete answer or its failure."""
+        """
+        Send a request; return its complete answer or its failure.
+
+        Parameters
+        ----------
+        proves_whole : callable
+            Returns whether the content proves an answer whole that has neither a
+            length nor chunks.
+        """
         deadline_s = float("inf") if timeout_s is None else timeout_s
         try:
             with trio.fail_after(deadline_s):
-                return Success(await self._read_answer(method, url, headers, body))
+                return Success(
+                    await self._read_answer(method, url, headers, body, proves_whole)
+                )
         except (*NEVER_SENT_ERRORS, *TRANSPORT_ERRORS) as error:
             return Failure(RequestFailure(get_send_state(error), describe_error(error)))
 
     async def _read_answer(
-        self, method: str, url: str, headers: dict[str, str] | None, body: bytes
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str] | None,
+        body: bytes,
+        proves_whole: Proof,
     ) -> ClientAnswer:
         """Send a request and return its complete answer."""
         async with self.stream(method, url, headers, body) as response:
-            content = await response.aread()
+            content = await read_whole(response, method, proves_whole)
         return ClientAnswer(response.status, decode_headers(response), content)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/engine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/engine.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.records import Assignment
+from scaleloom_fleet.http.answer_ends import is_told_by_head
 from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.platform.json_documents import HTTP_OK, fetch_json
 from scaleloom_fleet.utils.addresses import Address
@@ -85,7 +86,9 @@
         headers = {FENCING_HEADER: str(token)}
         body = msgspec.json.encode(order)
         url = address.url("/orders")
-        outcome = await client.request("POST", url, headers, body, ORDER_TIMEOUT_S)
+        outcome = await client.request(
+            "POST", url, headers, body, ORDER_TIMEOUT_S, is_told_by_head
+        )
         response = outcome.value_or(None)
         if response is None:
             return Failure(outcome.failure().detail)
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/json_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/json_documents.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from scaleloom_fleet.http.answer_ends import is_json
 from scaleloom_fleet.http.clients import ClientAnswer, HttpClient
 
 HTTP_OK = 200
@@ -15,7 +16,9 @@
     client: HttpClient, url: str, document_type: type[Document], timeout_s: float
 ) -> Result[Document, str]:
     """Fetch and decode the document at `url`; the error says why that failed."""
-    outcome = await client.request("GET", url, timeout_s=timeout_s)
+    outcome = await client.request(
+        "GET", url, timeout_s=timeout_s, proves_whole=is_json
+    )
     return outcome.alt(lambda fault: fault.detail).bind(
         lambda response: decode_document(response, document_type)
     )
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/log.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result
 
 from scaleloom_core.fold import LogEntry
+from scaleloom_fleet.http.answer_ends import is_json
 from scaleloom_fleet.http.clients import ClientAnswer, HttpClient, SendState
 from scaleloom_fleet.platform.json_documents import decode_document
 from scaleloom_fleet.utils.addresses import Address
@@ -71,14 +72,16 @@
 
     async def append(payload: bytes) -> Result[int, LogFault]:
         url = address.url("/records")
-        outcome = await client.request("POST", url, {}, payload, timeout_s)
+        outcome = await client.request("POST", url, {}, payload, timeout_s, is_json)
         return _decode_response(outcome, _Appended).map(
             lambda appended: appended.offset
         )
 
     async def read(offset: int) -> Result[LogReading, LogFault]:
         url = address.url(f"/records?from={offset}&limit={MAX_READ_RECORDS}")
-        outcome = await client.request("GET", url, timeout_s=timeout_s)
+        outcome = await client.request(
+            "GET", url, timeout_s=timeout_s, proves_whole=is_json
+        )
         return _decode_response(outcome, LogReading)
 
     return LogService(append, read)
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
@@ -6,6 +6,7 @@
 
 from scaleloom_core.errors import ErrorKind, FleetError
 from scaleloom_fleet.http import hops
+from scaleloom_fleet.http.answer_ends import read_whole
 from scaleloom_fleet.http.asgi import (
     HandlerResult,
     Reply,
@@ -34,6 +35,7 @@
 from scaleloom_fleet.utils.clock import now_s
 from scaleloom_fleet.utils.tracing import context_headers, hop_span, read_context
 
+COMPLETIONS_METHOD = "POST"
 COMPLETIONS_PATH = "/v1/chat/completions"
 EVENT_STREAM_TYPE = "text/event-stream"
 STREAM_ID_HEADER = "x-stream-id"
@@ -159,7 +161,9 @@
     """Send the request to the engine and forward its answer."""
     url = state.target_address.url(COMPLETIONS_PATH)
     try:
-        async with state.client.stream("POST", url, headers, body) as response:
+        async with state.client.stream(
+            COMPLETIONS_METHOD, url, headers, body
+        ) as response:
             return await _forward_answer(state, request, stream, response)
     except (*NEVER_SENT_ERRORS, *TRANSPORT_ERRORS) as error:
         stream.mark_ended(is_complete=False)
@@ -189,7 +193,7 @@
         )
     content_type = headers.get("content-type", "")
     if not content_type.startswith(EVENT_STREAM_TYPE):
-        body = await response.aread()
+        body = await read_whole(response, COMPLETIONS_METHOD)
         stream.mark_ended(is_complete=True)
         return Reply(
             response.status, body, content_type, attempt_headers(state, stream.attempt)
