Don't end a streamed completion whose end nothing proves, or inside an event

Callers saw: a stream of an engine with neither a length nor chunks, closed cleanly before `[DONE]`, reached them as 200 with a last chunk and no error, with half an event at its end if it was cut there; the sidecar released its slot as served and never resumed it. A stream in chunks that ended inside an event did so too. And if such a cut was told, the error followed the half event on its line, so that no caller could decode it.

Cause: `StreamRelay` took the end of the body, as httpcore reports it, for the end of the answer, and passed on bytes, not events.

Change: the relays of sidecar and router pass on whole events. The end of a stream counts if a length or chunks mark it and no event is open, or if the last event is `data: [DONE]`, after which nothing follows. Anything else is a break like any other: the stream is resumed at the end of its last whole event, and what cannot be resumed ends with the error event.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http/relay.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/relay.py
@@ -1,14 +1,19 @@
 """Forwarding of a streamed body, joining the parts that are ready together."""
 
-from collections.abc import AsyncIterable, Awaitable, Callable
+from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
 
 import httpcore
 import trio
 
+from scaleloom_fleet.http.answer_ends import AnswerEndUnknown, is_end_known
 from scaleloom_fleet.http.asgi import Send, send_body_part
 from scaleloom_fleet.http.clients import TRANSPORT_ERRORS
+from scaleloom_fleet.http.events import EventSplitter
 
 BUFFER_LIMIT_BYTES = 1 << 20
+# Streams are asked for by POST and resumed by GET; both have bodies.
+STREAM_METHOD = "GET"
 
 
 class _Buffer:
@@ -100,7 +105,7 @@
 
 class StreamRelay:
     """
-    Forwards a streamed answer that may arrive over several connections.
+    Forwards the whole events of an answer that may arrive over several connections.
 
     Parameters
     ----------
@@ -113,15 +118,38 @@
     def __init__(self, send: Send, offset: int = 0) -> None:
         self._send = send
         self.offset = offset
+        self._is_finished = False
 
     async def forward(self, response: httpcore.Response) -> bool:
-        """Forward an answer; return False if its connection breaks before the end."""
+        """Forward an answer; return False if it breaks off before its end."""
         try:
-            await relay_body(response.aiter_stream(), self._write)
+            async with aclosing(self._whole_events(response)) as events:
+                await relay_body(events, self._write)
         except TRANSPORT_ERRORS:
-            return False
+            return self._is_finished
         return True
 
+    async def _whole_events(self, response: httpcore.Response) -> AsyncIterator[bytes]:
+        """
+        Yield the events of an answer.
+
+        Raises
+        ------
+        httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
+            If the answer breaks off, also by a clean end inside an event, or by one
+            that neither a length or chunks nor its last event proves.
+        """
+        splitter = EventSplitter()
+        async for part in response.aiter_stream():
+            ready = splitter.feed(part)
+            self._is_finished = splitter.is_finished
+            if ready:
+                yield ready
+        if splitter.has_partial:
+            raise httpcore.RemoteProtocolError("the stream ended inside an event")
+        if not self._is_finished and not is_end_known(response, STREAM_METHOD):
+            raise AnswerEndUnknown("the stream ended with its connection")
+
     async def _write(self, part: bytes) -> None:
         """Send one part to the caller and advance the offset."""
         await send_body_part(self._send, part)
