Prove whole answers also where a clean close may cut them

The scripted sidecars of the proof cut answers by a reset alone, so the proof could not see a stream taken for whole because its connection closed cleanly. Now half of the whole streams come in chunks and half with neither a length nor chunks, half of the cuts are clean closes, and half lie between two events.

The check of a broken stream asked for the text `"error"` anywhere; it now asks for a whole last event that decodes and says `answer_cut`.

A test switches the rule off and demands violations.

--- a/proofs/whole_answers.py
+++ b/proofs/whole_answers.py
@@ -8,11 +8,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from enum import Enum
 
 import httpcore
+import msgspec
 import trio
 
 from proofs.results import Checker, ProofResult
+from scaleloom_core.errors import ErrorKind
 from scaleloom_core.fold import LogEntry
 from scaleloom_core.ids import InstanceId
 from scaleloom_core.intents import digest_secret
@@ -39,10 +42,24 @@
 SEEDS = 3000
 TARGETS = ("e1", "e2", "e3")
 CUSTOMER_KEY = "appraisal-key"
-END_MARK = b"data: [DONE]\n\n"
+EVENT_END = b"\n\n"
+END_MARK = b"data: [DONE]" + EVENT_END
 REQUEST_BODY = b'{"model": "dossier", "stream": true, "messages": [{"role": "user"}]}'
 
 
+class Ending(Enum):
+    """
+    How the body of a scripted answer ends.
+
+    CHUNKED ends with a last chunk and BROKEN with a reset. CLOSED has neither a length
+    nor chunks and ends with a clean close, whether it is whole or not.
+    """
+
+    CHUNKED = "chunked"
+    BROKEN = "broken"
+    CLOSED = "closed"
+
+
 @dataclass
 class TrialScript:
     """Random generator and answers of the scripted connections of one trial."""
@@ -65,17 +82,19 @@
 class _ScriptedResponse:
     """An answer whose body may be truncated."""
 
-    def __init__(self, status, headers, body, is_cut, rng) -> None:
+    def __init__(self, status, headers, body, ending: Ending, rng) -> None:
         self.status = status
         self.headers = [
             (name.encode(), value.encode()) for name, value in headers.items()
         ]
+        if ending is not Ending.CLOSED:
+            self.headers.append((b"Transfer-Encoding", b"chunked"))
         self._body = body
-        self._is_cut = is_cut
+        self._ending = ending
         self._rng = rng
 
     async def aiter_stream(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks; raise ``httpcore.ReadError`` if it is cut."""
+        """Yield the body in chunks; raise ``httpcore.ReadError`` if it is broken."""
         position = 0
         while position < len(self._body):
             size = self._rng.randint(1, 40)
@@ -83,7 +102,7 @@
             position += size
             if self._rng.random() < 0.3:
                 await trio.sleep(self._rng.uniform(0, 0.2))
-        if self._is_cut:
+        if self._ending is Ending.BROKEN:
             raise httpcore.ReadError("cut")
 
     async def aread(self) -> bytes:
@@ -123,12 +142,12 @@
         draw = self._rng.random()
         if draw < 0.1:
             return self._respond_stream(
-                "another-attempt", b"data: not yours\n\n" + END_MARK, False
+                "another-attempt", b"data: not yours\n\n" + END_MARK, Ending.CHUNKED
             )
         if draw < 0.2:
             refused = {hops.ATTEMPT_HEADER: attempt, hops.REFUSAL_HEADER: "overloaded"}
             refused[hops.OUTCOME_HEADER] = "not_run"
-            return _ScriptedResponse(503, refused, b"full", False, self._rng)
+            return _ScriptedResponse(503, refused, b"full", Ending.CHUNKED, self._rng)
         answer = self._script.get_answer(attempt)
         return self._respond_maybe_cut(attempt, answer)
 
@@ -137,25 +156,29 @@
         path, _, offset = url.rpartition("?from=")
         attempt = path.rpartition("/")[2]
         if self._rng.random() < 0.3:
-            return self._respond_stream(attempt, b"", False, status=404)
+            return self._respond_stream(attempt, b"", Ending.CHUNKED, status=404)
         rest = self._script.get_answer(attempt)[int(offset) :]
         if self._rng.random() < 0.1:
-            return self._respond_stream("another-attempt", rest, False)
+            return self._respond_stream("another-attempt", rest, Ending.CHUNKED)
         return self._respond_maybe_cut(attempt, rest)
 
     def _respond_maybe_cut(self, attempt: str, answer: bytes) -> _ScriptedResponse:
-        """Return `answer`, truncated at a random length half of the time."""
+        """Return `answer`, truncated between or inside events half of the time."""
         if self._rng.random() < 0.5:
-            return self._respond_stream(attempt, answer, False)
+            ending = self._rng.choice([Ending.CHUNKED, Ending.CLOSED])
+            return self._respond_stream(attempt, answer, ending)
         length = self._rng.randint(0, len(answer))
-        return self._respond_stream(attempt, answer[:length], True)
+        if self._rng.random() < 0.5:
+            length = len(_split_last_event(answer[:length])[0])
+        ending = self._rng.choice([Ending.BROKEN, Ending.CLOSED])
+        return self._respond_stream(attempt, answer[:length], ending)
 
     def _respond_stream(
-        self, attempt, body, is_cut, status: int = 200
+        self, attempt, body, ending: Ending, status: int = 200
     ) -> _ScriptedResponse:
         """Return an event stream with the attempt id in its headers."""
         headers = {hops.ATTEMPT_HEADER: attempt, "content-type": "text/event-stream"}
-        return _ScriptedResponse(status, headers, body, is_cut, self._rng)
+        return _ScriptedResponse(status, headers, body, ending, self._rng)
 
 
 def make_trial_settings() -> RouterSettings:
@@ -241,14 +264,32 @@
     if body in script.answers.values():
         checker.check(True, "")
         return "whole"
-    has_error = b'"error"' in body and not body.endswith(END_MARK)
-    checker.check(has_error, f"seed {seed}: a truncated answer has no error")
-    before_error = body.split(b'data: {"type"')[0]
+    before_error, error = _split_last_event(body)
+    checker.check(_is_error(error), f"seed {seed}: a truncated answer has no error")
     is_own = any(item.startswith(before_error) for item in script.answers.values())
     checker.check(is_own, f"seed {seed}: bytes of the answer to another attempt")
     return "cut, and told so"
 
 
+def _split_last_event(body: bytes) -> tuple[bytes, bytes]:
+    """Return the bytes before the last event of `body`, and that event."""
+    begin = body.removesuffix(EVENT_END).rfind(EVENT_END)
+    begin = begin + len(EVENT_END) if begin >= 0 else 0
+    return body[:begin], body[begin:]
+
+
+def _is_error(event: bytes) -> bool:
+    """Return whether `event` is whole and tells that the answer is truncated."""
+    data = event.removeprefix(b"data: ")
+    if data == event or not data.endswith(EVENT_END):
+        return False
+    try:
+        problem = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        return False
+    return problem.get("kind") == ErrorKind.ANSWER_TRUNCATED.value
+
+
 async def run_trials(seeds: int, checker: Checker) -> dict[str, int]:
     """Return the number of requests by outcome."""
     outcomes: dict[str, int] = {}
@@ -266,7 +307,7 @@
     clock = MockClock(autojump_threshold=0)
     outcomes = trio.run(run_trials, seeds, checker, clock=clock)
     shares = ", ".join(f"{name} {count}" for name, count in sorted(outcomes.items()))
-    fault = "cut, crossed, delayed and refused replies"
+    fault = "cut, closed, crossed, delayed and refused replies"
     return [
         ProofResult(PROMISE, fault, checker.cases, tuple(checker.violations), shares)
     ]
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -6,6 +6,7 @@
 from proofs import load_bound, overload, whole_answers
 from proofs.at_most_once import FAULTS, WITHOUT_MECHANISM, run_trials
 from proofs.results import Checker
+from scaleloom_fleet.http import relay
 from scaleloom_fleet.router import offers
 
 QUICK_SEEDS = 4
@@ -61,3 +62,15 @@
     finally:
         offers.matches_attempt = matches_attempt
     assert checker.violations
+
+
+def test_callers_get_cut_streams_as_whole_if_every_close_counts_as_an_end():
+    checker = Checker()
+    is_end_known = relay.is_end_known
+    relay.is_end_known = lambda response, method: True
+    try:
+        clock = MockClock(autojump_threshold=0)
+        trio.run(whole_answers.run_trials, 100, checker, clock=clock)
+    finally:
+        relay.is_end_known = is_end_known
+    assert any("has no error" in item for item in checker.violations)
