Don't read the crash log in a loop if an answer of the store broke off

Seen: a read of the log whose answer, with neither a length nor chunks, closed behind the two offsets was a batch without records, and the router asked again at once: 1322 reads in 1.5 s with a store that goes on so, and no crash was learned.

Cause: such an answer ends like a whole one, and a batch without records was taken for a long poll that ran out, although its end was beyond the offset read.

Change: a batch that lacks the records that its end promises is a failed read; the router pauses and reads the newest records. A batch cut behind some of its records needs no change: the next read goes on behind the last that arrived, in the crash log as in the configuration.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -93,6 +93,9 @@
                 _logger.error("crash log unreadable", extra={"why": batch.failure()})
                 return
             records = batch.unwrap().records
+            if not records and batch.unwrap().end > end:
+                # The answer broke off before its first record.
+                return
             end += len(records)
             self._apply(records, end)
 
