Pass whole bodies on that are no events, or whose lines end otherwise

Found in the review of the framing of answers: on a stream route that may not be resumed, a whole body in chunks that named no type, and a stream with CR line ends, were taken for streams that end inside an event, and their callers got a reset.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -2,8 +2,9 @@
 
 import re
 
-# The last bytes of a stream that ends behind an event.
-_ENDS_OF_EVENTS = (b"\n\n", b"\n\r\n")
+# The last bytes of a stream that ends behind an event: an empty line, whose ends may
+# be LF, CR LF or CR.
+_ENDS_OF_EVENTS = (b"\n\n", b"\n\r\n", b"\n\r", b"\r\r", b"\r\r\n")
 _LONGEST_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -168,11 +168,11 @@
     """
     Return whether the answer on a stream route is a stream of events.
 
-    One that names no type is taken for a stream unless it tells its length.
+    One that names no type is taken for a stream if nothing else tells its end.
     """
     content_type = head.find(b"content-type")
     if content_type is None:
-        return head.delimiter is not BodyDelimiter.LENGTH
+        return not head.has_known_end
     return content_type.lower().startswith(EVENT_STREAM_TYPE)
 
 
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -214,3 +214,22 @@
         answer = await _ask_all(site, answer_head, "/safe/1", method="HEAD")
     assert (answer.status, answer.is_complete) == (200, True)
     assert answer.headers["content-length"] == str(len("body of r-1"))
+
+
+@params(
+    (b"", b"{}"),
+    (b"Content-Type: application/json\r\n", b"{}"),
+    (b"Content-Type: text/event-stream\r\n", b"id: 1\rdata: a\r\r"),
+    (b"Content-Type: text/event-stream\r\n", b"id: 1\r\ndata: a\r\n\r\n"),
+)
+@runs_on_paused_clock
+async def test_a_whole_framed_body_on_a_stream_route_is_passed_on(content_type, body):
+    async def answer_in_chunks(target, request) -> bool:
+        head = stub_targets.stream_head(target, request)
+        head = head.replace(b"Content-Type: text/event-stream\r\n", content_type)
+        await request.stream.send_all(head + stub_targets.chunk(body) + b"0\r\n\r\n")
+        return True
+
+    async with running_site() as site:
+        answer = await _ask_all(site, answer_in_chunks, "/stream-once/1")
+    assert (answer.status, answer.body, answer.is_complete) == (200, body, True)
