Don't take a target that ends as planned for crashed behind a whole answer

Cause: a target was probed behind every answer of unknown end, whole ones too. One that leaves as planned ends soon after its last answer, so that the request was blamed.

Change: where the end is unknown, only a target whose entry and answers still say that it takes work is probed.

Evidence: found in review; a target that says that it leaves and ends behind its answer was logged as crashed before, and is not now. One that doesn't say so still is.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -109,12 +109,31 @@
     if end is AnswerEnd.BROKEN:
         _forget_cached_prompt(state, context, target.id)
     _record_outcome(state, record, result)
-    if result in BROKEN_RESULTS or end is AnswerEnd.UNKNOWN:
+    if _may_have_crashed(state, record, result, end):
         context.probe = state.crashes.prober.probe_after_break(target, context.digest)
     record_end(context, result)
     return result
 
 
+def _may_have_crashed(
+    state: GatewayState,
+    record: TargetRecord,
+    result: AttemptResult,
+    end: AnswerEnd | None,
+) -> bool:
+    """
+    Return whether the target may have crashed under the request.
+
+    A target that leaves as planned ends soon after a whole answer, so one of unknown
+    end is no sign of a crash there.
+    """
+    if result in BROKEN_RESULTS:
+        return True
+    newest = state.view.records.get(record.listed.id)
+    is_leaving = newest is None or not newest.is_ready
+    return end is AnswerEnd.UNKNOWN and not is_leaving
+
+
 async def _open_link(
     state: GatewayState, context: RequestContext, record: TargetRecord
 ) -> Link | None:
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -20,6 +20,7 @@
 )
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, Site, ask_on, request_bytes, running_site
+from tests.fixtures.logs import ListHandler
 from tests.fixtures.stub_server import raw_answer
 from tests.fixtures.stub_targets import EVENT_COUNT, event
 from tests.fixtures.unframed import answer_unframed
@@ -233,3 +234,16 @@
     async with running_site() as site:
         answer = await _ask_all(site, answer_in_chunks, "/stream-once/1")
     assert (answer.status, answer.body, answer.is_complete) == (200, body, True)
+
+
+@params(True, False)
+@runs_on_paused_clock
+async def test_a_target_that_ends_as_planned_is_not_taken_for_crashed(is_leaving):
+    with ListHandler.capture("scaleloom.crashes") as messages:
+        async with crashing_site(
+            1, 1, before_crash=answer_unframed(unframed.two_events)
+        ) as (site, targets):
+            site.runners[0].is_leaving = is_leaving
+            caller = Caller(site)
+            await caller.ask(site.gateways[0], CRASHING_BODY)
+    assert ("target crashed" in messages) is not is_leaving
