Reset the connection of a caller whose unframed answer the router itself breaks off

What callers saw: a router that was killed, or cancelled at the end of its grace period, in the middle of an answer without framing closed the connection as normally as behind a whole one. The same held for callers of HTTP/1.0.

Cause: the caller's connection was reset only where the router knew that it broke off; every other end, the kernel's for a killed process too, was a normal close.

Change: from the head of such an answer to its end the socket resets at any close.

Evidence: three cases failed before and pass now (a router that is cancelled, for both versions of HTTP; a socket closed without a word).

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -241,7 +241,8 @@
     @property
     def ends_with_connection(self) -> bool:
         """Return whether only the end of the connection delimits the next body."""
-        return self._protocol.their_http_version < CHUNKS_SINCE_VERSION
+        version = self._protocol.their_http_version
+        return version is None or version < CHUNKS_SINCE_VERSION
 
     def _delimit_by_connection(self) -> None:
         """
@@ -251,6 +252,25 @@
         """
         self._protocol.their_http_version = VERSION_WITHOUT_CHUNKS
 
+    def _begin_answer(self, has_known_end: bool) -> None:
+        """
+        Choose what delimits the body.
+
+        If the end of the connection does, every close before the end of the body is a
+        reset, also if the process is killed.
+        """
+        if not has_known_end:
+            self._delimit_by_connection()
+        if self.ends_with_connection:
+            sockets.set_reset_at_close(self._connection, True)
+        self.is_answer_started = True
+
+    def _complete_answer(self) -> None:
+        """Mark the answer as complete, so that the connection may close normally."""
+        if self.ends_with_connection:
+            sockets.set_reset_at_close(self._connection, False)
+        self.is_answer_complete = True
+
     async def send_head(
         self,
         status: int,
@@ -267,9 +287,7 @@
             Whether the end of the body will be known. Otherwise only the end of the
             connection delimits it, and nothing tells the caller that it is whole.
         """
-        if not has_known_end:
-            self._delimit_by_connection()
-        self.is_answer_started = True
+        self._begin_answer(has_known_end)
         response = h11.Response(status_code=status, reason=reason, headers=headers)
         await self._send(self._protocol.send(response))
 
@@ -282,7 +300,7 @@
         data = self._protocol.send(h11.EndOfMessage())
         if data:
             await self._send(data)
-        self.is_answer_complete = True
+        self._complete_answer()
 
     async def send_answer(
         self,
@@ -300,16 +318,14 @@
         has_known_end : bool
             Whether `body` is known to be whole; see `send_head`.
         """
-        if not has_known_end:
-            self._delimit_by_connection()
-        self.is_answer_started = True
+        self._begin_answer(has_known_end)
         response = h11.Response(status_code=status, reason=reason, headers=headers)
         data = self._protocol.send(response)
         if body and self._answer_may_have_body:
             data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
         await self._send(data)
-        self.is_answer_complete = True
+        self._complete_answer()
 
     async def _send(self, data: bytes) -> None:
         """Send `data` to the caller, or raise `CallerDisconnected`."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -230,9 +230,14 @@
 
 def reset(connection: socket.socket) -> None:
     """Reset the connection, so that the peer sees an error."""
+    set_reset_at_close(connection, True)
+    close(connection)
+
+
+def set_reset_at_close(connection: socket.socket, is_reset: bool) -> None:
+    """Choose whether a close resets the connection, also at the end of the process."""
+    linger = (int(is_reset)).to_bytes(4, sys.byteorder) + (0).to_bytes(4, sys.byteorder)
     try:
-        linger = (1).to_bytes(4, sys.byteorder) + (0).to_bytes(4, sys.byteorder)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     except OSError:
         pass
-    close(connection)
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -190,6 +190,30 @@
     assert answer.delimiter is BodyDelimiter.CONNECTION
 
 
+@params(b"HTTP/1.1", b"HTTP/1.0")
+@runs_on_paused_clock
+async def test_a_router_that_ends_in_midstream_breaks_the_answer_visibly(version):
+    async def begin(target, request) -> bool:
+        head = unframed.unframed_head(target, request, 200)
+        await request.stream.send_all(head + unframed.two_events(request))
+        await trio.sleep_forever()
+
+    async with running_site() as site:
+        for target in site.runners:
+            target.behaviour = begin
+        data = request_bytes("/stream-once/1").replace(b"HTTP/1.1", version)
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            answers.append(await site.gateways[0].ask(data))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.5)
+            await site.gateways[0].kill()
+    assert [(a.status, a.is_complete) for a in answers] == [(200, False)]
+
+
 @runs_on_paused_clock
 async def test_an_answer_of_unknown_end_does_not_clear_a_request():
     behaviour = answer_unframed(unframed.two_events)
--- a/tests/http1/test_callers.py
+++ b/tests/http1/test_callers.py
@@ -146,3 +146,37 @@
     assert sum(reported) >= len(body)
     caller.close()
     theirs.close()
+
+
+def _tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Return the two ends of a connection over loopback."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    ours.setblocking(False)
+    return ours, theirs
+
+
+@params((False, True), (True, False))
+@runs_in_trio
+async def test_only_a_complete_answer_of_unknown_end_closes_normally(
+    is_ended, is_reset
+):
+    ours, theirs = _tcp_pair()
+    caller = CallerConnection(ours)
+    await caller.send_head(200, b"OK", [], has_known_end=False)
+    await caller.send_data(b"a part")
+    if is_ended:
+        await caller.send_end()
+    # As the kernel does for a killed process.
+    ours.close()
+    received = b""
+    try:
+        while data := theirs.recv(READ_BYTES):
+            received += data
+        assert not is_reset
+    except ConnectionResetError:
+        assert is_reset
+    finally:
+        theirs.close()
+    assert received.endswith(b"a part")
