Confirm an append only by a whole answer of the store

An append whose answer, with neither a length nor chunks, broke off behind its head counted as confirmed: the status was all that was read. An answer with a length that breaks off at the same byte counts as lost. Now the end that the store names in its answer must be there, as it already must for an append under a condition; without it the append counts as lost and is repeated, which keyed records bear.

tests.gateway.test_unframed_store: the 3 new cases (body cut at 0, 1 and 12 bytes) failed before, with the append confirmed.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -118,11 +118,12 @@
 
     async def append_all(self, topic: Topic, records: Sequence[KeyedValue]) -> bool:
         """Write `records`; return whether the store confirmed it."""
-        request = self._state.adapter.append_request(topic, records, None)
+        adapter = self._state.adapter
         client = self.new_client()
-        answer = await client.call(request)
+        answer = await client.call(adapter.append_request(topic, records, None))
         client.close()
-        return not isinstance(answer, Failure)
+        # The end that the store names proves that its answer is whole.
+        return not isinstance(answer.bind(adapter.decode_end), Failure)
 
     async def append_if_end_is(
         self,
--- a/tests/gateway/test_unframed_store.py
+++ b/tests/gateway/test_unframed_store.py
@@ -13,6 +13,7 @@
 from scaleloom_core.crash_table import Crash
 from scaleloom_fleet.gateway.crash_records import crash_record
 from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_platform.calls import TOPIC_PARTITIONS
 from tests.fixtures.fleets import runs_in_trio, runs_on_paused_clock
 from tests.fixtures.gateways import (
@@ -132,3 +133,18 @@
         await trio.sleep(OBSERVED_S)
         read_count = site.store.calls.count(READ_PAGE)
     assert read_count <= MAX_READS, read_count
+
+
+@params(0, 1, 12)
+@runs_on_paused_clock
+async def test_an_append_whose_answer_broke_off_is_not_confirmed(body_bytes):
+    def reframe(page: str, answer: bytes) -> bytes:
+        head, body = _unframe(answer)
+        return head + body[:body_bytes]
+
+    with captured_states() as states:
+        async with running_site() as site:
+            access = StoreAccess(states[0])
+            assert await access.append(Topic.HOLDERS, "key", b"value")
+            site.store.reframe = reframe
+            assert not await access.append(Topic.HOLDERS, "key", b"value")
