Report an answer of the administration API that broke off

Operators saw a traceback when a router's answer broke off, with a length or without one: of h11 or of the JSON decoder; a body without framing was taken for whole until it failed to decode. Now the command says that the answer broke off and exits with 1; an answer with neither a length nor chunks counts only if it is whole JSON.

tests.cli: the 4 cases of broken-off answers failed before (traceback, nothing printed).

--- a/packages/scaleloom-cli/scaleloom_cli/api.py
+++ b/packages/scaleloom-cli/scaleloom_cli/api.py
@@ -5,6 +5,8 @@
 import httpcore
 from returns.result import Failure, Result, Success
 
+from scaleloom_fleet.http.answer_ends import is_end_known, is_json
+
 HTTP_OK = 200
 TIMEOUT_S = 30.0
 _TIMEOUTS = {"connect": 5.0, "read": TIMEOUT_S, "write": TIMEOUT_S, "pool": 5.0}
@@ -51,6 +53,11 @@
             )
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             return Failure(f"{self.url} cannot be reached: {error}")
+        except httpcore.RemoteProtocolError as error:
+            return Failure(f"The answer of {self.url} broke off: {error}")
         if response.status != HTTP_OK:
             return Failure(response.content.decode("utf-8", "replace"))
-        return Success(response.content)
+        body = response.content
+        if not is_end_known(response, method) and not is_json(response, body):
+            return Failure(f"The answer of {self.url} broke off.")
+        return Success(body)
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -1,15 +1,21 @@
 """Tests of the commands for operators."""
 
+import socket
 import tempfile
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import trio
 from click.testing import CliRunner
+from nose2.tools import params
 
 from scaleloom_cli.main import main
 from scaleloom_standins.local_fleet import OPERATOR_TOKEN
 from tests.fixtures.fleets import MODEL, runs_in_trio, small_fleet
 
+READ_BYTES = 65536
 BURST = f"[burst deadline]\nmodel = {MODEL}\nreplicas = 2\n"
 
 
@@ -32,6 +38,42 @@
     assert (result.exit_code, "cannot be reached" in result.output) == (1, True)
 
 
+@contextmanager
+def _answering(raw: bytes) -> Iterator[str]:
+    """Yield the URL of a server that answers one request with `raw` and closes."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def answer() -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(READ_BYTES)
+                connection.sendall(raw)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+        thread.join()
+
+
+@params(
+    b"HTTP/1.1 200 OK\r\n\r\n[{",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n",
+)
+def test_a_broken_off_answer_is_reported(raw):
+    with _answering(raw) as url:
+        result = _run("--router", url, "--token", OPERATOR_TOKEN, "history")
+    assert (result.exit_code, "broke off" in result.output) == (1, True)
+
+
+def test_a_whole_answer_needs_no_length():
+    with _answering(b"HTTP/1.1 200 OK\r\n\r\n[]") as url:
+        assert (
+            _run("--router", url, "--token", OPERATOR_TOKEN, "history").exit_code == 0
+        )
+
+
 def test_trace_sorts_lines_of_several_files_by_time():
     first = '  0.5 front-1 {"time": "2", "instance": "a", "message": "not served", '
     first += '"request": "r-1", "kind": "overloaded"}\nnoise\n{"time": "1"}\n'
