Let the demo's and proofs' callers see every stream that broke off untold

The callers took a stream for whole if `data: [DONE]` stood anywhere in it, so one that ended inside its last event or went on behind it passed; and a broken one for told if the word "error" stood anywhere, also in the answer itself or in an event that no caller can decode. Now the stream must end with the last event, or with a whole event that holds `error`.

--- a/packages/scaleloom-standins/scaleloom_standins/traffic.py
+++ b/packages/scaleloom-standins/scaleloom_standins/traffic.py
@@ -14,7 +14,9 @@
 
 MAX_ATTEMPTS = 6
 RETRY_DELAY_S = 0.3
-END_EVENT = "data: [DONE]"
+EVENT_END = "\n\n"
+END_EVENT = "data: [DONE]" + EVENT_END
+ERROR_KEY = "error"
 HTTP_OK = 200
 
 
@@ -129,8 +131,8 @@
         if response.status != HTTP_OK:
             self.tally.shed += 1
             return None
-        if END_EVENT not in text:
-            self.tally.truncated += "error" not in text
+        if not text.endswith(END_EVENT):
+            self.tally.truncated += not ends_with_error(text)
             return None
         answer = join_events(text)
         if answer != expected_answer(question, tokens):
@@ -138,6 +140,17 @@
         return answer
 
 
+def ends_with_error(text: str) -> bool:
+    """Return whether the last event of a stream is whole and tells of an error."""
+    if not text.endswith(EVENT_END):
+        return False
+    last = text.removesuffix(EVENT_END).rpartition(EVENT_END)[2]
+    try:
+        return ERROR_KEY in msgspec.json.decode(last.removeprefix("data: "), type=dict)
+    except msgspec.DecodeError:
+        return False
+
+
 def join_events(text: str) -> str:
     """Return the answer contained in a complete event stream."""
     words = []
