Soak: end answers with their connection, whole and broken off

Targets now may answer with neither a length nor chunks (fault answer_until_close), whole or broken off: before the first event, between events, inside one, in a short body, empty; closed or reset. The relay passes resets on. Answer says what delimited it; the checks of answers, in a module of their own, take a body that isn't whole and is framed as complete for a broken promise, and one that its connection ended only where the target's end could not be known. A whole one must be served.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,11 +9,11 @@
 import click
 import trio
 
-from soak.faults import FAULTS
+from soak.faults import FAULTS, UNDRAWN_FAULTS
 from soak.seed_run import run_seed
 from soak.switched_off import MECHANISMS
 
-FAULTS_BY_NAME = {fault.__name__: fault for fault in FAULTS}
+FAULTS_BY_NAME = {fault.__name__: fault for fault in FAULTS + UNDRAWN_FAULTS}
 
 
 @click.command()
--- /dev/null
+++ b/soak/answer_checks.py
@@ -0,0 +1,160 @@
+"""Whether answers are whole and belong to their requests, as callers saw them."""
+
+from collections import defaultdict
+
+from scaleloom_fleet.http1.links import BodyDelimiter
+from soak.callers import CallerResult, Observations
+from soak.disturbances import (
+    RECOVERY_S,
+    is_undisturbed,
+    ran_undisturbed,
+    was_path_undisturbed,
+)
+from soak.site import SoakSite
+from soak.targets import Arrival, SoakTarget
+from tests.fixtures.cut_answers import EVENT_END, Ending, UnframedAnswer, chat_pieces
+from tests.fixtures.stub_targets import EVENT_COUNT, event
+
+STREAM_KINDS = ("stream", "stream-once")
+EVENT_KINDS = (*STREAM_KINDS, "chat")
+GATEWAY_ERROR_STATUSES = (502, 503, 504)
+_WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
+
+
+def check_answers(site: SoakSite, observations: Observations) -> list[str]:
+    """Return the answers with a wrong or incomplete content."""
+    return [
+        f"{result.request_id} ({result.kind}) of {result.gateway.name}"
+        f" at {result.ended_s:.2f}: {problem}"
+        for result in observations.results
+        if (problem := _find_answer_problem(site, result)) is not None
+    ]
+
+
+def _find_answer_problem(site: SoakSite, result: CallerResult) -> str | None:
+    """Return what is wrong with an answer, or None."""
+    answer = result.answer
+    if answer.status in GATEWAY_ERROR_STATUSES and "response-seal" in answer.headers:
+        return "a target's seal on an error of the gateway"
+    if answer.status != 200 or not answer.is_complete:
+        return None
+    if "response-seal" not in answer.headers:
+        return "status 200 without a target's seal"
+    if answer.headers.get("request-id") != result.request_id:
+        return "the answer to another request"
+    if answer.delimiter is BodyDelimiter.CONNECTION:
+        return _find_unframed_problem(site, result)
+    if answer.body in _whole_bodies(result):
+        return None
+    if _is_begun(result):
+        return f"broken off, and framed as complete by {answer.delimiter.value}"
+    return "unexpected body"
+
+
+def _is_begun(result: CallerResult) -> bool:
+    """Return whether the body is that of the request as far as it goes."""
+    body = result.answer.body
+    return any(whole.startswith(body) for whole in _whole_bodies(result))
+
+
+def _whole_bodies(result: CallerResult) -> tuple[bytes, ...]:
+    """Return the bodies that a complete answer may have."""
+    plain_body = f"body of {result.request_id}".encode()
+    if result.kind in STREAM_KINDS:
+        return (_WHOLE_STREAM,)
+    if result.kind in EVENT_KINDS:
+        return (plain_body, b"".join(chat_pieces(result.request_id)))
+    return (plain_body,)
+
+
+def _find_unframed_problem(site: SoakSite, result: CallerResult) -> str | None:
+    """
+    Return what is wrong with an answer that its connection ended, or None.
+
+    A gateway can't know whether such an answer of a target is whole, and may pass on
+    that it doesn't, but not the half of an event.
+    """
+    answer = result.answer
+    sent = _unframed_answers(site, result)
+    if not sent:
+        return "an end that can't be known, from targets that told theirs"
+    if answer.headers.get("connection", "").lower() != "close":
+        return "the end of the connection isn't announced"
+    if answer.body in _whole_bodies(result):
+        return None
+    if not _is_begun(result):
+        return "unexpected body"
+    if not is_undisturbed(
+        result.gateway.disturbances_s, result.started_s, result.ended_s
+    ):
+        # The kernel closes the connections of a process that is killed.
+        return None
+    if result.kind in EVENT_KINDS and not _ends_between_events(answer.body):
+        return "ends inside an event, and not visibly"
+    if any(each.ending is Ending.CLOSED for each in sent):
+        return None
+    if not ran_undisturbed(site, result):
+        # The connection to the target may have ended otherwise than it ended it.
+        return None
+    return "a connection that was reset was passed on as closed"
+
+
+def _ends_between_events(body: bytes) -> bool:
+    """Return whether the body of a stream ends where an event ends or may begin."""
+    return not body or body.endswith(EVENT_END)
+
+
+def _unframed_answers(site: SoakSite, result: CallerResult) -> list[UnframedAnswer]:
+    """Return the answers of unknown length that targets sent to a request."""
+    return [
+        answer
+        for target in site.all_targets()
+        for answer in target.unframed_answers.get(result.request_id, ())
+    ]
+
+
+def was_broken_off(site: SoakSite, result: CallerResult) -> bool:
+    """Return whether a target broke off an answer of unknown length to a request."""
+    return any(not answer.is_whole for answer in _unframed_answers(site, result))
+
+
+def check_whole_unframed(site: SoakSite, observations: Observations) -> list[str]:
+    """Return the whole answers of unknown length that didn't reach their callers."""
+    arrivals: dict[str, list[tuple[SoakTarget, Arrival]]] = defaultdict(list)
+    for target in site.all_targets():
+        for arrival in target.arrivals:
+            arrivals[arrival.request_id].append((target, arrival))
+    return [
+        f"{result.request_id} ({result.kind}) got status {result.answer.status}"
+        f" at {result.ended_s:.2f}"
+        for result in observations.results
+        if len(arrivals[result.request_id]) == 1
+        and _was_answered_whole(arrivals[result.request_id][0][0], result)
+        and not result.is_disconnected
+        and _was_exchange_undisturbed(arrivals[result.request_id][0][0], result)
+        and not _is_whole(result)
+    ]
+
+
+def _was_answered_whole(target: SoakTarget, result: CallerResult) -> bool:
+    """Return whether `target` answered a request whole and without its length."""
+    answers = target.unframed_answers.get(result.request_id, ())
+    return any(answer.is_whole for answer in answers)
+
+
+def _was_exchange_undisturbed(target: SoakTarget, result: CallerResult) -> bool:
+    """Return whether nothing disturbed a request at its gateway and its target."""
+    from_s, to_s = result.started_s, result.ended_s
+    is_target_undisturbed = is_undisturbed(
+        target.disturbances_s, from_s - RECOVERY_S, to_s
+    )
+    return is_target_undisturbed and was_path_undisturbed(
+        result.gateway, target, from_s, to_s
+    )
+
+
+def _is_whole(result: CallerResult) -> bool:
+    """Return whether a caller got the whole answer of a target."""
+    answer = result.answer
+    is_received = answer.status == 200 and answer.is_complete
+    return is_received and answer.body in _whole_bodies(result)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -88,8 +88,9 @@
             request_id = f"{kind}-{number}-{iteration}"
             result = await _send_request(stream, gateway, rng, kind, request_id)
             observations.results.append(result)
-            is_complete = result.answer.is_complete and not result.is_disconnected
-            if is_complete and "connection" not in result.answer.headers:
+            answer = result.answer
+            is_reusable = answer.is_framed_as_complete and not result.is_disconnected
+            if is_reusable and "connection" not in answer.headers:
                 idle_connections[gateway.name] = stream
             else:
                 await trio.aclose_forcefully(stream)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,8 @@
 STORE_FAULTS = [fault for fault in StoreFault if fault is not StoreFault.NONE]
 SINGLE_TARGET_BAD_SHARE = 0.3
 WHOLE_SERVICE_BAD_SHARE = 0.8
+SINGLE_UNFRAMED_TARGET_SHARE = 0.3
+UNFRAMED_SHARE_RANGE = (0.2, 1.0)
 STALE_RECORDS_LIMIT = 12
 DRAIN_PAUSE_S = 3.0
 # Few bodies, so that concurrent fault sequences also send the same one.
@@ -140,6 +142,19 @@
         target.record_disturbance()
 
 
+async def answer_until_close(site: SoakSite, rng: random.Random) -> None:
+    """Make a service's targets end answers with their connection, some broken off."""
+    service = rng.choice(site.targets).service
+    affected = [target for target in site.targets if target.service == service]
+    if rng.random() < SINGLE_UNFRAMED_TARGET_SHARE:
+        affected = [rng.choice(affected)]
+    for target in affected:
+        target.unframed_share = rng.uniform(*UNFRAMED_SHARE_RANGE)
+    await trio.sleep(rng.uniform(*DURATION_RANGE_S))
+    for target in affected:
+        target.unframed_share = 0.0
+
+
 async def replace_target(site: SoakSite, rng: random.Random) -> None:
     """Add a target and drain an existing one of the same service."""
     draining: SoakTarget = rng.choice(site.targets)
@@ -228,3 +243,5 @@
     leave_by_answers,
     crash_targets,
 )
+# Not drawn: the gateways break promises under them.
+UNDRAWN_FAULTS: tuple[Fault, ...] = (answer_until_close,)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -1,21 +1,27 @@
 """The promises of the fleet, checked by what callers and targets observed."""
 
-from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Callable
 
-from soak.callers import CallerResult, Observations
+from soak.answer_checks import (
+    check_answers,
+    check_whole_unframed,
+    was_broken_off,
+)
+from soak.callers import Observations
+from soak.disturbances import (
+    RECOVERY_S,
+    is_undisturbed,
+    ran_undisturbed,
+    was_gateway_undisturbed,
+    was_path_undisturbed,
+)
 from soak.processes import RETRY_EXTRA, RETRY_RATIO, GatewayProcess
 from soak.site import ENGINE, PLAIN, TARGETS_PER_SERVICE, SoakSite
-from soak.targets import Arrival, SoakTarget
-from tests.fixtures.stub_targets import EVENT_COUNT, event
+from soak.targets import Arrival
 
 AT_MOST_ONCE_KINDS = ("once", "stream-once", "chat")
-STREAM_KINDS = ("stream", "stream-once")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-GATEWAY_ERROR_STATUSES = (502, 503, 504)
-# How long after a disturbance a gateway is expected to be up to date again.
-RECOVERY_S = 3.0
 MAX_CONFIG_DELAY_S = 2.5
 MAX_DRAINING_DELAY_S = 2.0
 # The same for the load bound, and for requests in flight during an orderly stop.
@@ -37,20 +43,6 @@
 # Not zero: requests with identical bytes are quarantined until the isolated trial of
 # one of them has ended.
 MAX_QUARANTINED_SHARE = 0.005
-_WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
-
-
-def is_undisturbed(disturbances_s: list[float], from_s: float, to_s: float) -> bool:
-    """Return whether no disturbance lies between `from_s` and `to_s`."""
-    position = bisect_left(disturbances_s, from_s)
-    return position == len(disturbances_s) or disturbances_s[position] > to_s
-
-
-def _was_undisturbed(gateway: GatewayProcess, at_s: float, until_s: float) -> bool:
-    """Return whether a gateway was undisturbed from RECOVERY_S before `at_s` on."""
-    from_s = at_s - RECOVERY_S
-    is_disturbed = not is_undisturbed(gateway.disturbances_s, from_s, until_s)
-    return not is_disturbed and is_undisturbed(gateway.stopping_s, from_s, until_s)
 
 
 def _sorted_arrivals(site: SoakSite) -> list[Arrival]:
@@ -89,32 +81,6 @@
     ]
 
 
-def check_answers(site: SoakSite, observations: Observations) -> list[str]:
-    """Return the answers with a wrong or incomplete content."""
-    return [
-        f"{result.request_id} ({result.kind}): {problem}"
-        for result in observations.results
-        if (problem := _find_answer_problem(result)) is not None
-    ]
-
-
-def _find_answer_problem(result: CallerResult) -> str | None:
-    """Return what is wrong with an answer, or None."""
-    answer = result.answer
-    if answer.status in GATEWAY_ERROR_STATUSES and "response-seal" in answer.headers:
-        return "a target's seal on an error of the gateway"
-    if answer.status != 200 or not answer.is_complete:
-        return None
-    if "response-seal" not in answer.headers:
-        return "status 200 without a target's seal"
-    if answer.headers.get("request-id") != result.request_id:
-        return "the answer to another request"
-    expected_body = f"body of {result.request_id}".encode()
-    if result.kind in STREAM_KINDS:
-        expected_body = _WHOLE_STREAM
-    return None if answer.body == expected_body else "unexpected body"
-
-
 def check_config(site: SoakSite, observations: Observations) -> list[str]:
     """Return where a gateway applied a configuration late or reverted it."""
     broken: list[str] = []
@@ -147,7 +113,9 @@
     """Return whether an undisturbed gateway must have applied `version` by `at_s`."""
     since_s = at_s - RECOVERY_S - MAX_CONFIG_DELAY_S
     is_store_undisturbed = is_undisturbed(site.store_disturbances_s, since_s, at_s)
-    is_gateway_undisturbed = _was_undisturbed(gateway, at_s - MAX_CONFIG_DELAY_S, at_s)
+    is_gateway_undisturbed = was_gateway_undisturbed(
+        gateway, at_s - MAX_CONFIG_DELAY_S, at_s
+    )
     return (
         is_store_undisturbed
         and is_gateway_undisturbed
@@ -169,7 +137,7 @@
             is_store_undisturbed = is_undisturbed(
                 site.store_disturbances_s, since_s, arrival.arrived_s
             )
-            if is_store_undisturbed and _was_undisturbed(
+            if is_store_undisturbed and was_gateway_undisturbed(
                 gateway, target.removed_s, arrival.arrived_s
             ):
                 broken.append(f"{arrival.request_id} arrived {late_s:.2f} s too late")
@@ -194,7 +162,8 @@
             and has_time_left
             and is_otherwise_undisturbed
             and was_cut
-            and _ran_undisturbed(site, result)
+            and not was_broken_off(site, result)
+            and ran_undisturbed(site, result)
         ):
             broken.append(
                 f"{result.request_id} ({result.kind}) cut by {result.gateway.name}"
@@ -202,16 +171,6 @@
     return broken
 
 
-def _ran_undisturbed(site: SoakSite, result: CallerResult) -> bool:
-    """Return whether a request ran, and only at targets without disturbances."""
-    ran_at = [t for t in site.all_targets() if t.stub.runs[result.request_id]]
-    since_s = result.started_s - RECOVERY_S
-    return bool(ran_at) and all(
-        is_undisturbed(target.disturbances_s, since_s, result.ended_s)
-        for target in ran_at
-    )
-
-
 def check_load_bound(site: SoakSite, observations: Observations) -> list[str]:
     """Return the arrivals at engines beyond the load bound, if there are too many."""
     gateways = {gateway.name: gateway for gateway in site.gateways}
@@ -250,7 +209,7 @@
     site: SoakSite, gateway: GatewayProcess | None, at_s: float
 ) -> bool:
     """Return whether the load bound applies to a request sent at `at_s`."""
-    if gateway is None or not _was_undisturbed(gateway, at_s, at_s):
+    if gateway is None or not was_gateway_undisturbed(gateway, at_s, at_s):
         return False
     disturbances_s = [
         t.disturbances_s for t in site.all_targets() if t.service == ENGINE
@@ -328,7 +287,7 @@
     return (
         gateway is not None
         and is_store_undisturbed
-        and _was_undisturbed(gateway, at_s, at_s)
+        and was_gateway_undisturbed(gateway, at_s, at_s)
     )
 
 
@@ -365,7 +324,7 @@
                 gateways.get(period.gateway),
                 period.from_s + period.length_s,
             )
-            if gateway is None or not _was_path_undisturbed(
+            if gateway is None or not was_path_undisturbed(
                 gateway, target, period.from_s, end_s
             ):
                 continue
@@ -409,21 +368,6 @@
     ]
 
 
-def _was_path_undisturbed(
-    gateway: GatewayProcess, target: SoakTarget, from_s: float, to_s: float
-) -> bool:
-    """Return whether neither a gateway nor its path to a target was disturbed."""
-    disturbances_s = (
-        gateway.disturbances_s,
-        gateway.stopping_s,
-        target.path_disturbances_s,
-    )
-    # A disturbance that began before the answer was sent may still lose the answer.
-    return all(
-        is_undisturbed(times_s, from_s - RECOVERY_S, to_s) for times_s in disturbances_s
-    )
-
-
 def check_exits(site: SoakSite, observations: Observations) -> list[str]:
     """Return the gateways that exited without a signal of the soak."""
     return [
@@ -437,6 +381,7 @@
     "requests that must not repeat run at most once": check_at_most_once,
     "a request refused as not run has not run": check_not_run,
     "answers are complete and belong to their request": check_answers,
+    "a whole answer of unknown length is served": check_whole_unframed,
     "a configuration is applied in time and never reverted": check_config,
     "a draining target gets no new requests": check_draining,
     "a planned stop cuts no request": check_planned_stops,
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -5,6 +5,7 @@
 import trio
 
 from scaleloom_standins.ports import LOOPBACK
+from tests.fixtures.cut_answers import reset
 from tests.fixtures.stub_server import free_listener, port_of
 
 READ_LIMIT_BYTES = 65536
@@ -98,13 +99,23 @@
     ) -> None:
         """Copy bytes in one direction, and close both when this one ends."""
         try:
-            while data := await source.receive_some(READ_LIMIT_BYTES):
+            while data := await self._receive(source, destination):
                 await self._wait_for_mode(is_answer)
                 await destination.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         scope.cancel()
 
+    async def _receive(
+        self, source: trio.SocketStream, destination: trio.SocketStream
+    ) -> bytes:
+        """Return the next bytes of `source`; a reset there resets `destination`."""
+        try:
+            return await source.receive_some(READ_LIMIT_BYTES)
+        except trio.BrokenResourceError:
+            reset(destination)
+            raise
+
     async def _wait_for_mode(self, is_answer: bool) -> None:
         """Wait for as long as the mode delays or withholds bytes."""
         if self.mode is RelayMode.DELAY:
--- a/soak/rollout_checks.py
+++ b/soak/rollout_checks.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from soak.promise_checks import RECOVERY_S, is_undisturbed
+from soak.disturbances import RECOVERY_S, is_undisturbed
 from soak.rollout_run import FINAL_STATES, NO_FAULTS, RolloutRun
 from soak.site import PLAIN
 from soak.targets import Arrival
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -1,7 +1,7 @@
 """Targets of the soak: stub servers behind relays, which take time for each request."""
 
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -16,6 +16,12 @@
 )
 from tests.fixtures import stub_targets
 from tests.fixtures.backoff import BackoffPeriod
+from tests.fixtures.cut_answers import (
+    UnframedAnswer,
+    draw_unframed_answer,
+    pieces_of,
+    send_unframed,
+)
 from tests.fixtures.stub_server import (
     ReceivedRequest,
     free_listener,
@@ -34,6 +40,7 @@
 # A target crashes while it runs a request whose body begins with this.
 CRASHING_BODY = b"ends whatever runs it, number "
 CRASH_DELAY_S = 0.04
+BROKEN_UNFRAMED_SHARE = 0.5
 BAD_ANSWERS = (
     stub_targets.reject_not_run,
     stub_targets.fail,
@@ -78,6 +85,10 @@
     ----------
     bad_answer_share : float
         Share of answers that are bad.
+    unframed_share : float
+        Share of answers with neither length nor chunks, of which some are broken off.
+    unframed_answers : dict of str to list of UnframedAnswer
+        Those answers, by request id.
     added_s, removed_s : float
         When the entry was added to the list, and when the target was marked as
         draining, stopped or crashed.
@@ -108,6 +119,10 @@
     service: str
     rng: random.Random
     bad_answer_share: float = 0.0
+    unframed_share: float = 0.0
+    unframed_answers: dict[str, list[UnframedAnswer]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     added_s: float = field(default_factory=trio.current_time)
     removed_s: float = float("inf")
     version: str = "v1"
@@ -190,6 +205,8 @@
             behave = stub_targets.answer_normally
             if self.rng.random() < self.bad_answer_share:
                 behave = self.rng.choice(BAD_ANSWERS)
+            elif self.rng.random() < self.unframed_share:
+                behave = self._answer_unframed
             if is_slow or is_failing:
                 self.bad_answers_s.append(trio.current_time())
             return await (stub_targets.fail if is_failing else behave)(stub, request)
@@ -210,6 +227,17 @@
                 )
             )
 
+    async def _answer_unframed(
+        self, stub: StubTarget, request: ReceivedRequest
+    ) -> bool:
+        """Run the request; end the answer, whole or broken off, with the connection."""
+        stub.runs[request_id(request)] += 1
+        answer = draw_unframed_answer(
+            pieces_of(request), BROKEN_UNFRAMED_SHARE, self.rng
+        )
+        self.unframed_answers[request_id(request)].append(answer)
+        return await send_unframed(stub, request, answer, self.rng)
+
     async def _reject_with_retry_after(
         self, stub: StubTarget, request: ReceivedRequest
     ) -> bool:
