Soak: serve several versions side by side, and take streams up again

With the fault change_versions a third service has targets of two or three versions that come and go, also under the same key with another born, some without a version in their entry. They write their version into each event and cut a seventh of the streams. Sixteen callers keep their connections until a gateway is gone, leave streams midway, and take them up with Last-Event-Id and Resumes. Judged: the order of events, how many streams hold several versions (two are allowed, at all gateways), and the share of streams that go on beside that of new ones that begin, at gateways in touch.

The check of announced draining finds the target that answered by its run, since several starts may now share a key.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -10,13 +10,15 @@
     ran_undisturbed,
     was_path_undisturbed,
 )
+from soak.mixed_streams import EVENT_COUNT as MIXED_EVENT_COUNT
+from soak.mixed_streams import MIXED, find_order_problem, whole_events
 from soak.site import SoakSite
 from soak.targets import Arrival, SoakTarget
-from tests.fixtures.cut_answers import EVENT_END, Ending, UnframedAnswer, chat_pieces
+from tests.fixtures.cut_answers import EVENT_END, Ending, PlannedAnswer, chat_pieces
 from tests.fixtures.stub_targets import EVENT_COUNT, event
 
 STREAM_KINDS = ("stream", "stream-once")
-EVENT_KINDS = (*STREAM_KINDS, "chat")
+EVENT_KINDS = (*STREAM_KINDS, "chat", MIXED)
 GATEWAY_ERROR_STATUSES = (502, 503, 504)
 _WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
 
@@ -44,16 +46,27 @@
         return "the answer to another request"
     if answer.delimiter is BodyDelimiter.CONNECTION:
         return _find_unframed_problem(site, result)
-    if answer.body in _whole_bodies(result):
+    if _has_whole_body(result):
         return None
     if _is_begun(result):
         return f"broken off, and framed as complete by {answer.delimiter.value}"
     return "unexpected body"
 
 
+def _has_whole_body(result: CallerResult) -> bool:
+    """Return whether the body is a whole one."""
+    body = result.answer.body
+    if result.kind != MIXED:
+        return body in _whole_bodies(result)
+    is_last = len(whole_events(body)) == MIXED_EVENT_COUNT - result.first_event + 1
+    return is_last and _ends_between_events(body) and _is_begun(result)
+
+
 def _is_begun(result: CallerResult) -> bool:
     """Return whether the body is that of the request as far as it goes."""
     body = result.answer.body
+    if result.kind == MIXED:
+        return find_order_problem(body, result.first_event) is None
     return any(whole.startswith(body) for whole in _whole_bodies(result))
 
 
@@ -80,7 +93,7 @@
         return "an end that can't be known, from targets that told theirs"
     if answer.headers.get("connection", "").lower() != "close":
         return "the end of the connection isn't announced"
-    if answer.body in _whole_bodies(result):
+    if _has_whole_body(result):
         return None
     if not _is_begun(result):
         return "unexpected body"
@@ -104,7 +117,7 @@
     return not body or body.endswith(EVENT_END)
 
 
-def _unframed_answers(site: SoakSite, result: CallerResult) -> list[UnframedAnswer]:
+def _unframed_answers(site: SoakSite, result: CallerResult) -> list[PlannedAnswer]:
     """Return the answers of unknown length that targets sent to a request."""
     return [
         answer
@@ -114,8 +127,8 @@
 
 
 def was_broken_off(site: SoakSite, result: CallerResult) -> bool:
-    """Return whether a target broke off an answer of unknown length to a request."""
-    return any(not answer.is_whole for answer in _unframed_answers(site, result))
+    """Return whether a target broke off its answer to a request."""
+    return any(result.request_id in t.broken_off_ids for t in site.all_targets())
 
 
 def check_whole_unframed(site: SoakSite, observations: Observations) -> list[str]:
@@ -157,4 +170,4 @@
     """Return whether a caller got the whole answer of a target."""
     answer = result.answer
     is_received = answer.status == 200 and answer.is_complete
-    return is_received and answer.body in _whole_bodies(result)
+    return is_received and _has_whole_body(result)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from soak.mixed_streams import whole_events
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
 from soak.targets import GATEWAY_HEADER
@@ -40,6 +41,10 @@
         Whether the gateway had been told to stop when the request was sent.
     is_disconnected : bool
         Whether the caller disconnected before the answer was complete.
+    has_left : bool
+        Whether it did so of its own accord, before its time ran out.
+    first_event : int
+        Number of the first event that was asked for.
     """
 
     kind: str
@@ -51,6 +56,29 @@
     answer: Answer
     was_stopping: bool
     is_disconnected: bool
+    has_left: bool = False
+    first_event: int = 1
+
+
+@dataclass
+class MixedStream:
+    """All attempts of a caller at one stream of the service of several versions."""
+
+    attempts: list[CallerResult] = field(default_factory=list)
+
+    @property
+    def versions(self) -> set[str]:
+        """Return the versions whose events the caller got."""
+        bodies = (attempt.answer.body for attempt in self.attempts)
+        return {version for body in bodies for _, version in whole_events(body)}
+
+    @property
+    def first_version(self) -> str | None:
+        """Return the version of the first event."""
+        for attempt in self.attempts:
+            for _, version in whole_events(attempt.answer.body):
+                return version
+        return None
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +97,7 @@
     """Results and probes of all callers of one seed."""
 
     results: list[CallerResult] = field(default_factory=list)
+    mixed_streams: list[MixedStream] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
 
 
@@ -82,7 +111,7 @@
         gateway = rng.choice(site.gateways)
         stream = idle_connections.pop(gateway.name, None)
         if stream is None or rng.random() > KEEP_ALIVE_SHARE:
-            stream = await _connect(gateway)
+            stream = await connect(gateway)
         if stream is not None:
             kind = rng.choice(kinds)
             request_id = f"{kind}-{number}-{iteration}"
@@ -97,7 +126,7 @@
         await trio.sleep(THINK_TIME_S)
 
 
-async def _connect(gateway: GatewayProcess) -> trio.SocketStream | None:
+async def connect(gateway: GatewayProcess) -> trio.SocketStream | None:
     """Return a new connection to a gateway, or None if it can't be reached."""
     with trio.move_on_after(1.0):
         try:
@@ -152,7 +181,7 @@
         age_s = CONFIG_DUE_S if iteration % 2 else 0.0
         version = site.newest_version_at(trio.current_time() - age_s)
         incarnation = gateway.incarnation
-        stream = await _connect(gateway)
+        stream = await connect(gateway)
         if stream is None:
             continue
         sent_s = trio.current_time()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from soak.mixed_streams import MIXED, VERSIONS
 from soak.relays import Relay, RelayMode
 from soak.site import PLAIN, SoakSite
 from soak.targets import CRASHING_BODY, GATEWAY_HEADER, SoakTarget
@@ -22,6 +23,8 @@
 WHOLE_SERVICE_BAD_SHARE = 0.8
 SINGLE_UNFRAMED_TARGET_SHARE = 0.3
 UNFRAMED_SHARE_RANGE = (0.2, 1.0)
+RESTART_SHARE = 0.4
+STOP_SHARE = 0.3
 STALE_RECORDS_LIMIT = 12
 DRAIN_PAUSE_S = 3.0
 # Few bodies, so that concurrent fault sequences also send the same one.
@@ -158,7 +161,7 @@
 async def replace_target(site: SoakSite, rng: random.Random) -> None:
     """Add a target and drain an existing one of the same service."""
     draining: SoakTarget = rng.choice(site.targets)
-    site.add_target(draining.service)
+    site.add_target(draining.service, draining.version)
     await trio.sleep(rng.uniform(*PAUSE_RANGE_S))
     if draining in site.targets:
         site.drain_target(draining)
@@ -219,7 +222,7 @@
 async def leave_by_answers(site: SoakSite, rng: random.Random) -> None:
     """Make a target announce draining in answers, long before in its list entry."""
     draining: SoakTarget = rng.choice(site.targets)
-    site.add_target(draining.service)
+    site.add_target(draining.service, draining.version)
     draining.record_disturbance()
     draining.stub.is_leaving = True
     await trio.sleep(rng.uniform(*DRAINING_SIGNAL_RANGE_S))
@@ -228,6 +231,40 @@
         await trio.sleep(DRAIN_PAUSE_S)
 
 
+async def change_versions(site: SoakSite, rng: random.Random) -> None:
+    """Replace targets of the service of several versions by others, one by one."""
+    mixed = [target for target in site.targets if target.service == MIXED]
+    version = rng.choice(VERSIONS)
+    for target in rng.sample(mixed, min(len(mixed), rng.randrange(1, 4))):
+        if target in site.targets:
+            await _change_version(site, rng, target, version)
+            await trio.sleep(rng.uniform(*PAUSE_RANGE_S))
+
+
+async def _change_version(
+    site: SoakSite, rng: random.Random, target: SoakTarget, version: str
+) -> None:
+    """Replace `target` under its own key, or add another and remove or drain it."""
+    if rng.random() < RESTART_SHARE:
+        site.restart_target(target, version)
+        return
+    site.add_target(MIXED, version)
+    await trio.sleep(rng.uniform(*PAUSE_RANGE_S))
+    if target not in site.targets:
+        return
+    if rng.random() < STOP_SHARE:
+        site.stop_target(target)
+        return
+    site.drain_target(target)
+    site.nursery.start_soon(_end_drained, target)
+
+
+async def _end_drained(target: SoakTarget) -> None:
+    """End a target some time after it began to drain."""
+    await trio.sleep(DRAIN_PAUSE_S)
+    target.end()
+
+
 FAULTS: tuple[Fault, ...] = (
     signal_gateway,
     roll_gateways,
@@ -244,4 +281,4 @@
     crash_targets,
 )
 # Not drawn: the gateways break promises under them.
-UNDRAWN_FAULTS: tuple[Fault, ...] = (answer_until_close,)
+UNDRAWN_FAULTS: tuple[Fault, ...] = (answer_until_close, change_versions)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -16,11 +16,18 @@
     was_gateway_undisturbed,
     was_path_undisturbed,
 )
+from soak.mixed_streams import MIXED
 from soak.processes import RETRY_EXTRA, RETRY_RATIO, GatewayProcess
+from soak.resumption_checks import (
+    check_resumed_share,
+    check_stream_order,
+    check_stream_versions,
+)
 from soak.site import ENGINE, PLAIN, TARGETS_PER_SERVICE, SoakSite
 from soak.targets import Arrival
 
 AT_MOST_ONCE_KINDS = ("once", "stream-once", "chat")
+SERVICES_BY_KIND = {"chat": ENGINE, MIXED: MIXED}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAX_CONFIG_DELAY_S = 2.5
 MAX_DRAINING_DELAY_S = 2.0
@@ -232,7 +239,8 @@
     """Return the time windows in which a service got too many retries."""
     requests_s: dict[str, list[float]] = defaultdict(list)
     for result in observations.results:
-        requests_s[ENGINE if result.kind == "chat" else PLAIN].append(result.started_s)
+        service = SERVICES_BY_KIND.get(result.kind, PLAIN)
+        requests_s[service].append(result.started_s)
     requests_s[PLAIN] += [probe.sent_s for probe in observations.probes]
     known_ids: set[str] = set()
     retries_s: dict[str, list[float]] = defaultdict(list)
@@ -345,18 +353,23 @@
 
 def check_announced_draining(site: SoakSite, observations: Observations) -> list[str]:
     """Return the requests sent to targets after their answers announced draining."""
-    targets = {f"seal-{t.stub.id}": t for t in site.all_targets()}
-    first_announced_s: dict[tuple[str, str], float] = {}
+    first_announced_s: dict[tuple[int, str], float] = {}
+    targets = site.all_targets()
     for result in sorted(observations.results, key=lambda each: each.ended_s):
         if DRAINING_HEADER in result.answer.headers and result.answer.is_complete:
-            key = (result.answer.headers["response-seal"], result.gateway.name)
-            first_announced_s.setdefault(key, result.ended_s)
+            seal = result.answer.headers["response-seal"]
+            # Several starts of a target may share their id.
+            for number, target in enumerate(targets):
+                has_run = target.stub.runs[result.request_id]
+                if has_run and seal == f"seal-{target.stub.id}":
+                    key = (number, result.gateway.name)
+                    first_announced_s.setdefault(key, result.ended_s)
     gateways = {gateway.name: gateway for gateway in site.gateways}
     return [
         f"{arrival.request_id} from {name} at {arrival.arrived_s:.2f},"
         f" draining announced at {announced_s:.2f}"
-        for (seal, name), announced_s in first_announced_s.items()
-        for arrival in targets[seal].arrivals
+        for (number, name), announced_s in first_announced_s.items()
+        for arrival in targets[number].arrivals
         if arrival.gateway == name
         and arrival.arrived_s > announced_s + MAX_DRAINING_DELAY_S
         and is_undisturbed(
@@ -391,5 +404,8 @@
     "requests that crash nothing are not quarantined": check_quarantine,
     "gateways back off as Retry-After asks": check_backoff,
     "a target that announces draining gets no new requests": check_announced_draining,
+    "the events of a stream arrive in order": check_stream_order,
+    "a stream holds events of one version": check_stream_versions,
+    "streams that are taken up go on": check_resumed_share,
     "no gateway exits unexpectedly": check_exits,
 }
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -16,9 +16,17 @@
     probe_config_versions,
     send_requests,
 )
-from soak.faults import FAULT_SEQUENCE_COUNT, Fault, draw_faults, inject_faults
+from soak.faults import (
+    FAULT_SEQUENCE_COUNT,
+    Fault,
+    change_versions,
+    draw_faults,
+    inject_faults,
+)
 from soak.processes import GatewayProcess
 from soak.promise_checks import PROMISES
+from soak.resuming_callers import RESUMING_CALLER_COUNT, take_streams_up
+from soak.resumption_checks import describe_outcomes
 from soak.site import START_TIMEOUT_S, SoakSite, running_soak
 from tests.fixtures.gateways import ask_raw
 
@@ -37,6 +45,9 @@
     ----------
     sent_count, served_count : int
         Requests that were sent, and those that were answered with status 200.
+    stream_counts : str
+        How many streams began and went on at gateways in touch; empty if no caller
+        takes streams up.
     broken : dict of str to list of str
         The promises that were broken, each with its cases.
     """
@@ -45,6 +56,7 @@
     sent_count: int
     served_count: int
     broken: dict[str, list[str]]
+    stream_counts: str = ""
 
     def describe(self) -> str:
         """Return the counts and the broken promises, with the first cases of each."""
@@ -53,6 +65,8 @@
             f"seed {self.seed}: {state},"
             f" {self.served_count} of {self.sent_count} requests served"
         ]
+        if self.stream_counts:
+            lines.append(f"  {self.stream_counts}")
         for promise, cases in self.broken.items():
             lines.append(f"  {promise}: {len(cases)} cases")
             lines += [f"    {case}" for case in cases[:MAX_SHOWN_CASES]]
@@ -83,13 +97,17 @@
     """
     kinds = faults or draw_faults(random.Random(seed))
     observations = Observations()
-    async with running_soak(seed, directory, gateway_count, disabled_mechanism) as site:
+    has_mixed_service = change_versions in kinds
+    arguments = (seed, directory, gateway_count, disabled_mechanism, has_mixed_service)
+    async with running_soak(*arguments) as site:
         await wait_until_ready(site)
         async with trio.open_nursery() as nursery:
             for number in range(CALLER_COUNT):
                 nursery.start_soon(send_requests, site, observations, number, KINDS)
             for number in range(CHAT_CALLER_COUNT):
                 nursery.start_soon(send_requests, site, observations, number, (CHAT,))
+            for number in range(RESUMING_CALLER_COUNT if has_mixed_service else 0):
+                nursery.start_soon(take_streams_up, site, observations, number)
             for gateway in site.gateways:
                 nursery.start_soon(probe_config_versions, site, observations, gateway)
             for number in range(FAULT_SEQUENCE_COUNT):
@@ -108,7 +126,8 @@
     }
     broken = {promise: cases for promise, cases in cases_by_promise.items() if cases}
     served_count = sum(result.answer.status == 200 for result in observations.results)
-    return SoakResult(seed, len(observations.results), served_count, broken)
+    counts = describe_outcomes(site, observations) if site.has_mixed_service else ""
+    return SoakResult(seed, len(observations.results), served_count, broken, counts)
 
 
 async def wait_until_ready(site: SoakSite) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,6 +9,7 @@
 import trio
 
 from scaleloom_standins.ports import free_port
+from soak.mixed_streams import MIXED, VERSIONS
 from soak.processes import GatewayProcess
 from soak.relays import Relay
 from soak.targets import SoakTarget, start_target
@@ -18,6 +19,9 @@
 
 PLAIN, ENGINE = "plain", "llm"
 TARGETS_PER_SERVICE = 4
+TARGETS_PER_VERSION = 3
+UNTOLD_VERSION_SHARE = 0.15
+FIRST_BORN_MS = 1_764_721_000_000
 START_TIMEOUT_S = 20.0
 # The platform removes an entry after three missed heartbeats and starts a
 # replacement of a crashed target within some seconds.
@@ -40,6 +44,8 @@
         When a store fault began or ended.
     crashes_s : dict of bytes to list of float
         When targets crashed while they ran a request, by the request's body.
+    has_mixed_service : bool
+        Whether there is a service whose targets run several versions.
     """
 
     rng: random.Random
@@ -54,6 +60,7 @@
     config_written_s: dict[int, float] = field(default_factory=dict)
     store_disturbances_s: list[float] = field(default_factory=list)
     crashes_s: dict[bytes, list[float]] = field(default_factory=dict)
+    has_mixed_service: bool = False
     _started_count: int = 0
 
     def newest_version_at(self, at_s: float) -> int:
@@ -70,15 +77,31 @@
         document = config(version, chat, *added)
         engine = {"slots": 32, "kv-capacity": 400_000}
         document["services"].append({"name": ENGINE, "engine": engine})
+        if self.has_mixed_service:
+            document["services"].append({"name": MIXED})
+            mixed = route(MIXED, "stream", service=MIXED, attempts=3, resumable=True)
+            document["routes"].append(mixed)
         self.store.put(CONFIG_TOPIC, "config", document)
         self.config_written_s[version] = trio.current_time()
 
-    def add_target(self, service: str, version: str = "v1") -> SoakTarget:
-        """Start one more target and add its entry to the list."""
+    def add_target(
+        self, service: str, version: str = "v1", name: str | None = None
+    ) -> SoakTarget:
+        """
+        Start one more target and add its entry to the list.
+
+        Parameters
+        ----------
+        name : str or None
+            The key of the entry; a new one if None.
+        """
         self._started_count += 1
-        name = f"i-{self._started_count}"
+        name = name or f"i-{self._started_count}"
         target = start_target(name, service, self.rng, self.nursery, version)
         target.on_crash = self.crash_target
+        if service == MIXED:
+            target.tells_version = self.rng.random() >= UNTOLD_VERSION_SHARE
+            target.born_ms = FIRST_BORN_MS + self._started_count
         target.record_disturbance()
         self.targets.append(target)
         self.store.put(TARGETS_TOPIC, name, target.entry())
@@ -99,6 +122,20 @@
         target.stop_at_once()
         self.store.drop(TARGETS_TOPIC, target.stub.id)
 
+    def restart_target(self, target: SoakTarget, version: str) -> None:
+        """Replace a target under its own key with a new start, of `version`."""
+        self.targets.remove(target)
+        self.removed_targets.append(target)
+        target.crash()
+        self.add_target(target.service, version, target.stub.id)
+
+    def add_mixed_service(self) -> None:
+        """Start targets of two or three versions of one service."""
+        self.has_mixed_service = True
+        for version in self.rng.sample(VERSIONS, self.rng.choice((2, 3))):
+            for _ in range(TARGETS_PER_VERSION):
+                self.add_target(MIXED, version)
+
     def crash_target(self, target: SoakTarget, body: bytes | None = None) -> None:
         """
         Crash a target; a replacement starts after a delay.
@@ -120,7 +157,7 @@
         """Start a replacement after a random delay, and remove the old entry."""
         replacement_delay_s = self.rng.uniform(*REPLACEMENT_DELAY_RANGE_S)
         await trio.sleep(min(replacement_delay_s, ENTRY_REMOVAL_DELAY_S))
-        self.add_target(target.service)
+        self.add_target(target.service, target.version)
         await trio.sleep(max(0.0, ENTRY_REMOVAL_DELAY_S - replacement_delay_s))
         self.store.drop(TARGETS_TOPIC, target.stub.id)
 
@@ -155,7 +192,11 @@
 
 @asynccontextmanager
 async def running_soak(
-    seed: int, directory: Path, gateway_count: int, disabled_mechanism: str | None
+    seed: int,
+    directory: Path,
+    gateway_count: int,
+    disabled_mechanism: str | None,
+    has_mixed_service: bool = False,
 ) -> AsyncIterator[SoakSite]:
     """Yield a site with started gateways; kill their processes at the end."""
     store = StoreStandin()
@@ -163,6 +204,8 @@
         listener = free_listener()
         site = SoakSite(random.Random(seed), nursery, store, port_of(listener))
         nursery.start_soon(serve_http, listener, store.answer)
+        if has_mixed_service:
+            site.add_mixed_service()
         site.write_config()
         for service in (PLAIN, ENGINE):
             for _ in range(TARGETS_PER_SERVICE):
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -7,6 +7,11 @@
 
 import trio
 
+from soak.mixed_streams import (
+    EVENT_PAUSE_RANGE_S,
+    MIXED,
+    plan_mixed_answer,
+)
 from soak.relays import Relay, RelayMode
 from soak.version_defects import (
     FAILING_ANSWER_SHARE,
@@ -17,10 +22,10 @@
 from tests.fixtures import stub_targets
 from tests.fixtures.backoff import BackoffPeriod
 from tests.fixtures.cut_answers import (
-    UnframedAnswer,
-    draw_unframed_answer,
+    PlannedAnswer,
+    draw_answer,
     pieces_of,
-    send_unframed,
+    send_pieces,
 )
 from tests.fixtures.stub_server import (
     ReceivedRequest,
@@ -41,6 +46,7 @@
 CRASHING_BODY = b"ends whatever runs it, number "
 CRASH_DELAY_S = 0.04
 BROKEN_UNFRAMED_SHARE = 0.5
+BROKEN_MIXED_SHARE = 0.15
 BAD_ANSWERS = (
     stub_targets.reject_not_run,
     stub_targets.fail,
@@ -49,6 +55,11 @@
     stub_targets.answer_twice,
     stub_targets.answer_other_first,
 )
+BAD_MIXED = (
+    stub_targets.reject_not_run,
+    stub_targets.fail,
+    stub_targets.close_unanswered,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +98,14 @@
         Share of answers that are bad.
     unframed_share : float
         Share of answers with neither length nor chunks, of which some are broken off.
-    unframed_answers : dict of str to list of UnframedAnswer
+    unframed_answers : dict of str to list of PlannedAnswer
         Those answers, by request id.
+    broken_off_ids : set of str
+        The requests whose answers the target broke off.
+    tells_version : bool
+        Whether the entry names the version.
+    born_ms : int or None
+        When the target started, if the entry names it.
     added_s, removed_s : float
         When the entry was added to the list, and when the target was marked as
         draining, stopped or crashed.
@@ -120,9 +137,12 @@
     rng: random.Random
     bad_answer_share: float = 0.0
     unframed_share: float = 0.0
-    unframed_answers: dict[str, list[UnframedAnswer]] = field(
+    unframed_answers: dict[str, list[PlannedAnswer]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    broken_off_ids: set[str] = field(default_factory=set)
+    tells_version: bool = True
+    born_ms: int | None = None
     added_s: float = field(default_factory=trio.current_time)
     removed_s: float = float("inf")
     version: str = "v1"
@@ -143,16 +163,20 @@
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return the target's entry in the list of targets."""
-        return {
+        entry = {
             "service": self.service,
             "address": f"127.0.0.1:{self.relay.port}",
             "zone": "a",
             "slots": CAPACITY,
             "state": state,
-            "version": self.version,
             "cold-left-ms": 0,
             "seq": 1,
         }
+        if self.tells_version:
+            entry["version"] = self.version
+        if self.born_ms is not None:
+            entry["born"] = self.born_ms
+        return entry
 
     def stop_at_once(self) -> None:
         """Stop without draining: reset all connections, busy ones too."""
@@ -166,6 +190,11 @@
         self.removed_s = trio.current_time()
         self.record_disturbance()
 
+    def end(self) -> None:
+        """Close all connections and the port, some time after draining."""
+        self.relay.close()
+        self.record_disturbance()
+
     def _shows_defect(self, request: ReceivedRequest) -> bool:
         """Return whether the version's defect shows in the answer to `request`."""
         if self.version_defect is None:
@@ -202,10 +231,11 @@
             await trio.sleep(
                 self.rng.uniform(*work_s) * (SLOWDOWN_FACTOR if is_slow else 1)
             )
-            behave = stub_targets.answer_normally
+            is_mixed = self.service == MIXED
+            behave = self._answer_mixed if is_mixed else stub_targets.answer_normally
             if self.rng.random() < self.bad_answer_share:
-                behave = self.rng.choice(BAD_ANSWERS)
-            elif self.rng.random() < self.unframed_share:
+                behave = self.rng.choice(BAD_MIXED if is_mixed else BAD_ANSWERS)
+            elif not is_mixed and self.rng.random() < self.unframed_share:
                 behave = self._answer_unframed
             if is_slow or is_failing:
                 self.bad_answers_s.append(trio.current_time())
@@ -232,11 +262,28 @@
     ) -> bool:
         """Run the request; end the answer, whole or broken off, with the connection."""
         stub.runs[request_id(request)] += 1
-        answer = draw_unframed_answer(
-            pieces_of(request), BROKEN_UNFRAMED_SHARE, self.rng
+        answer = draw_answer(pieces_of(request), BROKEN_UNFRAMED_SHARE, self.rng)
+        self._record_planned(request_id(request), answer, is_unframed=True)
+        return await send_pieces(stub, request, answer, self.rng)
+
+    async def _answer_mixed(self, stub: StubTarget, request: ReceivedRequest) -> bool:
+        """Run the request and send its events, which tell the target's version."""
+        stub.runs[request_id(request)] += 1
+        is_unframed = self.rng.random() < self.unframed_share
+        answer = plan_mixed_answer(request, self.version, BROKEN_MIXED_SHARE, self.rng)
+        self._record_planned(request_id(request), answer, is_unframed)
+        return await send_pieces(
+            stub, request, answer, self.rng, not is_unframed, EVENT_PAUSE_RANGE_S
         )
-        self.unframed_answers[request_id(request)].append(answer)
-        return await send_unframed(stub, request, answer, self.rng)
+
+    def _record_planned(
+        self, asked_id: str, answer: PlannedAnswer, is_unframed: bool
+    ) -> None:
+        """Record an answer that ends with its connection or is to be broken off."""
+        if is_unframed:
+            self.unframed_answers[asked_id].append(answer)
+        if not answer.is_whole:
+            self.broken_off_ids.add(asked_id)
 
     async def _reject_with_retry_after(
         self, stub: StubTarget, request: ReceivedRequest
@@ -262,7 +309,7 @@
     service: str,
     rng: random.Random,
     nursery: trio.Nursery,
-    version: str = "v1",
+    version: str,
 ) -> SoakTarget:
     """Start a target behind a relay of its own."""
     listener = free_listener()
--- a/tests/test_soak_answers.py
+++ b/tests/test_soak_answers.py
@@ -11,7 +11,7 @@
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
 from soak.targets import Arrival, SoakTarget
-from tests.fixtures.cut_answers import Cut, Ending, UnframedAnswer, cut_pieces
+from tests.fixtures.cut_answers import Cut, Ending, PlannedAnswer, cut_pieces
 from tests.fixtures.gateways import Answer
 from tests.fixtures.stub_targets import StubTarget, event
 
@@ -26,7 +26,7 @@
 HALF_EVENT = "ends inside an event, and not visibly"
 
 
-def _site(sent: Sequence[UnframedAnswer], disturbed_s: Sequence[float]) -> SoakSite:
+def _site(sent: Sequence[PlannedAnswer], disturbed_s: Sequence[float]) -> SoakSite:
     """Return a site with one target, which sent answers of unknown length."""
     stub = StubTarget("i-1")
     stub.runs[ID] += 1
@@ -67,7 +67,7 @@
     ("chat", b"id: 1\ndata: body of r-1\n\n", CHUNKS),
 )
 def test_a_broken_off_answer_framed_as_complete_is_a_problem(kind, body, delimiter):
-    sent = [UnframedAnswer((body,), Cut.BETWEEN_PIECES)]
+    sent = [PlannedAnswer((body,), Cut.BETWEEN_PIECES)]
     assert _problem(_site(sent, []), _observe(kind, body, delimiter))
 
 
@@ -85,7 +85,7 @@
 def test_an_answer_of_unknown_length_may_end_short_if_that_cannot_be_known(
     kind, body, ending, problem
 ):
-    sent = [UnframedAnswer((body,), Cut.BETWEEN_PIECES, ending)]
+    sent = [PlannedAnswer((body,), Cut.BETWEEN_PIECES, ending)]
     assert _problem(_site(sent, []), _observe(kind, body, CLOSE)) == problem
 
 
@@ -95,19 +95,19 @@
 
 
 def test_a_reset_that_a_fault_of_the_path_may_have_hidden_is_not_judged():
-    sent = [UnframedAnswer((BODY[:-2],), Cut.INSIDE_PIECE, RESET)]
+    sent = [PlannedAnswer((BODY[:-2],), Cut.INSIDE_PIECE, RESET)]
     assert _problem(_site(sent, [9.0]), _observe("safe", BODY[:-2], CLOSE)) is None
 
 
 def test_what_a_killed_gateway_cuts_is_not_judged():
-    sent = [UnframedAnswer((STREAM[:-1],), Cut.INSIDE_PIECE)]
+    sent = [PlannedAnswer((STREAM[:-1],), Cut.INSIDE_PIECE)]
     observed = _observe("stream-once", STREAM[:-1], CLOSE, killed_s=[10.1])
     assert _problem(_site(sent, []), observed) is None
 
 
 @params(("safe", BODY, 0), ("safe", BODY[:-1], 1), ("stream", STREAM, 0))
 def test_a_whole_answer_of_unknown_length_must_arrive(kind, body, case_count):
-    site = _site([UnframedAnswer((body,))], [])
+    site = _site([PlannedAnswer((body,))], [])
     cases = check_whole_unframed(site, _observe(kind, body, CLOSE))
     assert len(cases) == case_count
 
