Soak: signals in series, larger fleets, connections kept until they end

Signals came one by one, a second apart, to three gateways under two faults at once, and callers renewed a fifth of their connections by choice.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 import click
 import trio
 
-from soak.faults import FAULTS, UNDRAWN_FAULTS
+from soak.faults import FAULT_SEQUENCE_COUNT, FAULTS, UNDRAWN_FAULTS, draw_faults
 from soak.seed_run import run_seed
 from soak.switched_off import MECHANISMS
 
@@ -22,6 +22,19 @@
 @click.option("--seconds", "length_s", default=12.0, show_default=True)
 @click.option("--gateways", "gateway_count", default=3, show_default=True)
 @click.option("--without", type=click.Choice(list(MECHANISMS)))
+@click.option(
+    "--sequences",
+    "sequence_count",
+    default=FAULT_SEQUENCE_COUNT,
+    show_default=True,
+    help="How many faults are injected at once.",
+)
+@click.option(
+    "--first-kinds",
+    type=click.IntRange(2, len(FAULTS)),
+    default=len(FAULTS),
+    help="Draw from the first kinds only, as when there were no others.",
+)
 @click.option("--only", multiple=True, type=click.Choice(list(FAULTS_BY_NAME)))
 @click.option("--logs", type=click.Path(path_type=Path), help="Directory for logs.")
 def main(
@@ -30,6 +43,8 @@
     length_s: float,
     gateway_count: int,
     without: str | None,
+    sequence_count: int,
+    first_kinds: int,
     only: tuple[str, ...],
     logs: Path | None,
 ) -> None:
@@ -41,8 +56,10 @@
     for current_seed in range(first_seed, first_seed + count):
         directory = _make_directory(logs, current_seed)
         kinds = [FAULTS_BY_NAME[name] for name in only]
+        if not kinds:
+            kinds = draw_faults(random.Random(current_seed), FAULTS[:first_kinds])
         arguments = (current_seed, length_s, directory, gateway_count, without, kinds)
-        result = trio.run(run_seed, *arguments)
+        result = trio.run(run_seed, *arguments, sequence_count)
         failed += bool(result.broken)
         click.echo(result.describe())
         if result.broken:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -104,13 +104,18 @@
 async def send_requests(
     site: SoakSite, observations: Observations, number: int, kinds: tuple[str, ...]
 ) -> None:
-    """Send requests of `kinds` one after another, over reused and new connections."""
+    """
+    Send requests of `kinds` one after another, over reused and new connections.
+
+    Every other caller uses its connections until their gateways are gone.
+    """
+    keep_alive_share = KEEP_ALIVE_SHARE if number % 2 else 1.0
     rng = random.Random(site.rng.random())
     idle_connections: dict[str, trio.SocketStream] = {}
     for iteration in range(1_000_000):
         gateway = rng.choice(site.gateways)
         stream = idle_connections.pop(gateway.name, None)
-        if stream is None or rng.random() > KEEP_ALIVE_SHARE:
+        if stream is None or rng.random() > keep_alive_share:
             stream = await connect(gateway)
         if stream is not None:
             kind = rng.choice(kinds)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,16 @@
 FAULT_SEQUENCE_COUNT = 2
 PAUSE_RANGE_S = (0.3, 1.5)
 DURATION_RANGE_S = (0.3, 2.5)
+SERIES_SIGNALS = (
+    signal.SIGTERM,
+    signal.SIGTERM,
+    signal.SIGHUP,
+    signal.SIGSTOP,
+    signal.SIGCONT,
+    signal.SIGKILL,
+)
+# Shorter together than the time for which a gateway counts as disturbed afterwards.
+SERIES_PAUSE_RANGE_S = (0.0, 0.5)
 DISRUPTIVE_MODES = [mode for mode in RelayMode if mode is not RelayMode.PASS]
 STORE_FAULTS = [fault for fault in StoreFault if fault is not StoreFault.NONE]
 SINGLE_TARGET_BAD_SHARE = 0.3
@@ -75,6 +85,15 @@
             gateway.send_signal(signal.SIGCONT)
 
 
+async def signal_in_series(site: SoakSite, rng: random.Random) -> None:
+    """Send several signals to one gateway in quick succession, then let it go on."""
+    gateway = rng.choice(site.gateways)
+    for _ in range(rng.randrange(2, 6)):
+        gateway.send_signal(rng.choice(SERIES_SIGNALS))
+        await trio.sleep(rng.uniform(*SERIES_PAUSE_RANGE_S))
+    gateway.send_signal(signal.SIGCONT)
+
+
 async def roll_gateways(site: SoakSite, rng: random.Random) -> None:
     """Stop some of the gateways in an orderly way, one after the other."""
     for gateway in rng.sample(site.gateways, rng.randrange(1, len(site.gateways))):
@@ -279,6 +298,10 @@
     ask_for_rest,
     leave_by_answers,
     crash_targets,
+    signal_in_series,
 )
 # Not drawn: the gateways break promises under them.
-UNDRAWN_FAULTS: tuple[Fault, ...] = (answer_until_close, change_versions)
+UNDRAWN_FAULTS: tuple[Fault, ...] = (
+    answer_until_close,
+    change_versions,
+)
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -80,6 +80,7 @@
     gateway_count: int = 3,
     disabled_mechanism: str | None = None,
     faults: Sequence[Fault] | None = None,
+    sequence_count: int = FAULT_SEQUENCE_COUNT,
 ) -> SoakResult:
     """
     Run one seed.
@@ -94,6 +95,8 @@
         A mechanism that is switched off in the gateways.
     faults : sequence of callable or None
         The faults that may be injected; a random subset of all if None.
+    sequence_count : int
+        How many sequences of faults run at once.
     """
     kinds = faults or draw_faults(random.Random(seed))
     observations = Observations()
@@ -110,7 +113,7 @@
                 nursery.start_soon(take_streams_up, site, observations, number)
             for gateway in site.gateways:
                 nursery.start_soon(probe_config_versions, site, observations, gateway)
-            for number in range(FAULT_SEQUENCE_COUNT):
+            for number in range(sequence_count):
                 rng = random.Random(f"{seed}-{number}")
                 nursery.start_soon(inject_faults, site, rng, kinds)
             await trio.sleep(length_s)
