Soak: draw answers that end with their connection, and judge whole ones

Whole answers must now be served whole whatever delimits them.

Measured: tests.test_soak and the two new tests of test_soak_seeds passed.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -13,12 +13,13 @@
 from soak.mixed_streams import EVENT_COUNT as MIXED_EVENT_COUNT
 from soak.mixed_streams import MIXED, find_order_problem, whole_events
 from soak.site import SoakSite
-from soak.targets import Arrival, SoakTarget
+from soak.targets import SoakTarget
 from tests.fixtures.cut_answers import EVENT_END, Ending, PlannedAnswer, chat_pieces
 from tests.fixtures.stub_targets import EVENT_COUNT, event
 
 STREAM_KINDS = ("stream", "stream-once")
 EVENT_KINDS = (*STREAM_KINDS, "chat", MIXED)
+SILENCE_LIMIT_S = 0.4
 GATEWAY_ERROR_STATUSES = (502, 503, 504)
 _WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
 
@@ -72,12 +73,13 @@
 
 def _whole_bodies(result: CallerResult) -> tuple[bytes, ...]:
     """Return the bodies that a complete answer may have."""
-    plain_body = f"body of {result.request_id}".encode()
+    plain_body = f"body of {result.request_id}"
     if result.kind in STREAM_KINDS:
         return (_WHOLE_STREAM,)
     if result.kind in EVENT_KINDS:
-        return (plain_body, b"".join(chat_pieces(result.request_id)))
-    return (plain_body,)
+        chat_body = f"data: {plain_body}\n\n".encode()
+        return (chat_body, b"".join(chat_pieces(result.request_id)))
+    return (plain_body.encode(),)
 
 
 def _find_unframed_problem(site: SoakSite, result: CallerResult) -> str | None:
@@ -131,30 +133,30 @@
     return any(result.request_id in t.broken_off_ids for t in site.all_targets())
 
 
-def check_whole_unframed(site: SoakSite, observations: Observations) -> list[str]:
-    """Return the whole answers of unknown length that didn't reach their callers."""
-    arrivals: dict[str, list[tuple[SoakTarget, Arrival]]] = defaultdict(list)
+def check_whole_answers(site: SoakSite, observations: Observations) -> list[str]:
+    """
+    Return the whole answers of targets that didn't reach their callers whole.
+
+    Judged are requests that reached one target, while nothing disturbed that and the
+    gateway, and so quickly that no gateway gives a target up as silent.
+    """
+    arrivals: dict[str, list[SoakTarget]] = defaultdict(list)
     for target in site.all_targets():
         for arrival in target.arrivals:
-            arrivals[arrival.request_id].append((target, arrival))
+            arrivals[arrival.request_id].append(target)
     return [
-        f"{result.request_id} ({result.kind}) got status {result.answer.status}"
-        f" at {result.ended_s:.2f}"
+        f"{result.request_id} ({result.kind}) of {result.gateway.name}"
+        f" at {result.ended_s:.2f} got status {result.answer.status}"
         for result in observations.results
         if len(arrivals[result.request_id]) == 1
-        and _was_answered_whole(arrivals[result.request_id][0][0], result)
+        and result.request_id in arrivals[result.request_id][0].whole_ids
+        and result.ended_s - result.started_s < SILENCE_LIMIT_S
         and not result.is_disconnected
-        and _was_exchange_undisturbed(arrivals[result.request_id][0][0], result)
+        and _was_exchange_undisturbed(arrivals[result.request_id][0], result)
         and not _is_whole(result)
     ]
 
 
-def _was_answered_whole(target: SoakTarget, result: CallerResult) -> bool:
-    """Return whether `target` answered a request whole and without its length."""
-    answers = target.unframed_answers.get(result.request_id, ())
-    return any(answer.is_whole for answer in answers)
-
-
 def _was_exchange_undisturbed(target: SoakTarget, result: CallerResult) -> bool:
     """Return whether nothing disturbed a request at its gateway and its target."""
     from_s, to_s = result.started_s, result.ended_s
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -299,9 +299,7 @@
     leave_by_answers,
     crash_targets,
     signal_in_series,
-)
-# Not drawn: the gateways break promises under them.
-UNDRAWN_FAULTS: tuple[Fault, ...] = (
     answer_until_close,
-    change_versions,
 )
+# Not drawn: the gateways break promises under them.
+UNDRAWN_FAULTS: tuple[Fault, ...] = (change_versions,)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -5,7 +5,7 @@
 
 from soak.answer_checks import (
     check_answers,
-    check_whole_unframed,
+    check_whole_answers,
     was_broken_off,
 )
 from soak.callers import Observations
@@ -394,7 +394,7 @@
     "requests that must not repeat run at most once": check_at_most_once,
     "a request refused as not run has not run": check_not_run,
     "answers are complete and belong to their request": check_answers,
-    "a whole answer of unknown length is served": check_whole_unframed,
+    "a whole answer of a target is served": check_whole_answers,
     "a configuration is applied in time and never reverted": check_config,
     "a draining target gets no new requests": check_draining,
     "a planned stop cuts no request": check_planned_stops,
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -63,6 +63,11 @@
     links.Link.read_data = read_until_break
 
 
+def _trust_unknown_ends() -> None:
+    """Treat the end of a connection as a proof that an answer without end is whole."""
+    links.AnswerHead.has_known_end = property(lambda self: True)
+
+
 def _apply_older_configs() -> None:
     """Apply every configuration, also an older one."""
 
@@ -178,6 +183,7 @@
     "proof-of-not-run": _claim_not_run_always,
     "own-answer": _accept_any_answer,
     "whole-answer": _accept_broken_answers,
+    "unknown-end": _trust_unknown_ends,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
     "leaving": _ignore_draining_entries,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -100,8 +100,8 @@
         Share of answers with neither length nor chunks, of which some are broken off.
     unframed_answers : dict of str to list of PlannedAnswer
         Those answers, by request id.
-    broken_off_ids : set of str
-        The requests whose answers the target broke off.
+    whole_ids, broken_off_ids : set of str
+        The requests whose answers the target sent whole, and broke off.
     tells_version : bool
         Whether the entry names the version.
     born_ms : int or None
@@ -140,6 +140,7 @@
     unframed_answers: dict[str, list[PlannedAnswer]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    whole_ids: set[str] = field(default_factory=set)
     broken_off_ids: set[str] = field(default_factory=set)
     tells_version: bool = True
     born_ms: int | None = None
@@ -232,7 +233,7 @@
                 self.rng.uniform(*work_s) * (SLOWDOWN_FACTOR if is_slow else 1)
             )
             is_mixed = self.service == MIXED
-            behave = self._answer_mixed if is_mixed else stub_targets.answer_normally
+            behave = self._answer_mixed if is_mixed else self._answer_normally
             if self.rng.random() < self.bad_answer_share:
                 behave = self.rng.choice(BAD_MIXED if is_mixed else BAD_ANSWERS)
             elif not is_mixed and self.rng.random() < self.unframed_share:
@@ -257,6 +258,13 @@
                 )
             )
 
+    async def _answer_normally(
+        self, stub: StubTarget, request: ReceivedRequest
+    ) -> bool:
+        """Run the request and answer it whole."""
+        self.whole_ids.add(request_id(request))
+        return await stub_targets.answer_normally(stub, request)
+
     async def _answer_unframed(
         self, stub: StubTarget, request: ReceivedRequest
     ) -> bool:
@@ -282,8 +290,7 @@
         """Record an answer that ends with its connection or is to be broken off."""
         if is_unframed:
             self.unframed_answers[asked_id].append(answer)
-        if not answer.is_whole:
-            self.broken_off_ids.add(asked_id)
+        (self.whole_ids if answer.is_whole else self.broken_off_ids).add(asked_id)
 
     async def _reject_with_retry_after(
         self, stub: StubTarget, request: ReceivedRequest
--- a/tests/test_soak_answers.py
+++ b/tests/test_soak_answers.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from scaleloom_fleet.http1.links import BodyDelimiter
-from soak.answer_checks import check_answers, check_whole_unframed
+from soak.answer_checks import check_answers, check_whole_answers
 from soak.callers import CallerResult, Observations
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
@@ -105,13 +105,27 @@
     assert _problem(_site(sent, []), observed) is None
 
 
-@params(("safe", BODY, 0), ("safe", BODY[:-1], 1), ("stream", STREAM, 0))
-def test_a_whole_answer_of_unknown_length_must_arrive(kind, body, case_count):
-    site = _site([PlannedAnswer((body,))], [])
-    cases = check_whole_unframed(site, _observe(kind, body, CLOSE))
+@params(
+    ("safe", BODY, CLOSE, 0),
+    ("safe", BODY, LENGTH, 0),
+    ("safe", BODY[:-1], CLOSE, 1),
+    ("stream", STREAM, CHUNKS, 0),
+    ("chat", b"", CHUNKS, 1),
+)
+def test_a_whole_answer_must_arrive_whole(kind, body, delimiter, case_count):
+    site = _site([], [])
+    site.targets[0].whole_ids.add(ID)
+    cases = check_whole_answers(site, _observe(kind, body, delimiter))
     assert len(cases) == case_count
 
 
+def test_a_whole_answer_may_be_lost_with_its_gateway():
+    site = _site([], [])
+    site.targets[0].whole_ids.add(ID)
+    observed = _observe("safe", b"", CLOSE, killed_s=[9.0])
+    assert check_whole_answers(site, observed) == []
+
+
 def test_cut_pieces_are_shorter_than_the_whole():
     rng = random.Random(5)
     for cut in (Cut.BEFORE_FIRST_PIECE, Cut.BETWEEN_PIECES, Cut.INSIDE_PIECE):
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -48,6 +48,19 @@
     _assert_kept(_run(seed, CRASH_LENGTH_S, kinds=kinds))
 
 
+@params(7301)
+def test_answers_that_end_with_their_connection_are_told_truthfully(seed):
+    kinds = [faults.answer_until_close, faults.signal_in_series, faults.cut_target]
+    _assert_kept(_run(seed, SIGNAL_LENGTH_S, kinds=kinds))
+
+
+def test_a_trusted_end_of_a_connection_is_detected():
+    kinds = [faults.answer_until_close]
+    result = _run(7301, SIGNAL_LENGTH_S, "unknown-end", kinds)
+    promise = "answers are complete and belong to their request"
+    assert promise in result.broken, result.describe()
+
+
 def test_an_ignored_retry_after_is_detected():
     result = _run(7102, SIGNAL_LENGTH_S, "rests", [faults.ask_for_rest])
     assert "gateways back off as Retry-After asks" in result.broken, result.describe()
