Probe a target again that was found running before its next answer broke

Cause: the result of a probe was used again for 2 s, also if it had found the target running. Since whole answers of unknown end are probed, such a result was at hand at nearly every crash, and swallowed it.

Change: a probe that is over tells of later breaks only if it found a crash. Probes of one target begin at least 0.05 s apart.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from scaleloom_core.crash_table import NEVER_S
 from scaleloom_core.ids import RequestDigest, TargetStart
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_fleet.conf.gateway_schema import TargetsSection
@@ -16,6 +17,9 @@
 # After a crash, all exchanges of a target break within a few milliseconds, or
 # after the time-out of a link if the target fell silent.
 RESULT_LIFETIME_S = 2.0
+# A target that was found running may crash at any time after, so it is probed again.
+# Each probe takes one of its connections, and a crashed target is away for seconds.
+MIN_PROBE_INTERVAL_S = 0.05
 QUEUE_LIMIT = 256
 _logger = logging.getLogger("scaleloom.crashes")
 
@@ -32,8 +36,8 @@
 
     Parameters
     ----------
-    started_s : float
-        When the probe was requested, on the runtime's clock.
+    begins_s : float
+        When the probe begins, on the runtime's clock.
     requests : list of RequestDigest
         Requests whose exchanges with the target broke.
     is_done : trio.Event
@@ -41,11 +45,21 @@
     """
 
     target: ListedTarget
-    started_s: float
+    begins_s: float
     requests: list[RequestDigest] = msgspec.field(default_factory=list)
     is_done: trio.Event = msgspec.field(default_factory=trio.Event)
     has_crashed: bool = False
 
+    def tells_of_break(self, at_s: float) -> bool:
+        """
+        Return whether the result tells if an exchange broke at `at_s` by a crash.
+
+        A target that was found running before may have crashed since.
+        """
+        if self.has_crashed:
+            return at_s <= self.begins_s + RESULT_LIFETIME_S
+        return not self.is_done.is_set()
+
 
 class TargetProber:
     """
@@ -80,24 +94,26 @@
     def probe_after_break(
         self, target: ListedTarget, request: RequestDigest
     ) -> TargetProbe:
-        """Probe `target` unless it was probed within the last `RESULT_LIFETIME_S`."""
+        """Probe `target` unless a probe tells already whether it has crashed."""
         now_s = trio.current_time()
         probe = self._probes.get(target.start)
-        if probe is None or now_s > probe.started_s + RESULT_LIFETIME_S:
-            probe = self._queue_probe(target, now_s)
+        if probe is None or not probe.tells_of_break(now_s):
+            last_s = NEVER_S if probe is None else probe.begins_s
+            begins_s = max(now_s, last_s + MIN_PROBE_INTERVAL_S)
+            probe = self._queue_probe(target, begins_s, now_s)
         if probe.has_crashed:
             self._on_crash(target, [request])
         else:
             probe.requests.append(request)
         return probe
 
-    def _queue_probe(self, target: ListedTarget, now_s: float) -> TargetProbe:
+    def _queue_probe(
+        self, target: ListedTarget, begins_s: float, now_s: float
+    ) -> TargetProbe:
         """Queue a probe of a target, and discard expired ones."""
         expired_s = now_s - RESULT_LIFETIME_S
-        self._probes = {
-            s: c for s, c in self._probes.items() if c.started_s > expired_s
-        }
-        probe = self._probes[target.start] = TargetProbe(target, now_s)
+        self._probes = {s: c for s, c in self._probes.items() if c.begins_s > expired_s}
+        probe = self._probes[target.start] = TargetProbe(target, begins_s)
         try:
             self._enqueue.send_nowait(probe)
         except trio.WouldBlock:
@@ -115,6 +131,7 @@
 
     async def _run_probe(self, probe: TargetProbe) -> None:
         """Find out whether a target accepts connections, and report a crash."""
+        await trio.sleep_until(probe.begins_s)
         probe.has_crashed = await self._is_unreachable(probe.target)
         if probe.has_crashed:
             self.crash_count += 1
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -26,6 +26,8 @@
 from tests.fixtures.unframed import answer_unframed
 
 REPEAT_INTERVAL_S = 0.4
+# Within this time a router notices that a target has crashed.
+CRASH_NOTICE_S = 0.3
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
 HALF_AN_EVENT = event(2)[:-5]
 
@@ -271,3 +273,15 @@
             caller = Caller(site)
             await caller.ask(site.gateways[0], CRASHING_BODY)
     assert ("target crashed" in messages) is not is_leaving
+
+
+@runs_on_paused_clock
+async def test_a_whole_answer_of_unknown_end_hides_no_later_crash():
+    others = answer_unframed(unframed.all_events)
+    with ListHandler.capture("scaleloom.crashes") as messages:
+        async with crashing_site(1, 1, answer_others=others) as (site, _):
+            caller = Caller(site)
+            assert (await caller.ask(site.gateways[0], b"another")).status == 200
+            await caller.ask(site.gateways[0], CRASHING_BODY)
+            await trio.sleep(CRASH_NOTICE_S)
+    assert "target crashed" in messages
