Test that cut documents and answers of the store are never taken for whole

Peers send documents to the end of a connection, and answers of the store may end with theirs. Both prove themselves: a document of a peer is one msgpack value of compressed parts, an answer of the store one JSON object or a batch whose end tells that records are missing. No code needed a change: the tests cut a peer's documents at every 7th byte, and every answer at every byte.

--- a/tests/adapter/test_formats.py
+++ b/tests/adapter/test_formats.py
@@ -135,6 +135,32 @@
     assert isinstance(ADAPTER.decode_batch(body, 4), Failure)
 
 
+def test_batch_cut_anywhere_lacks_whole_records_or_is_a_failure():
+    records = [KeyedValue("a", b"1"), KeyedValue("b", b""), KeyedValue("cd", b"3456")]
+    call = ADAPTER.append_request(Topic.ROUTERS, records)
+    whole = struct.pack(">QQ", 7, 0) + call.body
+    for length in range(len(whole)):
+        batch = ADAPTER.decode_batch(whole[:length], 4).value_or(None)
+        if batch is not None:
+            read = [KeyedValue(r.key, r.value) for r in batch.records]
+            assert read == records[: len(read)]
+            assert [r.offset for r in batch.records] == [4, 5, 6][: len(read)]
+            assert batch.end == 7 > 4 + len(read)
+
+
+def test_json_answer_cut_anywhere_is_a_failure():
+    page = (
+        b'{"items":[{"key":"config","value":"YWI=","offset":4}],"more":false,"end":6}'
+    )
+    appended = b'{"offset":840,"end":842}'
+    for decode, whole in (
+        (ADAPTER.decode_newest, page),
+        (ADAPTER.decode_end, appended),
+    ):
+        for length in range(len(whole)):
+            assert isinstance(decode(whole[:length]), Failure)
+
+
 def test_page_of_newest_records_is_decoded():
     body = (
         b'{"items":[{"key":"config","value":"YWI=","offset":4}],"more":false,"end":6}'
--- a/tests/gateway/test_peer_documents.py
+++ b/tests/gateway/test_peer_documents.py
@@ -8,8 +8,9 @@
 
 from scaleloom_core.ids import TargetId
 from scaleloom_core.targets import TargetView
-from scaleloom_fleet.gateway.peer_documents import MAX_TRANSFERS
+from scaleloom_fleet.gateway.peer_documents import MAX_TRANSFERS, fetch_documents
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_platform.documents import decode_target
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
@@ -24,9 +25,12 @@
     running_site,
 )
 from tests.fixtures.platform_store import StoreFault
+from tests.fixtures.states import captured_states
+from tests.fixtures.stub_server import free_listener, port_of
 
 LARGE_DOCUMENT_BYTES = 40_000
 CHANGE_COUNT = 30
+CUT_STEP_BYTES = 7
 # Covers several polls of the list, and the reports that follow.
 SETTLE_TIME_S = 0.6
 
@@ -139,6 +143,41 @@
                 assert await stream.receive_some() == b""
 
 
+@runs_on_paused_clock
+async def test_documents_that_a_peer_breaks_off_are_not_applied():
+    with captured_states() as states:
+        async with running_site() as site:
+            async with await _open(site.gateways[0]) as stream:
+                query = PeerQuery(-1, -1, 0)
+                await stream.send_all(msgspec.msgpack.encode(query))
+                whole = b"".join([part async for part in stream])
+            newer = msgspec.msgpack.decode(whole, type=PeerDocuments)
+            document = msgspec.json.encode(config(9))
+            newer = msgspec.structs.replace(newer, config=zlib.compress(document))
+            data = msgspec.msgpack.encode(newer)
+            for length in (*range(0, len(data), CUT_STEP_BYTES), len(data) - 1):
+                await _fetch_from_peer(site, states[0], data[:length])
+                assert states[0].routing.version == 1, length
+            await _fetch_from_peer(site, states[0], data)
+            assert states[0].routing.version == 9
+
+
+async def _fetch_from_peer(site: Site, state, data: bytes) -> None:
+    """Let a router fetch documents from a peer that sends `data` and closes."""
+    listener = free_listener()
+    peer = Address("127.0.0.1", port_of(listener))
+
+    async def answer(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(data)
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, answer, [listener])
+        await fetch_documents(state, peer)
+        nursery.cancel_scope.cancel()
+
+
 @runs_on_paused_clock
 async def test_frequent_large_changes_are_not_all_read():
     filler = "x" * LARGE_DOCUMENT_BYTES
