Choose a target for a stream that has begun among its version only

The chooser, its trials and the source of a cache copy take the bound of a stream. Its pool is the service's ready targets that the bound allows, whatever track they are on: failing ones are ejected by comparison with each other, held and replaced versions still serve what they began, rejected ones nothing. Without a bound nothing changes; nobody sets one yet.

--- a/packages/scaleloom-core/scaleloom_core/cache_sources.py
+++ b/packages/scaleloom-core/scaleloom_core/cache_sources.py
@@ -3,6 +3,7 @@
 from scaleloom_core.ids import TargetId
 from scaleloom_core.placement_key import PlacementKey
 from scaleloom_core.prefix_holders import PrefixHolders, part_key
+from scaleloom_core.stream_origins import StreamBound
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_core.targets import TargetView
 
@@ -13,6 +14,7 @@
     view: TargetView,
     holders: PrefixHolders,
     now_s: float,
+    bound: StreamBound | None = None,
 ) -> ListedTarget | None:
     """
     Return the target from which `chosen` should copy the shared part, if any.
@@ -21,7 +23,8 @@
     first; the part's home; its home before the set of targets changed; and its next
     home, which was the home before another target joined, a change that a router that
     has just started cannot know. A copy costs a small part of what processing the
-    prompt again does, and nothing if the source does not hold the part.
+    prompt again does, and nothing if the source does not hold the part. A stream that
+    has begun copies from targets that it may go on at only.
     """
     part = key.shared_part
     if part is None:
@@ -37,6 +40,8 @@
         if target is None or target == chosen:
             continue
         record = view.find_source(target, now_s)
-        if record is not None:
+        if record is None:
+            continue
+        if bound is None or bound.allows(record.listed):
             return record.listed
     return None
--- a/packages/scaleloom-core/scaleloom_core/service_pools.py
+++ b/packages/scaleloom-core/scaleloom_core/service_pools.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from scaleloom_core.fleet_load import FleetLoad
-from scaleloom_core.ids import TargetId
+from scaleloom_core.ids import ServiceName, TargetId
+from scaleloom_core.stream_origins import StreamBound
 from scaleloom_core.target_comparison import slowness_by_target
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.target_tracks import TrackKey
@@ -63,18 +64,40 @@
             if now_s - pool.built_s < pool.life_s:
                 return pool
         usable = view.usable_targets(key.service, now_s, key.track)
-        pool = ServicePool(
-            records=usable,
-            by_id={record.listed.id: record for record in usable},
-            slowness=slowness_by_target(usable, now_s),
-            mean_in_flight=_bound_mean(view.ready_targets(key.service), usable, load),
-            built_s=now_s,
-            generation=view.generation,
-        )
-        self._pools[key] = pool
+        pool = self._pools[key] = _build(key.service, usable, view, load, now_s)
         return pool
 
 
+def bound_pool(
+    service: ServiceName,
+    bound: StreamBound,
+    view: TargetView,
+    load: FleetLoad,
+    now_s: float,
+) -> ServicePool:
+    """Return the usable targets that a stream which has begun may go on at."""
+    usable = view.usable_for_stream(service, bound, now_s)
+    return _build(service, usable, view, load, now_s)
+
+
+def _build(
+    service: ServiceName,
+    usable: list[TargetRecord],
+    view: TargetView,
+    load: FleetLoad,
+    now_s: float,
+) -> ServicePool:
+    """Return a pool of the targets `usable` of `service`."""
+    return ServicePool(
+        records=usable,
+        by_id={record.listed.id: record for record in usable},
+        slowness=slowness_by_target(usable, now_s),
+        mean_in_flight=_bound_mean(view.ready_targets(service), usable, load),
+        built_s=now_s,
+        generation=view.generation,
+    )
+
+
 def _bound_mean(
     ready: list[TargetRecord], usable: list[TargetRecord], load: FleetLoad
 ) -> float:
--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -18,7 +18,8 @@
 from scaleloom_core.placement_key import PlacementKey
 from scaleloom_core.prefix_holders import PrefixHolders, part_key
 from scaleloom_core.routing import ServicePolicy
-from scaleloom_core.service_pools import ServicePool, ServicePools
+from scaleloom_core.service_pools import ServicePool, ServicePools, bound_pool
+from scaleloom_core.stream_origins import StreamBound
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.targets import TargetView
@@ -70,6 +71,7 @@
         policy: ServicePolicy,
         attempted: set[TargetId],
         now_s: float,
+        bound: StreamBound | None = None,
     ) -> TargetRecord | None:
         """
         Return the target to send to, or None if every target is full.
@@ -85,8 +87,10 @@
         ----------
         attempted : set of TargetId
             Targets to exclude, since the request was sent there before.
+        bound : StreamBound or None
+            Where a stream that has begun may go on; None for any other request.
         """
-        pool = self._pool(key, now_s)
+        pool = self._pool(key, now_s, bound)
         is_available = self._availability_filter(policy, attempted, now_s)
         has_room, is_not_full = self._slot_filters(policy, pool)
 
@@ -133,6 +137,7 @@
         attempted: set[TargetId],
         now_s: float,
         request: RequestDigest,
+        bound: StreamBound | None = None,
     ) -> TargetRecord | None:
         """
         Return a target with few requests in flight, a different one for each request.
@@ -140,7 +145,7 @@
         A request that may crash its target is sent where few others are in flight, and
         away from the requests that were in flight beside it before.
         """
-        pool = self._pool(key, now_s)
+        pool = self._pool(key, now_s, bound)
         is_available = self._availability_filter(policy, attempted, now_s)
         has_room, _ = self._slot_filters(policy, pool)
         fitting = [r for r in pool.records if is_available(r) and has_room(r)]
@@ -196,8 +201,12 @@
                 record.listed.id, policy.cold_requests_per_s, now_s
             )
 
-    def _pool(self, key: PlacementKey, now_s: float) -> ServicePool:
+    def _pool(
+        self, key: PlacementKey, now_s: float, bound: StreamBound | None = None
+    ) -> ServicePool:
         """Return the targets among which a request is placed."""
+        if bound is not None:
+            return bound_pool(key.service, bound, self.view, self.load, now_s)
         return self._pools.get(key.pool, self.view, self.load, now_s)
 
     def _home_candidates(self, key: PlacementKey) -> tuple[TargetId, ...]:
@@ -228,12 +237,16 @@
         return self.holders.holds(part, target_key(target), now_s)
 
     def cache_source(
-        self, key: PlacementKey, chosen: TargetId, now_s: float
+        self,
+        key: PlacementKey,
+        chosen: TargetId,
+        now_s: float,
+        bound: StreamBound | None = None,
     ) -> ListedTarget | None:
         """Return the target from which `chosen` should copy the shared part, if any."""
         if self.is_cached(key, chosen, now_s):
             return None
-        return find_cache_source(key, chosen, self.view, self.holders, now_s)
+        return find_cache_source(key, chosen, self.view, self.holders, now_s, bound)
 
     def record_cached(self, key: PlacementKey, target: TargetId, now_s: float) -> None:
         """
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -5,7 +5,8 @@
 from scaleloom_core.fleet_load import TargetKey, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import DataCentreName, EntryKey, ServiceName, TargetId
-from scaleloom_core.rollouts.versions import Track, VersionRule
+from scaleloom_core.rollouts.versions import NO_RULE, Track, VersionRule
+from scaleloom_core.stream_origins import StreamBound
 from scaleloom_core.target_comparison import exclude_failing
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_core.target_outcomes import Outcomes
@@ -235,6 +236,26 @@
         reachable = [r for r in listed if r.accepts_work(now_s)]
         return exclude_failing(reachable, now_s)
 
+    def usable_for_stream(
+        self, service: ServiceName, bound: StreamBound, now_s: float
+    ) -> list[TargetRecord]:
+        """
+        Return the targets of `service` that a stream which has begun may go on at.
+
+        Whatever track they are on: a version that is held back, or about to be
+        replaced, has begun the stream. A rejected one gets nothing.
+        """
+        rule = self.tracks.rules.get(service, NO_RULE)
+        allowed = [
+            record
+            for record in self.ready_targets(service)
+            if bound.allows(record.listed)
+            and record.listed.version not in rule.rejected
+            and record.listed.data_centre not in self.evacuated
+        ]
+        reachable = [r for r in allowed if r.accepts_work(now_s)]
+        return exclude_failing(reachable, now_s)
+
     def record_signals(
         self, target: TargetId, signals: AnswerSignals, now_s: float
     ) -> None:
