--- a/packages/scaleloom-core/scaleloom_core/version_history.py
+++ b/packages/scaleloom-core/scaleloom_core/version_history.py
@@ -1,6 +1,6 @@
 """Whether a service has had only one software version for some time."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -46,9 +46,13 @@
     ----------
     confirmed_s : float
         When the list was last confirmed, on the runtime's clock.
+    ordered : collection of ServiceName
+        Services with a roll-out order, whose candidate may serve before a list that
+        shows it has reached every router.
     """
 
     confirmed_s: float = NEVER_S
+    ordered: Collection[ServiceName] = frozenset()
     _only: dict[ServiceName, OnlyVersion] = msgspec.field(default_factory=dict)
     _versioned: set[ServiceName] = msgspec.field(default_factory=set)
 
@@ -96,7 +100,7 @@
         is an empty version.
         """
         only = self._only.get(service)
-        if only is None:
+        if only is None or service in self.ordered:
             return None
         if self._is_unversioned(service, only):
             return only.version
@@ -114,7 +118,7 @@
         several versions or has not shown only one for long.
         """
         only = self._only.get(service)
-        if only is None:
+        if only is None or service in self.ordered:
             return True
         if self._is_unversioned(service, only):
             return False
--- a/tests/core/test_version_history.py
+++ b/tests/core/test_version_history.py
@@ -144,6 +144,15 @@
     assert history.must_tell(SERVICE, LIFE_S, end_s)
 
 
+def test_a_service_under_a_roll_out_order_is_not_known_to_have_one():
+    history = _history(2 * LIFE_S)
+    history.ordered = frozenset({SERVICE})
+    assert history.only_version(SERVICE, LIFE_S, 2 * LIFE_S) is None
+    assert history.must_tell(SERVICE, LIFE_S, 2 * LIFE_S)
+    history.ordered = frozenset({ServiceName("other")})
+    assert history.only_version(SERVICE, LIFE_S, 2 * LIFE_S) == V1
+
+
 def test_a_service_without_targets_keeps_its_version():
     history = _history(2 * LIFE_S)
     history.record_listed([], 2 * LIFE_S + 0.5)
