--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,6 +8,7 @@
 import numpy
 import trio
 
+from benchmarks import stream_origins
 from benchmarks.control import ENGINE_COUNTS, measure_fleet
 from scaleloom_core.admission import AdmissionController, AdmissionPolicy, RequestOffer
 from scaleloom_core.chat_tables import CachedChats, DisplacedChats
@@ -262,6 +263,9 @@
     "memory of a remembered key": _idempotency_table,
     "memory of a configured customer": _customer_fold,
     "memory of a configured engine": _engine_fold,
+    "memory of a recorded origin of a stream": stream_origins.recorded_origins,
+    "memory of a stream that nobody was told of": stream_origins.untold_origins,
+    "memory of a ring of holders, by router": stream_origins.holder_ring,
 }
 TIMES: dict[str, tuple[Callable[[int], Callable], tuple[int, ...], int]] = {
     "first placement in a slot, by pool member": (
@@ -277,6 +281,36 @@
     ),
     "folding a change": (_fold_changes, (200, 400, 800, 1600), 1),
     "reading a snapshot, by customer": (_load_state, (500, 1000, 2000, 4000), 1),
+    "remembering a begun stream": (
+        stream_origins.begin_streams,
+        (500, 1000, 2000, 4000),
+        1,
+    ),
+    "telling three of 420 routers of a stream": (
+        stream_origins.tell_of_streams,
+        (500, 1000, 2000, 4000),
+        1,
+    ),
+    "reading what a router told of a stream": (
+        stream_origins.hear_of_streams,
+        (500, 1000, 2000, 4000),
+        1,
+    ),
+    "finding what is known of a stream": (
+        stream_origins.take_up_streams,
+        (500, 1000, 2000, 4000),
+        1,
+    ),
+    "building the ring of holders, by router": (
+        stream_origins.build_ring,
+        (60, 120, 240, 420),
+        1,
+    ),
+    "reading the versions of a changed list, by target": (
+        stream_origins.read_versions,
+        (1000, 2000, 4000, 8000),
+        1,
+    ),
 }
 
 
