Ask for a stream's origin wherever streams are told of

A router that concludes the version from its list while others tell of streams may miss a record: a version is not held back where no other takes work. It now asks first, and a record goes before its conclusion.

--- a/packages/scaleloom-core/scaleloom_core/stream_origins.py
+++ b/packages/scaleloom-core/scaleloom_core/stream_origins.py
@@ -269,6 +269,23 @@
     return UNKNOWN_ORIGIN
 
 
+def needs_asking(own: OriginKnowledge, is_told_of: bool) -> bool:
+    """
+    Return whether other routers must be asked before a stream goes on.
+
+    Parameters
+    ----------
+    own : OriginKnowledge
+        What this router knows.
+    is_told_of : bool
+        Whether routers tell each other of the service's streams now, so that one of
+        them may have a record where this router would only conclude a version.
+    """
+    if own.source is OriginSource.ONLY_VERSION:
+        return is_told_of
+    return own.source is OriginSource.UNKNOWN
+
+
 def combine_knowledge(known: Iterable[OriginKnowledge]) -> OriginKnowledge:
     """
     Return what follows from the knowledge of several routers.
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -19,6 +19,7 @@
     UntoldOrigins,
     bound_of_begun,
     combine_knowledge,
+    needs_asking,
     origin_life_s,
     own_knowledge,
     stream_key,
@@ -179,6 +180,20 @@
     assert own_knowledge(recorded, only) == expected
 
 
+@params(
+    # (own knowledge, whether streams are told of, whether others are asked)
+    (RECORDED_V1, False, False),
+    (RECORDED_V1, True, False),
+    (CONFLICTING_ORIGIN, True, False),
+    (ONLY_V1, False, False),
+    (ONLY_V1, True, True),
+    (UNKNOWN_ORIGIN, False, True),
+    (UNKNOWN_ORIGIN, True, True),
+)
+def test_others_are_asked_unless_a_record_or_the_list_suffices(own, is_told, expected):
+    assert needs_asking(own, is_told) is expected
+
+
 @params(
     ((), UNKNOWN_ORIGIN),
     ((UNKNOWN_ORIGIN,), UNKNOWN_ORIGIN),
