--- a/packages/scaleloom-core/scaleloom_core/fleet_roster.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_roster.py
@@ -170,6 +170,10 @@
         """Return all other routers that are alive."""
         return [seen.member.router for seen in self._alive_sightings(now_s)]
 
+    def known_routers(self) -> list[InstanceId]:
+        """Return this router and all others that may be running, silent ones too."""
+        return [self._own, *self._added_s]
+
     def rank(self, own_precedence: int, now_s: float) -> int:
         """
         Return the number of routers that precede this one.
