Let a stream go on only at the software version that began it

Cause: the target of a stream that goes on was chosen like that of any request. Nothing read which request began it, nobody remembered which version that was, and a break inside an answer was continued at whatever target was best. The class of fault: state of a conversation that no request carries, and that the router that had it did not share.

Change: a stream that has begun has a bound, and one place says which targets it allows: in the choice, in the queue, before it is sent, for the source of its cache. What nobody knows, or whose version has no target, is refused at once as not run, with the reason.

--- a/packages/scaleloom-core/scaleloom_core/errors.py
+++ b/packages/scaleloom-core/scaleloom_core/errors.py
@@ -61,6 +61,8 @@
     ROUTER_FULL = "router_full"
     SENDER_TIMEOUT = "sender_timeout"
     STALE_PLAN = "stale_plan"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     TAKEOVER_WAIT = "takeover_wait"
     TARGET_FAILED = "target_failed"
     TARGET_DRAINING = "target_leaving"
@@ -195,6 +197,12 @@
     _K.STALE_PLAN: ErrorResponse(
         409, _N, _NEVER, _INFO, "Plan's base has changed", _ENTRY
     ),
+    _K.STREAM_ORIGIN_UNKNOWN: ErrorResponse(
+        503, _N, _LATER, _INFO, "Unknown which version began the stream", _ENTRY
+    ),
+    _K.STREAM_VERSION_GONE: ErrorResponse(
+        503, _N, _LATER, _INFO, "The version that began the stream is gone", _ENTRY
+    ),
     _K.TAKEOVER_WAIT: ErrorResponse(
         503, _U, _SAME, _INFO, "New owner waits out the old lease", _NONE
     ),
--- a/packages/scaleloom-core/scaleloom_core/routing.py
+++ b/packages/scaleloom-core/scaleloom_core/routing.py
@@ -158,6 +158,11 @@
         for service in self.services:
             self._services_by_name[service.name] = service
 
+    @property
+    def longest_resumable_ms(self) -> int:
+        """Return the longest time-out of the routes whose streams may be resumed."""
+        return max((r.timeout_ms for r in self.routes if r.is_resumable), default=0)
+
     def find_route(self, host: str, path: str) -> HttpRoute | None:
         """Return the route of `host` with the longest prefix of `path`, or None."""
         end = len(path)
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -236,21 +236,25 @@
         reachable = [r for r in listed if r.accepts_work(now_s)]
         return exclude_failing(reachable, now_s)
 
-    def usable_for_stream(
-        self, service: ServiceName, bound: StreamBound, now_s: float
-    ) -> list[TargetRecord]:
+    def ready_for_streams(self, service: ServiceName) -> list[TargetRecord]:
         """
-        Return the targets of `service` that a stream which has begun may go on at.
+        Return the ready targets of `service` at which streams may go on.
 
         Whatever track they are on: a version that is held back, or about to be
-        replaced, has begun the stream. A rejected one gets nothing.
+        replaced, may have begun a stream. A rejected one gets nothing.
         """
-        rule = self.tracks.rules.get(service, NO_RULE)
+        rejected = self.tracks.rules.get(service, NO_RULE).rejected
+        ready = self.ready_targets(service)
+        return [record for record in ready if record.listed.version not in rejected]
+
+    def usable_for_stream(
+        self, service: ServiceName, bound: StreamBound, now_s: float
+    ) -> list[TargetRecord]:
+        """Return the targets that a stream which has begun may go on at now."""
         allowed = [
             record
-            for record in self.ready_targets(service)
+            for record in self.ready_for_streams(service)
             if bound.allows(record.listed)
-            and record.listed.version not in rule.rejected
             and record.listed.data_centre not in self.evacuated
         ]
         reachable = [r for r in allowed if r.accepts_work(now_s)]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -29,6 +29,11 @@
     record_unserved,
 )
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.stream_origins import (
+    bind_take_up,
+    is_version_gone,
+    version_gone_error,
+)
 from scaleloom_fleet.gateway.target_selection import (
     backoff_until_s,
     choose_target,
@@ -188,7 +193,13 @@
     state: GatewayState, context: RequestContext
 ) -> FleetError | None:
     """Attempt targets until one answers; return the error if none does."""
+    if context.match.is_take_up:
+        refusal = await bind_take_up(state, context)
+        if refusal is not None:
+            return refusal
     for _ in range(ATTEMPT_LIMIT):
+        if is_version_gone(state, context):
+            return _version_gone_error(state, context)
         refusal = await wait_for_permission(state, context, _wait_until_s(context))
         if refusal is not None:
             return _quarantine_error(state, context, refusal)
@@ -223,6 +234,13 @@
     )
 
 
+def _version_gone_error(state: GatewayState, context: RequestContext) -> FleetError:
+    """Return the error of a stream that can go on at no target."""
+    if context.may_have_run:
+        return _no_answer_error(state, context)
+    return version_gone_error()
+
+
 def _quarantine_error(
     state: GatewayState, context: RequestContext, refusal: FleetError
 ) -> FleetError:
@@ -284,7 +302,7 @@
     def choose() -> TargetRecord | None:
         return choose_target(state, context)
 
-    if not state.wait_queue.must_wait(match.service):
+    if context.bound is not None or not state.wait_queue.must_wait(match.service):
         record = choose()
         if record is not None:
             state.wait_queue.acquire(record, match.customer)
@@ -295,7 +313,9 @@
         _queued_request(state, context),
         _wait_until_s(context),
         choose,
-        excludes_targets=bool(context.attempted) or context.is_on_trial,
+        excludes_targets=bool(context.attempted)
+        or context.is_on_trial
+        or context.bound is not None,
     )
     return await state.wait_queue.wait(match.service, waiter)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -47,6 +47,7 @@
 def apply_rollouts(state: GatewayState, received: RolloutOrders) -> None:
     """Apply operators' roll-out orders if they are newer than those in force."""
     state.rollouts.apply(received, state.router_count, trio.current_time())
+    state.stream_origins.versions.ordered = frozenset(state.rollouts.by_service)
 
 
 def apply_target_documents(
@@ -79,6 +80,7 @@
     state.update_loaded_event()
     state.update_listed_documents(documents)
     state.freshness.confirm(confirmed_s)
+    state.stream_origins.versions.record_listed(listed, confirmed_s)
     return True
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -158,6 +158,8 @@
     context.trial_number = None
     if is_rolled_back(state, context) or not _accepts_requests(state, record):
         return False
+    if not _may_go_on_at(state, context, record):
+        return False
     if not await may_send(state, context, record.listed.id):
         return False
     # The target may have crashed while the store recorded the trial, which would then
@@ -166,6 +168,14 @@
     return is_link_usable and _accepts_requests(state, record)
 
 
+def _may_go_on_at(
+    state: GatewayState, context: RequestContext, record: TargetRecord
+) -> bool:
+    """Return whether a stream that has begun may go on at a target, as listed now."""
+    newest = state.view.records.get(record.listed.id, record)
+    return context.bound is None or context.bound.allows(newest.listed)
+
+
 def _accepts_requests(state: GatewayState, record: TargetRecord) -> bool:
     """Return whether a target has not started to back off or drain since its choice."""
     return state.view.still_accepts(record, trio.current_time())
@@ -218,6 +228,7 @@
     begin_observation(state, context, record, is_warm)
     if source is not None:
         state.metrics_registry.add(PROMPT_PARTS_COPIED)
+    context.sent_to = record.listed
     link.start(outgoing)
     with trio.move_on_after(_head_timeout_s(context, can_retry)) as scope:
         head, signals = await _read_matching_head(
@@ -275,7 +286,7 @@
     key = context.placement
     if not context.match.policy.is_engine or key.shared_part is None:
         return None
-    return state.chooser.cache_source(key, target, now_s)
+    return state.chooser.cache_source(key, target, now_s, context.bound)
 
 
 def _record_cached_prompt(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.rollout_observations import record_body_part
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.stream_origins import record_first_event
 from scaleloom_fleet.http1.links import (
     AnswerHead,
     AnswerProtocolError,
@@ -110,6 +111,7 @@
     started_s = trio.current_time() if observation is not None else 0.0
     try:
         if not context.is_answer_started:
+            record_first_event(state, context)
             await _begin_answer(state, context, head, keeps_length)
         await context.connection.send_data(part)
     finally:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -47,6 +47,9 @@
     reserved : frozenset of bytes
         Names in lower case that only the gateway may send to a target. The value that a
         caller sends is removed.
+    begun_by : bytes
+        Header with the id of the request whose answer brought the first event of the
+        stream that a caller takes up.
     leaving : bytes
         Header with the value ``1`` in the answers of a draining target.
     """
@@ -55,6 +58,7 @@
     deadline: bytes
     prompt_parts: bytes
     last_event_id: bytes
+    begun_by: bytes
     customer: bytes
     expected_target: bytes
     not_run: bytes
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
@@ -26,6 +26,11 @@
         The caller's id of this attempt; a retry has another one.
     deadline_s : float
         When the request is abandoned, on the runtime's clock.
+    is_take_up : bool
+        Whether the caller takes up a stream that has begun.
+    begun_by : str or None
+        The id of the request whose answer brought the first event of that stream, if
+        the caller names it.
     """
 
     request_id: str
@@ -37,6 +42,8 @@
     placement: PlacementKey
     received_s: float
     deadline_s: float
+    is_take_up: bool = False
+    begun_by: str | None = None
 
     def is_overdue(self, now_s: float) -> bool:
         """
@@ -74,7 +81,9 @@
         customer = routing.find_customer(_bearer_key(request))
         if customer is None:
             return Failure(FleetError(_K.UNAUTHENTICATED, "The key is unknown."))
-    service = route.pick_service(request_id)
+    is_take_up, begun_by = _find_take_up(request, route, names)
+    # The service that began a stream goes on with it.
+    service = route.pick_service(begun_by or request_id)
     policy = routing.find_service(service) or ServicePolicy(service)
     priority = route.priority
     if customer is not None and customer.priority is not None:
@@ -90,6 +99,8 @@
             placement=PlacementKey(service, _shared_prompt_part(request, names)),
             received_s=request.received_s,
             deadline_s=_deadline_s(request, route, names),
+            is_take_up=is_take_up,
+            begun_by=begun_by,
         )
     )
 
@@ -103,6 +114,17 @@
     return values[0].decode("latin-1")
 
 
+def _find_take_up(
+    request: CallerRequest, route: HttpRoute, names: HeaderNames
+) -> tuple[bool, str | None]:
+    """Return whether a stream is taken up, and the id of the request that began it."""
+    if not route.is_resumable:
+        return False, None
+    begun_by = request.values.get(names.begun_by.lower(), b"").decode("latin-1")
+    is_take_up = bool(begun_by or request.values.get(names.last_event_id.lower()))
+    return is_take_up, begun_by or None
+
+
 def _bearer_key(request: CallerRequest) -> str:
     """Return the bearer key of a request, or an empty text."""
     value = request.values.get(b"authorization", b"")
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -70,6 +70,14 @@
     _COUNTER,
     "Requests whose target was asked to copy a shared prompt part from another one.",
 )
+STREAMS_TAKEN_UP = MetricDefinition(
+    "scaleloom_streams_taken_up_total",
+    _COUNTER,
+    "Streams that callers took up again: goes_on at the version that began them, or"
+    " refused since it is not known (origin_unknown) or has no ready target"
+    " (version_gone).",
+    ("outcome",),
+)
 BACK_OFFS_ASKED = MetricDefinition(
     "scaleloom_rests_asked_total",
     _COUNTER,
@@ -249,6 +257,7 @@
     FIRST_BYTE_SECONDS,
     REQUEST_SECONDS,
     PROMPT_PARTS_COPIED,
+    STREAMS_TAKEN_UP,
     BACK_OFFS_ASKED,
     STORE_CALLS,
     STORE_CALL_SECONDS,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -13,6 +13,8 @@
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway.documents import apply_evacuations, apply_rollouts
 from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.origin_exchange import OriginExchange
+from scaleloom_fleet.gateway.origin_messages import is_origin_message
 from scaleloom_fleet.gateway.peer_documents import (
     DocumentServer,
     fetch_documents,
@@ -61,6 +63,9 @@
         self._reports = ReportSender(
             self._own_id, state, access, self._roster, self._rollouts, self._socket
         )
+        self._origins = state.origin_exchange = OriginExchange(
+            self._own_id, state.stream_origins, self._roster, self._send_datagram
+        )
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
         self._peer_is_ahead = trio.Event()
@@ -95,6 +100,19 @@
         """Send reports to peers."""
         await self._reports.send_forever()
 
+    async def tell_origins_forever(self) -> None:
+        """Tell peers of the streams that this router has begun."""
+        await self._origins.tell_forever()
+
+    def _send_datagram(self, router: InstanceId, data: bytes) -> None:
+        """Send `data` to `router`, if its address can be reached."""
+        address = router_address(router)
+        try:
+            self._socket.sendto(data, (address.host, address.port))
+        except OSError:
+            # The receiver may not listen yet.
+            return
+
     async def receive_forever(self) -> None:
         """Receive reports of peers and apply them."""
         while True:
@@ -106,12 +124,15 @@
     def _receive_one(self) -> bool:
         """Receive and apply one report; return False if none is pending."""
         try:
-            data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
         except BlockingIOError:
             return False
         except OSError:
             return True
         try:
+            if is_origin_message(data):
+                self._origins.receive(data, InstanceId(str(Address(*sender))))
+                return True
             report = self._decoder.decode(data)
             for member in (report.sender, *report.others):
                 self._record_member(member, report)
@@ -167,7 +188,9 @@
         view = self._state.view
         is_same = report.list_digest == view.digest
         if is_same and report.list_position >= view.list_position >= 0:
-            self._state.freshness.confirm(now_s - report.list_age_ms / 1000.0)
+            confirmed_s = now_s - report.list_age_ms / 1000.0
+            self._state.freshness.confirm(confirmed_s)
+            self._state.stream_origins.versions.confirm(confirmed_s)
 
     def _record_knowledge(self, report: PeerReport, now_s: float) -> None:
         """Remember a peer that has newer documents than this router."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -8,6 +8,8 @@
 from scaleloom_core.request_digests import request_digest
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
+from scaleloom_core.stream_origins import StreamBound
+from scaleloom_core.target_entries import ListedTarget
 from scaleloom_fleet.gateway.attempt_results import AnswerEnd
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
 from scaleloom_fleet.gateway.matching import Match
@@ -41,6 +43,10 @@
         What is known of the end of the last answer that began.
     probe : TargetProbe or None
         Of the target whose last answer is not known to be whole.
+    sent_to : ListedTarget or None
+        The entry of the target that the request was last sent to, as it was then.
+    bound : StreamBound or None
+        The targets that the stream may go on at; None if it has not begun.
     is_on_trial : bool
         Whether the request is suspected of crashing targets and sent as a trial.
     trial_number : int or None
@@ -62,6 +68,8 @@
     has_new_holder: bool = False
     answer_end: AnswerEnd | None = None
     probe: TargetProbe | None = None
+    sent_to: ListedTarget | None = None
+    bound: StreamBound | None = None
     is_on_trial: bool = False
     trial_number: int | None = None
     _digest: RequestDigest | None = None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_observations.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_observations.py
@@ -38,6 +38,9 @@
     now_s = trio.current_time()
     if rollout_state is not None and context.track is Track.CURRENT:
         rollout_state.record_sent(context.track, now_s)
+    if context.bound is not None:
+        # The rest of a stream is not comparable with whole answers.
+        return
     observer = rollout_state or state.rollouts.find_observer(policy.name)
     if observer is None:
         return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -11,11 +11,13 @@
 from scaleloom_core.ids import EntryKey
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.list_history import ListHistory
+from scaleloom_core.origin_tables import OriginTables
 from scaleloom_core.precedence import capacity_shortfall
 from scaleloom_core.process_limits import ProcessLimits
 from scaleloom_core.retry_after import RetryAfterScheduler
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.routing import RequestLimits, RoutingTable
+from scaleloom_core.stream_origins import origin_life_s
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.target_delays import BaselineDelays
 from scaleloom_core.target_outcomes import OutcomeCounts
@@ -26,6 +28,7 @@
 from scaleloom_fleet.gateway.crash_tracker import CrashTracker
 from scaleloom_fleet.gateway.interfaces import PlatformAdapter
 from scaleloom_fleet.gateway.link_pools import LinkPools
+from scaleloom_fleet.gateway.origin_exchange import OriginExchange
 from scaleloom_fleet.gateway.rollout_controller import RolloutController
 from scaleloom_fleet.gateway.wait_queue import WaitQueue
 from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
@@ -103,6 +106,10 @@
     shutdown_deadline_s : float
         When a stopping process ends, on the runtime's clock. A request whose
         deadline is later is not started.
+    stream_origins : OriginTables
+        What is known of the versions that began streams.
+    origin_exchange : OriginExchange or None
+        Tells other routers of streams, and queries them; None until it is connected.
     outcomes : OutcomeCounts
         Outcomes of this router's requests, to be reported to peers.
     unreadable_entry_count : int
@@ -136,6 +143,8 @@
     statsd: StatsdMetrics
     freshness: ListFreshness
     process_limits: ProcessLimits
+    stream_origins: OriginTables = msgspec.field(default_factory=OriginTables)
+    origin_exchange: OriginExchange | None = None
     outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
     retry_after_scheduler: RetryAfterScheduler = msgspec.field(
         default_factory=RetryAfterScheduler
@@ -294,4 +303,5 @@
         self.routing = routing
         self.config_applied_s = trio.current_time()
         self.config_document = document
+        self.stream_origins.set_life(origin_life_s(routing.longest_resumable_ms))
         return True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_selection.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_selection.py
@@ -19,8 +19,15 @@
 
 
 def choose_target(state: GatewayState, context: RequestContext) -> TargetRecord | None:
-    """Return a target with a free slot for the request, or None."""
+    """
+    Return a target with a free slot for the request, or None.
+
+    A stream that has begun has no track: it goes on at the version that began it.
+    """
     now_s = trio.current_time()
+    if context.bound is not None:
+        context.rollout_state = None
+        return _choose_on_track(state, context, Track.CURRENT, now_s)
     context.rollout_state = rollout = state.rollouts.find_state(context.match.service)
     if rollout is None:
         return _choose_on_track(state, context, Track.CURRENT, now_s)
@@ -81,10 +88,12 @@
     elif context.is_on_trial:
         excluded = context.attempted | state.crashes.targets_on_trial()
         chosen = chooser.choose_for_trial(
-            key, match.policy, excluded, now_s, context.digest
+            key, match.policy, excluded, now_s, context.digest, context.bound
         )
     else:
-        chosen = chooser.choose(key, match.policy, context.attempted, now_s)
+        chosen = chooser.choose(
+            key, match.policy, context.attempted, now_s, context.bound
+        )
     if chosen is None:
         return None
     context.placement = key
--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -12,7 +12,7 @@
 # Header names of HTTP standards, which the product may use as well.
 STANDARD_NAMES = {"Last-Event-Id"}
 # Names of the platform that are also common English words.
-COMMON_WORDS = {"Tenant", "tenant", "hold"}
+COMMON_WORDS = {"Tenant", "tenant", "hold", "Resumes"}
 ADAPTER_LINE_LIMIT = 400
 
 
@@ -32,7 +32,15 @@
 
 def test_product_contains_no_platform_names():
     names = "|".join(map(re.escape, _platform_names()))
-    pattern = re.compile(rf"(?<![\w-])(?:{names})", re.IGNORECASE)
+    check_absent(re.compile(rf"(?<![\w-])(?:{names})", re.IGNORECASE))
+
+
+def test_product_contains_no_literal_of_a_common_platform_name():
+    check_absent(re.compile(rf"[\"'](?:{'|'.join(COMMON_WORDS)})[\"']"))
+
+
+def check_absent(pattern: re.Pattern) -> None:
+    """Check that nothing in the product matches `pattern`."""
     found = [
         f"{path.relative_to(ROOT)}: {match.group()}"
         for path in sorted((ROOT / "packages").rglob("*.py"))
