Clear a request by an answer of unknown end if its target runs on

What callers saw: with targets that answer without framing, a request that two targets crashed under for other reasons was held for an hour, though its trials were answered.

Cause: an answer of unknown end never cleared a request, since its target may have crashed at that end; but what the probe then found was used for crashes only.

Change: a probe that finds the target running clears the requests of unknown end that it was begun for. One that could not be made clears nothing, and no answer waits.

Evidence: after two crashes and then whole answers, the new test failed before (held after two trials) and passes now.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_tracker.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_tracker.py
@@ -70,7 +70,7 @@
     def __init__(self) -> None:
         self.table = CrashTable()
         self.prober = TargetProber()
-        self.prober.connect(self._record_target_crash)
+        self.prober.connect(self._record_target_crash, self._record_running)
         self.changed = trio.Event()
         self.log_is_behind = trio.Event()
         self.has_outdated = trio.Event()
@@ -92,6 +92,12 @@
         if self.record_crashes(crashes, ReportSource.LOCAL):
             self._report()
 
+    def _record_running(self, requests: list[RequestDigest]) -> None:
+        """Record that a target was found running behind its answers to `requests`."""
+        for request in requests:
+            if self.table.find_history(request) is not None:
+                self.record_answer(request)
+
     def record_crashes(self, crashes: list[Crash], source: ReportSource) -> bool:
         """Record crashes of targets; return whether any of them is new."""
         now_s = trio.current_time()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -109,29 +109,22 @@
     if end is AnswerEnd.BROKEN:
         _forget_cached_prompt(state, context, target.id)
     _record_outcome(state, record, result)
-    if _may_have_crashed(state, record, result, end):
+    if result in BROKEN_RESULTS:
         context.probe = state.crashes.prober.probe_after_break(target, context.digest)
+    elif end is AnswerEnd.UNKNOWN and not _is_leaving(state, record):
+        state.crashes.prober.probe_after_unknown_end(target, context.digest)
     record_end(context, result)
     return result
 
 
-def _may_have_crashed(
-    state: GatewayState,
-    record: TargetRecord,
-    result: AttemptResult,
-    end: AnswerEnd | None,
-) -> bool:
+def _is_leaving(state: GatewayState, record: TargetRecord) -> bool:
     """
-    Return whether the target may have crashed under the request.
+    Return whether a target leaves as planned.
 
-    A target that leaves as planned ends soon after a whole answer, so one of unknown
-    end is no sign of a crash there.
+    It ends soon after a whole answer, so that one of unknown end is no sign of a crash.
     """
-    if result in BROKEN_RESULTS:
-        return True
     newest = state.view.records.get(record.listed.id)
-    is_leaving = newest is None or not newest.is_ready
-    return end is AnswerEnd.UNKNOWN and not is_leaving
+    return newest is None or not newest.is_ready
 
 
 async def _open_link(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -42,7 +42,7 @@
     answer_end : AnswerEnd or None
         What is known of the end of the last answer that began.
     probe : TargetProbe or None
-        Of the target whose last answer is not known to be whole.
+        Of the target whose exchange broke last.
     sent_to : ListedTarget or None
         The entry of the target that the request was last sent to, as it was then.
     bound : StreamBound or None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -24,12 +24,17 @@
 _logger = logging.getLogger("scaleloom.crashes")
 
 CrashHandler = Callable[[ListedTarget, list[RequestDigest]], None]
+RunningHandler = Callable[[list[RequestDigest]], None]
 
 
 def _ignore_crash(target: ListedTarget, requests: list[RequestDigest]) -> None:
     """Do nothing; used until a handler is connected."""
 
 
+def _ignore_running(requests: list[RequestDigest]) -> None:
+    """Do nothing; used until a handler is connected."""
+
+
 class TargetProbe(msgspec.Struct, eq=False):
     """
     One probe of a target.
@@ -40,6 +45,8 @@
         When the probe begins, on the runtime's clock.
     requests : list of RequestDigest
         Requests whose exchanges with the target broke.
+    answered : list of RequestDigest
+        Requests whose answers have an unknown end.
     is_done : trio.Event
         Set once it is known whether the target accepts connections.
     """
@@ -47,6 +54,7 @@
     target: ListedTarget
     begins_s: float
     requests: list[RequestDigest] = msgspec.field(default_factory=list)
+    answered: list[RequestDigest] = msgspec.field(default_factory=list)
     is_done: trio.Event = msgspec.field(default_factory=trio.Event)
     has_crashed: bool = False
 
@@ -77,15 +85,25 @@
 
     def __init__(self) -> None:
         self._on_crash: CrashHandler = _ignore_crash
+        self._on_running: RunningHandler = _ignore_running
         self._settings = TargetsSection()
         self._probes: dict[TargetStart, TargetProbe] = {}
         self.crash_count = 0
         channel = trio.open_memory_channel[TargetProbe](QUEUE_LIMIT)
         self._enqueue, self._queued = channel
 
-    def connect(self, on_crash: CrashHandler) -> None:
-        """Call `on_crash` for every target that crashed."""
+    def connect(self, on_crash: CrashHandler, on_running: RunningHandler) -> None:
+        """
+        Call `on_crash` for every target that crashed.
+
+        Parameters
+        ----------
+        on_running : callable
+            Called with requests whose answers have an unknown end, if their target was
+            found running afterwards.
+        """
         self._on_crash = on_crash
+        self._on_running = on_running
 
     def configure(self, settings: TargetsSection) -> None:
         """Apply changed settings."""
@@ -94,19 +112,34 @@
     def probe_after_break(
         self, target: ListedTarget, request: RequestDigest
     ) -> TargetProbe:
-        """Probe `target` unless a probe tells already whether it has crashed."""
-        now_s = trio.current_time()
-        probe = self._probes.get(target.start)
-        if probe is None or not probe.tells_of_break(now_s):
-            last_s = NEVER_S if probe is None else probe.begins_s
-            begins_s = max(now_s, last_s + MIN_PROBE_INTERVAL_S)
-            probe = self._queue_probe(target, begins_s, now_s)
+        """Probe `target`, whose exchange broke."""
+        probe = self._find_probe(target)
         if probe.has_crashed:
             self._on_crash(target, [request])
         else:
             probe.requests.append(request)
         return probe
 
+    def probe_after_unknown_end(
+        self, target: ListedTarget, request: RequestDigest
+    ) -> None:
+        """Probe `target`, whose answer is whole unless it crashed."""
+        probe = self._find_probe(target)
+        if probe.has_crashed:
+            self._on_crash(target, [request])
+        else:
+            probe.answered.append(request)
+
+    def _find_probe(self, target: ListedTarget) -> TargetProbe:
+        """Return a probe that tells whether `target` crashed, or queue one."""
+        now_s = trio.current_time()
+        probe = self._probes.get(target.start)
+        if probe is not None and probe.tells_of_break(now_s):
+            return probe
+        last_s = NEVER_S if probe is None else probe.begins_s
+        begins_s = max(now_s, last_s + MIN_PROBE_INTERVAL_S)
+        return self._queue_probe(target, begins_s, now_s)
+
     def _queue_probe(
         self, target: ListedTarget, begins_s: float, now_s: float
     ) -> TargetProbe:
@@ -130,19 +163,24 @@
                 nursery.start_soon(self._run_probe, probe)
 
     async def _run_probe(self, probe: TargetProbe) -> None:
-        """Find out whether a target accepts connections, and report a crash."""
+        """Find out whether a target accepts connections, and report the result."""
         await trio.sleep_until(probe.begins_s)
-        probe.has_crashed = await self._is_unreachable(probe.target)
+        is_running = await self._is_running(probe.target)
+        probe.has_crashed = is_running is False
         if probe.has_crashed:
+            requests = probe.requests + probe.answered
             self.crash_count += 1
-            fields = {"target": probe.target.id, "requests": len(probe.requests)}
+            fields = {"target": probe.target.id, "requests": len(requests)}
             _logger.info("target crashed", extra=fields)
-            self._on_crash(probe.target, probe.requests)
+            self._on_crash(probe.target, requests)
+        elif is_running:
+            self._on_running(probe.answered)
         probe.requests.clear()
+        probe.answered.clear()
         probe.is_done.set()
 
-    async def _is_unreachable(self, target: ListedTarget) -> bool:
-        """Return whether `target` accepts no connection."""
+    async def _is_running(self, target: ListedTarget) -> bool | None:
+        """Return whether `target` accepts connections, or None if it is not known."""
         settings = self._settings
         silence_ms = int(settings.silence_s * 1000)
         address = Address(target.host, target.port)
@@ -150,7 +188,7 @@
             link = await open_link(address, settings.connect_timeout_s, silence_ms)
         except OutOfDescriptors:
             _logger.warning("no file descriptor left to probe a target")
-            return False
+            return None
         if link is not None:
             link.close()
-        return link is None
+        return link is not None
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -8,6 +8,11 @@
 import trio
 from nose2.tools import params
 
+from scaleloom_core.crash_table import (
+    MAX_TRIALS,
+    MIN_SUSPECT_CRASHES,
+    TRIAL_INTERVAL_S,
+)
 from scaleloom_fleet.http1.links import BodyDelimiter
 from tests.fixtures import stub_targets, unframed
 from tests.fixtures.crashing import (
@@ -285,3 +290,19 @@
             await caller.ask(site.gateways[0], CRASHING_BODY)
             await trio.sleep(CRASH_NOTICE_S)
     assert "target crashed" in messages
+
+
+@runs_on_paused_clock
+async def test_answers_of_unknown_end_clear_a_request_if_their_targets_run_on():
+    crashes = iter(range(MIN_SUSPECT_CRASHES))
+
+    def crashes_at_first(request) -> bool:
+        return request.body == CRASHING_BODY and next(crashes, None) is not None
+
+    others = answer_unframed(unframed.all_events)
+    async with crashing_site(4, 1, crashes_at_first, answer_others=others) as (site, _):
+        caller = Caller(site)
+        for _ in range(MAX_TRIALS + 3):
+            await caller.ask(site.gateways[0], CRASHING_BODY)
+            await trio.sleep(TRIAL_INTERVAL_S)
+    assert [answer.status for answer in caller.answers[1:]] == [200] * (MAX_TRIALS + 2)
