Let the benchmark of the path count whole streams only

It asserted the status alone, so that a stream that broke off after its head, and was told so by its last event, counted as a served request.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -9,7 +9,7 @@
 import trio
 
 from benchmarks.measures import Measure
-from scaleloom_fleet.http.clients import HttpClient
+from scaleloom_fleet.http.clients import ClientAnswer, HttpClient
 from scaleloom_fleet.utils.addresses import Address
 from scaleloom_standins.local_fleet import LocalFleet
 from scaleloom_standins.ports import LOOPBACK, free_port
@@ -20,6 +20,8 @@
 CONCURRENCY = 4
 CHUNKS = 600
 TOKEN_INTERVAL_S = 0.003
+STREAM_TYPE = "text/event-stream"
+END_EVENT = b"data: [DONE]\n\n"
 HEADERS = {
     "authorization": f"Bearer {CUSTOMER_KEY}",
     "content-type": "application/json",
@@ -97,6 +99,12 @@
     )
 
 
+def _is_whole(answer: ClientAnswer) -> bool:
+    """Return whether an answer is not streamed, or has the last event of a stream."""
+    is_stream = answer.headers["content-type"].startswith(STREAM_TYPE)
+    return not is_stream or answer.body.endswith(END_EVENT)
+
+
 async def _batch(
     client: HttpClient, endpoint: Endpoint, body: bytes, count: int
 ) -> BatchCost:
@@ -109,7 +117,7 @@
             started_s = trio.current_time()
             url = endpoint.address.url("/v1/chat/completions")
             answer = (await client.request("POST", url, HEADERS, body)).unwrap()
-            assert answer.status == 200, answer
+            assert answer.status == 200 and _is_whole(answer), answer
             durations_s.append(trio.current_time() - started_s)
 
     before_s = cpu_s(endpoint.pid)
