Soak: count a stream once that is taken up several times

The users' rule counts streams.

Streams begun at a target whose entry names no version aren't owed: nobody can know which targets share it. They count among the streams that hold several versions as before.

--- a/soak/resumption_checks.py
+++ b/soak/resumption_checks.py
@@ -4,6 +4,7 @@
 from soak.disturbances import RECOVERY_S, is_undisturbed, was_gateway_undisturbed
 from soak.mixed_streams import MIXED, find_order_problem, whole_events
 from soak.site import SoakSite
+from soak.targets import SoakTarget
 
 MAX_MIXED_STREAMS = 2
 MIN_RESUMED_STREAMS = 12
@@ -71,27 +72,43 @@
     site: SoakSite, observations: Observations
 ) -> tuple[list[bool], list[bool]]:
     """
-    Return whether each stream went on, and whether each new one began.
+    Return whether each stream that was taken up went on, and each new one began.
 
     Only attempts at gateways in touch count and, of those that take a stream up, only
-    the ones during which enough targets of its version served.
+    the ones during which enough targets of its version served. A stream counts once,
+    however often it was taken up.
     """
     resumed: list[bool] = []
     begun: list[bool] = []
     for stream in observations.mixed_streams:
-        for attempt in stream.attempts:
-            has_events = bool(whole_events(attempt.answer.body))
-            if attempt.has_left and not has_events:
-                continue
-            if not _was_in_touch(site, attempt):
-                continue
-            if attempt.first_event == 1:
-                begun.append(has_events)
-            elif _was_served(site, stream, attempt):
-                resumed.append(has_events)
+        counted = [
+            attempt
+            for attempt in stream.attempts
+            if _was_in_touch(site, attempt) and not _left_before_events(attempt)
+        ]
+        new = [attempt for attempt in counted if attempt.first_event == 1]
+        taken_up = [
+            attempt
+            for attempt in counted
+            if attempt.first_event > 1 and _was_served(site, stream, attempt)
+        ]
+        if new:
+            begun.append(any(map(_has_events, new)))
+        if taken_up:
+            resumed.append(any(map(_has_events, taken_up)))
     return resumed, begun
 
 
+def _has_events(attempt: CallerResult) -> bool:
+    """Return whether an attempt brought an event."""
+    return bool(whole_events(attempt.answer.body))
+
+
+def _left_before_events(attempt: CallerResult) -> bool:
+    """Return whether a caller left of its own accord before any event came."""
+    return attempt.has_left and not _has_events(attempt)
+
+
 def _was_in_touch(site: SoakSite, attempt: CallerResult) -> bool:
     """Return whether nothing struck the gateway and the store before an attempt."""
     from_s, to_s = attempt.started_s, attempt.ended_s
@@ -104,16 +121,30 @@
 
 
 def _was_served(site: SoakSite, stream: MixedStream, attempt: CallerResult) -> bool:
-    """Return whether enough targets of the version that began a stream served."""
+    """
+    Return whether enough targets of the version that began a stream served.
+
+    Nobody can know that version if the entry of the target that began it names none.
+    """
     since_s = attempt.started_s - RECOVERY_S
+    mixed = [target for target in site.all_targets() if target.service == MIXED]
+    if not _names_origin(mixed, stream):
+        return False
     serving = [
         target
-        for target in site.all_targets()
-        if target.service == MIXED
-        and target.version == stream.first_version
+        for target in mixed
+        if target.version == stream.first_version
         and target.tells_version
         and target.added_s < since_s
         and target.removed_s > attempt.ended_s
         and is_undisturbed(target.disturbances_s, since_s, attempt.ended_s)
     ]
     return len(serving) >= MIN_SERVING_TARGETS
+
+
+def _names_origin(targets: list[SoakTarget], stream: MixedStream) -> bool:
+    """Return whether the entry of the target that began a stream names its version."""
+    first = next(each for each in stream.attempts if _has_events(each))
+    return all(
+        target.tells_version for target in targets if target.stub.runs[first.request_id]
+    )
--- a/tests/test_soak_resumption.py
+++ b/tests/test_soak_resumption.py
@@ -97,6 +97,25 @@
     assert count_outcomes(_site(targets), observations)[0] == []
 
 
+def test_a_stream_that_is_taken_up_several_times_counts_once():
+    gateway = _gateway()
+    refused = [_attempt(gateway, 2) for _ in range(3)]
+    streams = [
+        MixedStream([_attempt(gateway, 1, "v1"), *refused]),
+        MixedStream([_attempt(gateway, 1, "v1"), *refused, _attempt(gateway, 2, "v1")]),
+    ]
+    outcomes = count_outcomes(_site(_serving()), Observations(mixed_streams=streams))
+    assert outcomes == ([False, True], [True, True])
+
+
+def test_a_stream_of_a_target_without_a_listed_version_does_not_count():
+    unlisted = _target("i-3", "v1", tells_version=False)
+    unlisted.stub.runs["r-1"] += 1
+    observations = Observations(mixed_streams=[_taken_up(_gateway(), None)])
+    outcomes = count_outcomes(_site([*_serving(), unlisted]), observations)
+    assert outcomes == ([], [True])
+
+
 def test_attempts_at_gateways_out_of_touch_do_not_count():
     gateway = _gateway()
     gateway.disturbances_s.append(AT_S - 1.0)
