Ask for the origin of every stream taken up without a record

Found in review: a router whose list had shown one version for long concluded that one without asking.

--- a/packages/scaleloom-core/scaleloom_core/origin_tables.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_tables.py
@@ -9,7 +9,6 @@
     StreamOrigins,
     UntoldOrigin,
     UntoldOrigins,
-    needs_asking,
     own_knowledge,
     stream_key,
 )
@@ -81,12 +80,6 @@
         recorded = self.origins.find(key, now_s)
         return own_knowledge(recorded, self.only_version(service, now_s))
 
-    def needs_asking(
-        self, known: OriginKnowledge, service: ServiceName, now_s: float
-    ) -> bool:
-        """Return whether others must be asked for the origin of a stream."""
-        return needs_asking(known, self.must_tell(service, now_s))
-
     def pop_untold(self, limit: int, now_s: float) -> list[UntoldOrigin]:
         """Return and remove up to `limit` streams that others must be told of."""
         popped: list[UntoldOrigin] = []
--- a/packages/scaleloom-core/scaleloom_core/stream_origins.py
+++ b/packages/scaleloom-core/scaleloom_core/stream_origins.py
@@ -269,21 +269,14 @@
     return UNKNOWN_ORIGIN
 
 
-def needs_asking(own: OriginKnowledge, is_told_of: bool) -> bool:
+def needs_asking(own: OriginKnowledge) -> bool:
     """
     Return whether other routers must be asked before a stream goes on.
 
-    Parameters
-    ----------
-    own : OriginKnowledge
-        What this router knows.
-    is_told_of : bool
-        Whether routers tell each other of the service's streams now, so that one of
-        them may have a record where this router would only conclude a version.
+    Another may have a record where this router would only conclude a version: one that
+    has just started sends to every version that its first list shows.
     """
-    if own.source is OriginSource.ONLY_VERSION:
-        return is_told_of
-    return own.source is OriginSource.UNKNOWN
+    return own.source in (OriginSource.ONLY_VERSION, OriginSource.UNKNOWN)
 
 
 def combine_knowledge(known: Iterable[OriginKnowledge]) -> OriginKnowledge:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -31,6 +31,7 @@
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import (
     bind_take_up,
+    is_narrowed,
     is_version_gone,
     version_gone_error,
 )
@@ -274,6 +275,8 @@
         context.send_count -= 1
     if context.splitter is not None:
         context.splitter.drop_partial()
+    if is_version_gone(state, context):
+        return False
     window = state.retry_windows.get(context.match.service)
     if window.try_acquire(trio.current_time(), state.router_count):
         return True
@@ -302,7 +305,8 @@
     def choose() -> TargetRecord | None:
         return choose_target(state, context)
 
-    if context.bound is not None or not state.wait_queue.must_wait(match.service):
+    must_wait = state.wait_queue.must_wait(match.service)
+    if not must_wait or is_narrowed(state, context):
         record = choose()
         if record is not None:
             state.wait_queue.acquire(record, match.customer)
@@ -315,7 +319,7 @@
         choose,
         excludes_targets=bool(context.attempted)
         or context.is_on_trial
-        or context.bound is not None,
+        or is_narrowed(state, context),
     )
     return await state.wait_queue.wait(match.service, waiter)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
@@ -13,6 +13,7 @@
     OriginKnowledge,
     OriginSource,
     combine_knowledge,
+    needs_asking,
 )
 from scaleloom_fleet.gateway.origin_messages import (
     OriginMessage,
@@ -119,7 +120,7 @@
         """Return what is known of a stream's origin, here or at other routers."""
         tables = self._tables
         own = tables.knowledge(key, service, trio.current_time())
-        if not tables.needs_asking(own, service, trio.current_time()):
+        if not needs_asking(own):
             return own
         replies = await self._query(key, service)
         # A router may have told of the stream meanwhile.
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
@@ -63,6 +63,15 @@
     return not any(bound.allows(record.listed) for record in ready)
 
 
+def is_narrowed(state: GatewayState, context: RequestContext) -> bool:
+    """Return whether the stream may not go on at some of the ready targets."""
+    bound = context.bound
+    if bound is None:
+        return False
+    ready = state.view.ready_targets(context.match.service)
+    return not all(bound.allows(record.listed) for record in ready)
+
+
 def version_gone_error() -> FleetError:
     """Return the error of a stream whose version has no ready target."""
     return _refusal_error(TakeUpRefusal.VERSION_GONE)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -18,6 +18,11 @@
 from scaleloom_core.rollouts.evidence import Assessment
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.version_holds import VERSION_HOLD_S
+from scaleloom_fleet.gateway.origin_messages import (
+    ToldOrigins,
+    decode_origin_message,
+    is_origin_message,
+)
 from scaleloom_fleet.gateway.peer_messages import PeerReport
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, GatewayFixture
@@ -328,12 +333,19 @@
         versioned.network.sent.clear()
         first, second, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
-        results = await versioned.take_up_all(second, begun)
-        assert results == {Result.WENT_ON: STREAMS}, results
         await pass_time(1.0)
         decoder = msgspec.msgpack.Decoder(PeerReport)
         reports = [decoder.decode(data) for data in versioned.network.sent]
         assert len(reports) == len(versioned.network.sent) > 0
+        results = await versioned.take_up_all(second, begun)
+        assert results == {Result.WENT_ON: STREAMS}, results
+        await pass_time(1.0)
+        messages = [
+            decode_origin_message(data)
+            for data in versioned.network.sent
+            if is_origin_message(data)
+        ]
+        assert not any(isinstance(message, ToldOrigins) for message in messages)
 
 
 @params(
