--- a/tests/gateway/test_cache_sources.py
+++ b/tests/gateway/test_cache_sources.py
@@ -61,6 +61,18 @@
     assert (source is not None) is copies_again
 
 
+@runs_on_paused_clock
+async def test_a_broken_answer_forgets_no_part_that_was_known_before():
+    async with running_site() as site:
+        await serve_engines(site)
+        await site.ask("/drafts/1", "r-1", Prompt_Prefix=PARTS)
+        for target in site.runners:
+            target.behaviour = stub_targets.cut_body
+        for request_id in ("r-2", "r-3"):
+            await site.ask("/drafts/1", request_id, Prompt_Prefix=PARTS)
+    assert _sources(site, "r-3") == [None]
+
+
 async def _ask_and_wait_arrival(
     site: Site, nursery: trio.Nursery, request_id: str
 ) -> None:
