Say that the version is gone also where a target turned a taken-up stream away

Found in review: a stream whose last target turned it away as not run, and whose version had no other, was refused as if all targets were full. And a service without versions asked other routers for each stream taken up, though nobody can have a record.

--- a/packages/scaleloom-core/scaleloom_core/stream_origins.py
+++ b/packages/scaleloom-core/scaleloom_core/stream_origins.py
@@ -274,9 +274,12 @@
     Return whether other routers must be asked before a stream goes on.
 
     Another may have a record where this router would only conclude a version: one that
-    has just started sends to every version that its first list shows.
+    has just started sends to every version that its first list shows. Where no entry
+    has ever told a version, nobody has a record.
     """
-    return own.source in (OriginSource.ONLY_VERSION, OriginSource.UNKNOWN)
+    if own.source is OriginSource.ONLY_VERSION:
+        return own.version != NO_VERSION
+    return own.source is OriginSource.UNKNOWN
 
 
 def combine_knowledge(known: Iterable[OriginKnowledge]) -> OriginKnowledge:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -199,8 +199,6 @@
         if refusal is not None:
             return refusal
     for _ in range(ATTEMPT_LIMIT):
-        if is_version_gone(state, context):
-            return _version_gone_error(state, context)
         refusal = await wait_for_permission(state, context, _wait_until_s(context))
         if refusal is not None:
             return _quarantine_error(state, context, refusal)
@@ -220,6 +218,8 @@
         await record_result(state, context, result)
         if result is AttemptResult.ANSWERED:
             return _failure_error(context)
+        if is_version_gone(state, context):
+            return _version_gone_error(state, context)
         if not _should_continue(state, context, result):
             return _no_answer_error(state, context)
     return _no_answer_error(state, context)
@@ -275,8 +275,6 @@
         context.send_count -= 1
     if context.splitter is not None:
         context.splitter.drop_partial()
-    if is_version_gone(state, context):
-        return False
     window = state.retry_windows.get(context.match.service)
     if window.try_acquire(trio.current_time(), state.router_count):
         return True
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -184,6 +184,7 @@
     (RECORDED_V1, False),
     (CONFLICTING_ORIGIN, False),
     (ONLY_V1, True),
+    (OriginKnowledge(OriginSource.ONLY_VERSION, NO_VERSION), False),
     (UNKNOWN_ORIGIN, True),
 )
 def test_others_are_asked_unless_a_record_suffices(own, expected):
