Take streams up within the order in the test of versions under a roll-out

Cause: the case of a running order sent its 12 take-ups one after another, 0.4 s each, and the order of 2 s ended under them: the log of the failure shows the candidate rolled back at 5.720 s and the refusal of its stream at 5.979 s, which the design demands. The fault was the test's.

Change: the take-ups of each version are sent at once and judged as before, all of them. Also 6 new cases: take-ups through two routers killed in turn, a first event that came from another version than the first try's, split routes, a full target of the version, the store away, and a route that can't be resumed.

--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -26,6 +26,7 @@
 from scaleloom_fleet.gateway.peer_messages import PeerReport
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, GatewayFixture
+from tests.fixtures.platform_store import StoreFault
 from tests.fixtures.rollout_sites import NEW, OLD, rollout_site
 from tests.fixtures.stream_versions import (
     AT_ONCE_S,
@@ -35,7 +36,9 @@
     LIFE_S,
     LIST_UPDATE_S,
     OTHER_KEY,
+    OTHER_SERVICE,
     PATH,
+    SPLIT_PATH,
     UNKNOWN,
     UNTOLD,
     V1,
@@ -59,6 +62,8 @@
 STREAMS = 12
 # As many breaks in answers as the budget of retries allows a site at once.
 IN_ANSWER = 6
+# As long after the first event others know of a stream.
+TOLD_S = 0.2
 TWO_EACH = [V1, V1, V2, V2]
 
 
@@ -154,6 +159,91 @@
         assert results.keys() <= {Result.WENT_ON, Result.REFUSED}, results
 
 
+@runs_on_paused_clock
+async def test_a_stream_goes_on_through_several_routers_that_are_killed():
+    async with version_site(TWO_EACH, gateway_count=4) as versioned:
+        first, second, third, _ = versioned.gateways
+        begun = await versioned.begin_many(first, stream_ids(STREAMS))
+        await pass_time(TOLD_S)
+        await first.kill()
+        streams: list[Begun] = []
+        for one in shuffled(begun):
+            answer = await versioned.take_up(second, one, Cut_After="4")
+            assert _numbers(answer) == [3, 4]
+            streams.append(one.with_more(answer))
+        await second.kill()
+        assert _version_counts(streams) == {1: STREAMS}
+        results = await versioned.take_up_all(third, streams)
+        assert results == {Result.WENT_ON: STREAMS}, results
+
+
+@runs_on_paused_clock
+async def test_a_stream_is_of_the_version_that_wrote_its_first_event():
+    # The first try of each stream ends at a target that writes nothing.
+    async with version_site([V1, V2, V2]) as versioned:
+        versioned.site.runners[0].behaviour = close_unanswered
+        first, second, _ = versioned.gateways
+        begun = await versioned.leave_many(first, stream_ids(IN_ANSWER))
+        assert versioned.site.runners[0].runs
+        assert {one.version for one in begun} == {V2}
+        versioned.list_target(0, V1)
+        results = await versioned.take_up_all(second, begun)
+        assert results == {Result.WENT_ON: IN_ANSWER}, results
+
+
+@runs_on_paused_clock
+async def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it():
+    async with version_site([V1, V1, V2, V2]) as versioned:
+        for number in (2, 3):
+            versioned.list_target(number, V2, service=OTHER_SERVICE)
+        await pass_time(LIFE_S + VERSION_HOLD_S)
+        first, second, _ = versioned.gateways
+        ids = stream_ids(STREAMS)
+        begun = await versioned.begin_many(first, ids, path=SPLIT_PATH)
+        assert {one.version for one in begun} == {V1, V2}
+        results = await versioned.take_up_all(second, begun)
+        assert results == {Result.WENT_ON: STREAMS}, results
+
+
+@runs_on_paused_clock
+async def test_a_stream_waits_for_a_slot_at_its_version():
+    async with version_site([V1, V2, V2]) as versioned:
+        first, second, _ = versioned.gateways
+        begun = await versioned.begin_at_version(first, V1, EVENT_COUNT - 1)
+        # One runs and one is queued at the target.
+        versioned.list_target(0, V1, slots=1)
+        await pass_time(LIST_UPDATE_S)
+        started_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(versioned.take_up_all, second, [begun] * 2)
+            await trio.sleep(EVENT_PAUSE_S / 2)
+            results = await versioned.take_up_all(second, [begun])
+        assert results == {Result.WENT_ON: 1}, results
+        assert trio.current_time() - started_s >= 2 * EVENT_PAUSE_S
+
+
+@runs_on_paused_clock
+async def test_streams_go_on_at_their_versions_while_the_store_is_away():
+    async with version_site(TWO_EACH) as versioned:
+        first, second, _ = versioned.gateways
+        versioned.site.store.fault = StoreFault.UNAVAILABLE
+        await pass_time(2 * VERSION_HOLD_S)
+        begun = await versioned.begin_many(first, stream_ids(STREAMS))
+        await pass_time(TOLD_S)
+        await first.kill()
+        results = await versioned.take_up_all(second, begun)
+        assert results == {Result.WENT_ON: STREAMS}, results
+
+
+@runs_on_paused_clock
+async def test_a_stream_that_cannot_be_resumed_is_begun_anew_wherever_asked():
+    async with version_site(TWO_EACH, gateway_count=1) as versioned:
+        (gateway,) = versioned.gateways
+        begun = Begun("s-0", "/stream-once/1", Answer(None))
+        answer = await versioned.take_up(gateway, begun, Last_Event_Id="2")
+        assert (answer.status, answer.is_complete) == (200, True)
+
+
 @params({"state": "draining"}, None)
 @runs_on_paused_clock
 async def test_a_stream_whose_version_has_left_is_refused_at_once(fields):
@@ -366,11 +456,13 @@
         await rollout.wait_stage(Stage.RUNNING)
         rollout.forced.assessment = assessment
         await rollout.wait_stage(stage)
-        for one in shuffled(begun):
-            result = one.result(await versioned.take_up(second, one))
-            is_rejected = stage is Stage.ROLLED_BACK and one.version == NEW
-            expected = Result.REFUSED if is_rejected else Result.WENT_ON
-            assert result is expected, (one.version, result)
+        is_rejected = stage is Stage.ROLLED_BACK
+        for version in (OLD, NEW):
+            of_version = [one for one in begun if one.version == version]
+            results = await versioned.take_up_all(second, of_version)
+            is_refused = is_rejected and version == NEW
+            expected = Result.REFUSED if is_refused else Result.WENT_ON
+            assert results == {expected: len(of_version)}, (version, results)
 
 
 @runs_on_paused_clock
