--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,11 +9,11 @@
 import click
 import trio
 
-from soak.faults import FAULT_SEQUENCE_COUNT, FAULTS, UNDRAWN_FAULTS, draw_faults
+from soak.faults import FAULT_SEQUENCE_COUNT, FAULTS, draw_faults
 from soak.seed_run import run_seed
 from soak.switched_off import MECHANISMS
 
-FAULTS_BY_NAME = {fault.__name__: fault for fault in FAULTS + UNDRAWN_FAULTS}
+FAULTS_BY_NAME = {fault.__name__: fault for fault in FAULTS}
 
 
 @click.command()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -300,6 +300,5 @@
     crash_targets,
     signal_in_series,
     answer_until_close,
+    change_versions,
 )
-# Not drawn: the gateways break promises under them.
-UNDRAWN_FAULTS: tuple[Fault, ...] = (change_versions,)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -22,6 +22,7 @@
     answer_signals,
     attempts,
     exchanges,
+    forwarding,
     list_watch,
     process,
     state,
@@ -68,6 +69,16 @@
     links.AnswerHead.has_known_end = property(lambda self: True)
 
 
+def _go_on_at_any_version() -> None:
+    """Go on with a stream at targets of any version."""
+
+    async def bind_nothing(state, context):
+        return None
+
+    attempts.bind_take_up = bind_nothing
+    forwarding.record_first_event = lambda state, context: None
+
+
 def _apply_older_configs() -> None:
     """Apply every configuration, also an older one."""
 
@@ -184,6 +195,7 @@
     "own-answer": _accept_any_answer,
     "whole-answer": _accept_broken_answers,
     "unknown-end": _trust_unknown_ends,
+    "stream-version": _go_on_at_any_version,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
     "leaving": _ignore_draining_entries,
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -61,6 +61,19 @@
     assert promise in result.broken, result.describe()
 
 
+@params(7401)
+def test_streams_go_on_at_the_version_that_began_them(seed):
+    kinds = [faults.change_versions, faults.signal_gateway]
+    _assert_kept(_run(seed, SIGNAL_LENGTH_S, kinds=kinds))
+
+
+def test_streams_that_go_on_at_any_version_are_detected():
+    kinds = [faults.change_versions, faults.signal_gateway]
+    result = _run(7401, SIGNAL_LENGTH_S, "stream-version", kinds)
+    promise = "a stream holds events of one version"
+    assert promise in result.broken, result.describe()
+
+
 def test_an_ignored_retry_after_is_detected():
     result = _run(7102, SIGNAL_LENGTH_S, "rests", [faults.ask_for_rest])
     assert "gateways back off as Retry-After asks" in result.broken, result.describe()
