Close the socket for peers when the gateway stops

Cause: the socket was closed with the last reference to the exchange, and the exchange of origins, which sends through it, added a cycle of references. I had taken the failures for a clash of ports between suites; the module alone shows them too.

Change: the task that reads the socket closes it, also when it is cancelled.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -114,12 +114,15 @@
             return
 
     async def receive_forever(self) -> None:
-        """Receive reports of peers and apply them."""
-        while True:
-            await trio.lowlevel.wait_readable(self._socket)
-            for _ in range(READ_BATCH):
-                if not self._receive_one():
-                    break
+        """Receive messages of peers and apply them; close the socket at the end."""
+        try:
+            while True:
+                await trio.lowlevel.wait_readable(self._socket)
+                for _ in range(READ_BATCH):
+                    if not self._receive_one():
+                        break
+        finally:
+            self._socket.close()
 
     def _receive_one(self) -> bool:
         """Receive and apply one report; return False if none is pending."""
