Log the prompt parts of a request that is not served

Cause: the logs of the users' record name a request by its digest and by nothing that it shares with others, so that they can't tell whether the requests that crash targets have a prompt part in common. Change: `request not served` has `parts`, the ids of the first eight parts of the prompt.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -55,6 +55,8 @@
 # Retry-After values are rounded to this step, which is added to them so that no
 # retry comes too early.
 RETRY_AFTER_STEP_S = 0.01
+# A prompt may have as many parts as fit into a header.
+MAX_LOGGED_PARTS = 8
 # Operators end an evacuation after some seconds at the earliest.
 EVACUATED_RETRY_AFTER_S = 3.0
 _K = ErrorKind
@@ -163,6 +165,7 @@
     fields = {
         "request": context.match.request_id,
         "digest": f"{context.digest:016x}",
+        "parts": context.match.prompt_parts[:MAX_LOGGED_PARTS],
         "kind": error.kind.value,
         "service": context.match.service,
         "sends": context.send_count,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
@@ -31,6 +31,8 @@
     begun_by : str or None
         The id of the request whose answer brought the first event of that stream, if
         the caller names it.
+    prompt_parts : tuple of str
+        The ids of the parts of its prompt, in order; the last one is its own.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     deadline_s: float
     is_take_up: bool = False
     begun_by: str | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     def is_overdue(self, now_s: float) -> bool:
         """
@@ -82,6 +85,7 @@
         if customer is None:
             return Failure(FleetError(_K.UNAUTHENTICATED, "The key is unknown."))
     is_take_up, begun_by = _find_take_up(request, route, names)
+    prompt_parts = _find_prompt_parts(request, names)
     # The service that began a stream goes on with it.
     service = route.pick_service(begun_by or request_id)
     policy = routing.find_service(service) or ServicePolicy(service)
@@ -96,11 +100,12 @@
             service=service,
             policy=policy,
             priority=priority,
-            placement=PlacementKey(service, _shared_prompt_part(request, names)),
+            placement=PlacementKey(service, _last_shared_part(prompt_parts)),
             received_s=request.received_s,
             deadline_s=_deadline_s(request, route, names),
             is_take_up=is_take_up,
             begun_by=begun_by,
+            prompt_parts=prompt_parts,
         )
     )
 
@@ -133,14 +138,18 @@
     return value[len(BEARER) :].strip().decode("latin-1")
 
 
-def _shared_prompt_part(request: CallerRequest, names: HeaderNames) -> str | None:
-    """Return the last prompt part that a request shares with others."""
+def _find_prompt_parts(request: CallerRequest, names: HeaderNames) -> tuple[str, ...]:
+    """Return the ids of the parts of the prompt of a request, in order."""
     value = request.values.get(names.prompt_parts.lower())
     if not value:
-        return None
+        return ()
     parts = value.decode("latin-1").split(",")
-    shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return shared.partition(":")[0].strip()
+    return tuple(part.partition(":")[0].strip() for part in parts)
+
+
+def _last_shared_part(prompt_parts: tuple[str, ...]) -> str | None:
+    """Return the last prompt part that a request shares with others."""
+    return prompt_parts[-2:][0] if prompt_parts else None
 
 
 def _deadline_s(request: CallerRequest, route: HttpRoute, names: HeaderNames) -> float:
--- a/tests/gateway/test_log_lines.py
+++ b/tests/gateway/test_log_lines.py
@@ -17,7 +17,7 @@
     eventually,
     running_site,
 )
-from tests.fixtures.logs import ListHandler
+from tests.fixtures.logs import FieldsHandler, ListHandler
 from tests.fixtures.stub_server import raw_answer
 
 LOGGER_NAME = "scaleloom.gateway"
@@ -91,6 +91,19 @@
     assert messages.count("retry refused by the retry budget") == 1
 
 
+@runs_on_paused_clock
+async def test_a_failure_is_logged_with_the_parts_of_the_prompt():
+    async def fail(runner, request):
+        await request.stream.send_all(raw_answer(500, runner.seal(request), b"no"))
+        return True
+
+    with FieldsHandler.capture(LOGGER_NAME, "request not served") as lines:
+        async with running_site(runner_count=1) as site:
+            site.runners[0].behaviour = fail
+            await site.ask("/once/1", Prompt_Prefix="5c1e:800, 91bd:410,e440:250")
+    assert lines[0]["parts"] == ("5c1e", "91bd", "e440")
+
+
 @runs_on_paused_clock
 async def test_one_of_two_routers_logs_that_its_peer_polls_the_list():
     with ListHandler.capture("scaleloom.store") as messages:
