--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -7,11 +7,14 @@
 crash of a router, and not be blamed on other requests in flight at the target.
 """
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-
 import trio
 
+from tests.fixtures.crash_disturbances import (
+    DISTURBANCES,
+    Disturb,
+    DisturbanceRecord,
+    running_gateways,
+)
 from tests.fixtures.crashing import (
     CRASHED_TARGETS,
     CRASHING_BODY,
@@ -26,7 +29,7 @@
     cut_between_gateways,
 )
 from tests.fixtures.fleets import runs_on_paused_clock
-from tests.fixtures.gateways import GatewayFixture, Site
+from tests.fixtures.gateways import Site
 
 TARGETS = 9
 GATEWAYS = 4
@@ -34,8 +37,6 @@
 CRASHING_INTERVAL_S = 0.4
 DURATION_S = 16.0
 OTHERS_INTERVAL_S = 0.12
-FIRST_KILL_S = 2.0
-KILL_INTERVAL_S = 2.5
 SETTLE_S = 6.0
 OBSERVED_S = 3.0
 # Not placed by a prompt part, so that it is in flight at several targets.
@@ -45,31 +46,11 @@
 QUARANTINED_KIND = b"request_held"
 
 
-@dataclass
-class DisturbanceRecord:
-    """
-    Disturbances of the gateways of a site.
-
-    Parameters
-    ----------
-    started_s : dict of str to list of float
-        When gateways joined, by their hosts.
-    cut : set of str
-        Control addresses of those that are cut off from the others.
-    """
-
-    started_s: dict[str, list[float]] = field(default_factory=dict)
-    cut: set[str] = field(default_factory=set)
-
-
-Disturb = Callable[[Site, DisturbanceRecord], Awaitable[None]]
-
-
 async def _send_crashing_request(site: Site, caller: Caller) -> None:
     """Send the crashing request to one gateway after another."""
     turn = 0
     while True:
-        ready = _running(site)
+        ready = running_gateways(site)
         site.nursery.start_soon(caller.ask, ready[turn % len(ready)], CRASHING_BODY)
         turn += 1
         await trio.sleep(CRASHING_INTERVAL_S)
@@ -79,62 +60,13 @@
     """Send other requests of the same caller, path and prompt part."""
     turn = 0
     while True:
-        ready = _running(site)
+        ready = running_gateways(site)
         body = b"innocent %d" % turn
         site.nursery.start_soon(caller.ask, ready[turn % len(ready)], body)
         turn += 1
         await trio.sleep(OTHERS_INTERVAL_S)
 
 
-def _running(site: Site) -> list[GatewayFixture]:
-    """Return the gateways that run."""
-    return [gateway for gateway in site.gateways if not gateway.stopped.is_set()]
-
-
-async def _disturb_nothing(site: Site, record: DisturbanceRecord) -> None:
-    """Disturb nothing."""
-
-
-async def _replace(
-    site: Site, gateway: GatewayFixture, record: DisturbanceRecord
-) -> None:
-    """Kill a gateway and start another."""
-    await gateway.kill()
-    joined = site.start_gateway(site.store_port)
-    record.started_s[joined.host] = [trio.current_time()]
-    await joined.wait_ready()
-
-
-async def _kill_one_after_another(site: Site, record: DisturbanceRecord) -> None:
-    """Kill the gateways in turn and replace them."""
-    await trio.sleep(FIRST_KILL_S)
-    while True:
-        await _replace(site, _running(site)[0], record)
-        await trio.sleep(KILL_INTERVAL_S)
-
-
-async def _kill_all(site: Site, record: DisturbanceRecord) -> None:
-    """Kill all gateways at once; the new ones have no state."""
-    await trio.sleep(FIRST_KILL_S)
-    while True:
-        async with trio.open_nursery() as nursery:
-            for gateway in _running(site):
-                nursery.start_soon(_replace, site, gateway, record)
-        await trio.sleep(2 * KILL_INTERVAL_S)
-
-
-async def _cut_first(site: Site, record: DisturbanceRecord) -> None:
-    """Cut the first gateway off from the others; the store stays reachable."""
-    record.cut.add(str(site.gateways[0].settings.peer_address))
-
-
-async def _cut_half(site: Site, record: DisturbanceRecord) -> None:
-    """Cut the gateways into two halves; the store stays reachable for both."""
-    record.cut.update(
-        str(gateway.settings.peer_address) for gateway in site.gateways[::2]
-    )
-
-
 async def _run_disturbed(
     disturb: Disturb, cut: set[str], excess: dict[str, list[Arrival]]
 ) -> None:
@@ -151,15 +83,6 @@
         excess[disturb.__name__] = found
 
 
-DISTURBANCES = (
-    _disturb_nothing,
-    _kill_one_after_another,
-    _kill_all,
-    _cut_first,
-    _cut_half,
-)
-
-
 @runs_on_paused_clock
 async def test_a_request_that_crashes_targets_is_sent_to_only_a_few():
     excess: dict[str, list[Arrival]] = {}
