Count crashes of targets by prompt part as well as by request

What callers saw: requests that share one prompt part, no two alike, crashed 40 and 44 engines with all that ran there. Cause: the class of fault is that a common cause was counted by its carriers: crashes were counted by the digest of a request only, so that each of these requests began with a count of none. Change: the parts of a prompt that others may share are possible causes in the same table, log, reports and trials. A trial that no target ran is deleted. A retry that the quarantine would refuse takes nothing from the retry budget. What was abandoned at a target in the last second before its crash counts too.

--- a/packages/scaleloom-core/scaleloom_core/target_choice.py
+++ b/packages/scaleloom-core/scaleloom_core/target_choice.py
@@ -10,8 +10,8 @@
 from scaleloom_core.fleet_load import FleetLoad, target_key
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import (
+    CauseDigest,
     DataCentreName,
-    RequestDigest,
     ServiceName,
     TargetId,
 )
@@ -136,7 +136,7 @@
         policy: ServicePolicy,
         attempted: set[TargetId],
         now_s: float,
-        request: RequestDigest,
+        request: CauseDigest,
         bound: StreamBound | None = None,
     ) -> TargetRecord | None:
         """
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -18,6 +18,7 @@
 from scaleloom_fleet.gateway.forwarding import forward_answer
 from scaleloom_fleet.gateway.matching import Match, match_request
 from scaleloom_fleet.gateway.quarantine import (
+    is_retry_refused,
     record_result,
     wait_for_permission,
 )
@@ -278,6 +279,9 @@
         context.send_count -= 1
     if context.splitter is not None:
         context.splitter.drop_partial()
+    if is_retry_refused(state, context, _wait_until_s(context)):
+        # Leaves the retry budget to requests that can still be served.
+        return False
     window = state.retry_windows.get(context.match.service)
     if window.try_acquire(trio.current_time(), state.router_count):
         return True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -1,12 +1,14 @@
-"""The fleet's log of requests that crash targets, kept in the platform's store."""
+"""The fleet's log of crashes by their possible causes, kept in the platform's store."""
 
 import logging
 
 import trio
 from returns.result import Failure, Result
 
-from scaleloom_core.crash_table import Crash, CrashHistory, ReportSource, SendPermission
-from scaleloom_core.ids import RequestDigest, TargetId
+from scaleloom_core.cause_digests import is_prompt_part
+from scaleloom_core.crash_history import Crash, CrashHistory, SendPermission
+from scaleloom_core.crash_reports import ReportSource
+from scaleloom_core.ids import CauseDigest, TargetId
 from scaleloom_fleet.gateway.crash_records import (
     CrashRecord,
     CrashRecordKind,
@@ -47,10 +49,10 @@
     """
     Reader and writer of the crash log, which also records trials.
 
-    A request that crashes targets may reach any router, including one that has just
-    started or receives no reports of its peers. All of them reach the log: a trial
-    begins with an append that succeeds only if the log still ends where it was last
-    read, so no two routers begin the same trial.
+    A request that crashes targets, or others with the same prompt part, may reach any
+    router, including one that has just started or receives no reports of its peers.
+    All of them reach the log: a trial begins with an append that succeeds only if the
+    log still ends where it was last read, so no two routers begin the same trial.
 
     Parameters
     ----------
@@ -121,59 +123,60 @@
                 tracker.table.remove_crash(record.crash)
                 tracker.notify_change()
             else:
+                if record.name:
+                    tracker.part_names.update([(record.cause, record.name)])
                 tracker.record_crashes([record.crash], ReportSource.LOG)
         elif record.is_deleted:
-            tracker.table.remove_trial(record.request, record.number)
+            tracker.table.remove_trial(record.cause, record.number)
             tracker.notify_change()
         else:
-            tracker.record_trial(record.request, record.number, record.target)
+            tracker.record_trial(record.cause, record.number, record.target)
 
     async def begin_trial(
-        self, request: RequestDigest, target: TargetId
+        self, causes: tuple[CauseDigest, ...], target: TargetId
     ) -> TrialOutcome:
         """
-        Record that a trial of `request` begins at `target`, within `TRIAL_TIMEOUT_S`.
+        Record that a trial of `causes` begins at `target`, within `TRIAL_TIMEOUT_S`.
 
-        No trial begins if another router has begun one of this request, or if another
-        request is on trial at `target`: a crash would count against both.
+        No trial begins if another router has begun one of any of these causes, or if
+        another trial runs at `target`: a crash would count against both.
         """
         outcome = TrialOutcome.UNCOUNTED
         with trio.move_on_after(TRIAL_TIMEOUT_S):
-            outcome = await self._compete_for_trial(request, target)
+            outcome = await self._compete_for_trial(causes, target)
         self._state.metrics_registry.add(REQUEST_TRIALS, outcome.value)
         return outcome
 
     async def _compete_for_trial(
-        self, request: RequestDigest, target: TargetId
+        self, causes: tuple[CauseDigest, ...], target: TargetId
     ) -> TrialOutcome:
         """Append the trial unless another router does so first."""
         tracker = self._state.crashes
         while True:
             advanced = self._advanced
             async with self._write_lock:
-                is_on_trial = (
-                    tracker.send_decision(request).permission
-                    is SendPermission.TRIAL_ONLY
-                )
-                if not is_on_trial or target in tracker.targets_on_trial():
+                permissions = {tracker.send_decision(c).permission for c in causes}
+                is_due = SendPermission.TRIAL_ONLY in permissions
+                is_held = SendPermission.QUARANTINED in permissions
+                if is_held or not is_due or target in tracker.targets_on_trial():
                     return TrialOutcome.LEFT_TO_OTHERS
                 if self._end_offset is None:
                     return TrialOutcome.UNCOUNTED
-                written = await self._write_trial(request, target, self._end_offset)
+                written = await self._write_trial(causes, target, self._end_offset)
             if not isinstance(written, Failure):
                 return TrialOutcome.BEGUN
             failure = written.failure()
             if not (isinstance(failure, CallFailure) and failure.is_condition_failed):
                 return TrialOutcome.UNCOUNTED
-            # Another router appended a record, perhaps for the same request.
+            # Another router appended a record, perhaps for the same cause.
             with trio.move_on_after(RACE_PAUSE_S):
                 await advanced.wait()
 
     async def _write_trial(
-        self, request: RequestDigest, target: TargetId, end: int
+        self, causes: tuple[CauseDigest, ...], target: TargetId, end: int
     ) -> Result[int, CallFailure | str]:
         """
-        Append the next trial of `request` with its crashes, if the log ends at `end`.
+        Append the next trials of `causes` with their crashes, if the log ends at `end`.
 
         Returns
         -------
@@ -181,19 +184,35 @@
             The new end of the log, or why the append failed.
         """
         tracker = self._state.crashes
-        history = tracker.table.find_history(request) or CrashHistory()
-        number = history.trials + 1
-        crashes = [Crash(request, start) for start in history.starts]
-        records = [*map(crash_record, crashes), trial_record(request, number, target)]
+        records: list[KeyedValue] = []
+        numbers: dict[CauseDigest, int] = {}
+        for cause in causes:
+            history = tracker.table.find_history(cause) or CrashHistory()
+            numbers[cause] = history.trials + 1
+            crashes = [Crash(cause, start) for start in history.starts]
+            records += map(self._crash_record, crashes)
+            records.append(trial_record(cause, numbers[cause], target))
         written = await self._access.append_if_end_is(
             self._writer, Topic.CRASHES, records, end
         )
         if not isinstance(written, Failure):
-            tracker.record_trial(request, number, target)
-            fields = {"digest": f"{request:016x}", "trial": number, "target": target}
-            _logger.info("isolated trial of a request begun", extra=fields)
+            for cause, number in numbers.items():
+                self._record_trial(cause, number, target)
         return written
 
+    def _record_trial(self, cause: CauseDigest, number: int, target: TargetId) -> None:
+        """Record and log a trial that this router has begun."""
+        tracker = self._state.crashes
+        tracker.record_trial(cause, number, target)
+        subject = "prompt part" if is_prompt_part(cause) else "request"
+        fields = {**tracker.log_fields(cause), "trial": number, "target": target}
+        _logger.info(f"isolated trial of a {subject} begun", extra=fields)
+
+    def _crash_record(self, crash: Crash) -> KeyedValue:
+        """Return the record of a crash, with the id of the part that was in flight."""
+        name = self._state.crashes.part_names.find(crash.cause)
+        return crash_record(crash, name=name)
+
     async def write_forever(self) -> None:
         """Append the crashes that the log lacks, unless other routers do."""
         tracker = self._state.crashes
@@ -206,7 +225,7 @@
             if not crashes:
                 continue
             if await self._access.append_all(
-                Topic.CRASHES, [*map(crash_record, crashes)]
+                Topic.CRASHES, [*map(self._crash_record, crashes)]
             ):
                 tracker.record_crashes(crashes, ReportSource.LOG)
             else:
@@ -224,7 +243,7 @@
         return self._state.crashes.table.unlogged_crashes(is_alone)[:WRITE_BATCH_LIMIT]
 
     async def prune_forever(self) -> None:
-        """Delete records of cleared requests, expired crashes and unused trials."""
+        """Delete records of cleared causes, expired crashes and unused trials."""
         tracker = self._state.crashes
         while True:
             outdated = tracker.has_outdated = trio.Event()
@@ -235,27 +254,27 @@
                 await self._delete_trial(*tracker.cancelled_trials.pop())
             tracker.forget_old(prunes_log=self._state.rank == 0)
             deleted = dict(tracker.outdated)
-            records = [r for item in deleted.items() for r in _deletion_records(*item)]
+            records = [r for item in deleted.items() for r in deletion_records(*item)]
             if records and not await self._access.append_all(Topic.CRASHES, records):
                 await trio.sleep(RETRY_S)
                 continue
-            for request, history in deleted.items():
-                if tracker.outdated[request] is history:
-                    del tracker.outdated[request]
+            for cause, history in deleted.items():
+                if tracker.outdated[cause] is history:
+                    del tracker.outdated[cause]
 
-    async def _delete_trial(self, request: RequestDigest, number: int) -> None:
+    async def _delete_trial(self, cause: CauseDigest, number: int) -> None:
         """
-        Delete the record of a trial whose request was not sent.
+        Delete the record of a trial that no target ran.
 
         The append succeeds only if the log has not grown since it was read, and another
         trial under the same number begins later than this one, so no other is deleted.
         """
         tracker = self._state.crashes
-        deletion = trial_record(request, number, None)
-        trial = tracker.table.find_running_trial(request, trio.current_time())
+        deletion = trial_record(cause, number, None)
+        trial = tracker.table.find_running_trial(cause, trio.current_time())
         if trial is None or trial.number != number:
             return
-        while tracker.table.find_running_trial(request, trio.current_time()) == trial:
+        while tracker.table.find_running_trial(cause, trio.current_time()) == trial:
             advanced = self._advanced
             if self._end_offset is not None:
                 async with self._write_lock:
@@ -268,10 +287,8 @@
                 await advanced.wait()
 
 
-def _deletion_records(
-    request: RequestDigest, history: CrashHistory
-) -> list[KeyedValue]:
-    """Return the records that delete all that the log may hold of a request."""
-    crashes = [crash_record(Crash(request, start), False) for start in history.starts]
+def deletion_records(cause: CauseDigest, history: CrashHistory) -> list[KeyedValue]:
+    """Return the records that delete all that the log may hold of a cause."""
+    crashes = [crash_record(Crash(cause, start), False) for start in history.starts]
     numbers = range(1, history.trials + 1)
-    return crashes + [trial_record(request, number, None) for number in numbers]
+    return crashes + [trial_record(cause, number, None) for number in numbers]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_records.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_records.py
@@ -5,20 +5,20 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from scaleloom_core.crash_table import Crash
-from scaleloom_core.ids import RequestDigest, TargetId, TargetStart
+from scaleloom_core.crash_history import Crash
+from scaleloom_core.ids import CauseDigest, TargetId, TargetStart
 from scaleloom_fleet.gateway.interfaces import KeyedValue, StoredRecord
 
 _SEPARATOR = "/"
 _KEY_PARTS = 3
 _NUMBER_LENGTH = 16
 _HEX_DIGITS = frozenset("0123456789abcdef")
-# An empty value deletes the key.
+# The value of a crash without a name; an empty one deletes the key.
 _PRESENT = b"1"
 
 
 class CrashRecordKind(Enum):
-    """What a record says of a request."""
+    """What a record says of a possible cause."""
 
     CRASH = "ended"
     TRIAL = "tried"
@@ -35,40 +35,50 @@
     is_deleted : bool
         Whether the record deletes an earlier one.
     target : TargetId
-        Where the trial of the request runs; empty for a crash.
+        Where the trial runs; empty for a crash.
+    name : str
+        The id of the prompt part under which the target crashed, if the record has it.
     """
 
-    request: RequestDigest
+    cause: CauseDigest
     kind: CrashRecordKind
     number: int
     is_deleted: bool
     target: TargetId = TargetId("")
+    name: str = ""
 
     @property
     def crash(self) -> Crash:
         """Return the crash that this record reports."""
-        return Crash(self.request, TargetStart(self.number))
+        return Crash(self.cause, TargetStart(self.number))
 
 
-def crash_record(crash: Crash, is_present: bool = True) -> KeyedValue:
-    """Return the record of a crash, or the one that deletes it."""
-    value = _PRESENT if is_present else b""
-    return _record(crash.request, CrashRecordKind.CRASH, crash.start, value)
+def crash_record(crash: Crash, is_present: bool = True, name: str = "") -> KeyedValue:
+    """
+    Return the record of a crash, or the one that deletes it.
+
+    Parameters
+    ----------
+    name : str
+        The id of the prompt part that may have caused it, if it is known.
+    """
+    value = (name.encode() or _PRESENT) if is_present else b""
+    return _record(crash.cause, CrashRecordKind.CRASH, crash.start, value)
 
 
 def trial_record(
-    request: RequestDigest, number: int, target: TargetId | None
+    cause: CauseDigest, number: int, target: TargetId | None
 ) -> KeyedValue:
     """Return the record of a trial at `target`, or the one that deletes it if None."""
     value = target.encode() if target is not None else b""
-    return _record(request, CrashRecordKind.TRIAL, number, value)
+    return _record(cause, CrashRecordKind.TRIAL, number, value)
 
 
 def _record(
-    request: RequestDigest, kind: CrashRecordKind, number: int, value: bytes
+    cause: CauseDigest, kind: CrashRecordKind, number: int, value: bytes
 ) -> KeyedValue:
     """Return a record under a key of its own, so that it replaces no other."""
-    key = _SEPARATOR.join((f"{request:016x}", kind.value, f"{number:016x}"))
+    key = _SEPARATOR.join((f"{cause:016x}", kind.value, f"{number:016x}"))
     return KeyedValue(key, value)
 
 
@@ -77,18 +87,24 @@
     parts = record.key.split(_SEPARATOR)
     if len(parts) != _KEY_PARTS:
         return Failure(f"{record.key!r} does not have three parts")
-    request, kind, number = parts
-    if not (_is_number(request) and _is_number(number)):
+    cause, kind, number = parts
+    if not (_is_number(cause) and _is_number(number)):
         return Failure(f"{record.key!r} does not hold two 16-digit hexadecimal numbers")
     try:
         record_kind = CrashRecordKind(kind)
-        target = TargetId(record.value.decode())
+        text = record.value.decode()
     except ValueError as error:
         return Failure(str(error))
-    digest = RequestDigest(int(request, 16))
-    is_deleted = not record.value
+    is_crash = record_kind is CrashRecordKind.CRASH
     return Success(
-        CrashRecord(digest, record_kind, int(number, 16), is_deleted, target)
+        CrashRecord(
+            CauseDigest(int(cause, 16)),
+            record_kind,
+            int(number, 16),
+            is_deleted=not record.value,
+            target=TargetId("" if is_crash else text),
+            name=text if is_crash and record.value != _PRESENT else "",
+        )
     )
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -73,6 +73,7 @@
     target = record.listed
     context.answer_end = None
     context.has_new_holder = False
+    context.has_succeeded = False
     link = await _open_link(state, context, record)
     if link is None:
         return AttemptResult.NEVER_SENT
@@ -97,6 +98,7 @@
         result = AttemptResult.BROKEN
     except trio.Cancelled:
         record_timeout(context)
+        state.crashes.prober.record_abandoned(target, context.causes)
         raise
     finally:
         if is_whole:
@@ -109,14 +111,31 @@
     if end is AnswerEnd.BROKEN:
         _forget_cached_prompt(state, context, target.id)
     _record_outcome(state, record, result)
-    if result in BROKEN_RESULTS:
-        context.probe = state.crashes.prober.probe_after_break(target, context.digest)
-    elif end is AnswerEnd.UNKNOWN and not _is_leaving(state, record):
-        state.crashes.prober.probe_after_unknown_end(target, context.digest)
+    _probe_after_end(state, context, record, result)
     record_end(context, result)
     return result
 
 
+def _probe_after_end(
+    state: GatewayState,
+    context: RequestContext,
+    record: TargetRecord,
+    result: AttemptResult,
+) -> None:
+    """Have the target probed if it may have crashed at the end of an exchange."""
+    target, prober = record.listed, state.crashes.prober
+    if result in BROKEN_RESULTS:
+        if result is AttemptResult.SILENT:
+            prober.record_abandoned(target, context.causes)
+        context.probe = prober.probe_after_break(target, context.causes)
+    elif context.answer_end is AnswerEnd.UNKNOWN and not _is_leaving(state, record):
+        if context.has_succeeded:
+            prober.probe_after_unknown_end(target, context.causes)
+        else:
+            # A failure clears the request, but not the parts that it shares.
+            prober.probe_after_unknown_end(target, (context.digest,))
+
+
 def _is_leaving(state: GatewayState, record: TargetRecord) -> bool:
     """
     Return whether a target leaves as planned.
@@ -148,7 +167,7 @@
     state: GatewayState, context: RequestContext, record: TargetRecord, link: Link
 ) -> bool:
     """Return whether `context` may still be sent to the chosen target over `link`."""
-    context.trial_number = None
+    context.trials = {}
     if is_rolled_back(state, context) or not _accepts_requests(state, record):
         return False
     if not _may_go_on_at(state, context, record):
@@ -157,7 +176,7 @@
         return False
     # The target may have crashed while the store recorded the trial, which would then
     # be blamed for the crash.
-    is_link_usable = context.trial_number is None or link.is_open_and_empty()
+    is_link_usable = not context.trials or link.is_open_and_empty()
     return is_link_usable and _accepts_requests(state, record)
 
 
@@ -245,6 +264,7 @@
         body = await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
         context.failure = (head, body)
         return AttemptResult.FAILED if head.status >= 500 else AttemptResult.ANSWERED
+    context.has_succeeded = True
     _record_cached_prompt(state, context, record.listed.id)
     if context.match.route.kind is not RequestKind.STREAM:
         _record_first_byte(state, context, record, now_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -8,7 +8,7 @@
 import trio
 
 from scaleloom_core.catch_up import CatchUp, DocumentVersions
-from scaleloom_core.crash_table import ReportSource
+from scaleloom_core.crash_reports import ReportSource
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway.documents import apply_evacuations, apply_rollouts
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from scaleloom_core.crash_table import Crash
+from scaleloom_core.crash_history import Crash
 from scaleloom_core.evacuations import Evacuations
 from scaleloom_core.fleet_roster import FleetMember, GroupId
 from scaleloom_core.rollouts.evidence import AnswerTallies
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_reports.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from scaleloom_core.crash_table import Crash
+from scaleloom_core.crash_history import Crash
 from scaleloom_core.fleet_load import TargetKey
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import InstanceId
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
@@ -1,16 +1,17 @@
-"""Quarantine of requests suspected of crashing targets."""
+"""Quarantine of requests that are, or hold a prompt part, suspected of crashes."""
 
 import trio
 
-from scaleloom_core.crash_table import (
+from scaleloom_core.crash_history import (
     MIN_QUARANTINE_CRASHES,
     SendDecision,
     SendPermission,
 )
 from scaleloom_core.errors import ErrorKind, FleetError
-from scaleloom_core.ids import TargetId
+from scaleloom_core.ids import CauseDigest, TargetId
 from scaleloom_fleet.gateway.attempt_results import (
     BROKEN_RESULTS,
+    NOT_RUN_RESULTS,
     AnswerEnd,
     AttemptResult,
 )
@@ -23,12 +24,31 @@
 STORE_RETRY_S = 1.0
 
 
-def find_decision(state: GatewayState, context: RequestContext) -> SendDecision | None:
-    """Return the decision on a suspected request, or None if it is not suspected."""
+def find_suspects(
+    state: GatewayState, context: RequestContext
+) -> dict[CauseDigest, SendDecision]:
+    """Return the decisions on the request and on those of its parts under suspicion."""
     tracker = state.crashes
-    if not tracker.table.suspect_count or not tracker.table.is_suspect(context.digest):
-        return None
-    return tracker.send_decision(context.digest)
+    if not tracker.table.suspect_count:
+        return {}
+    return {
+        cause: tracker.send_decision(cause)
+        for cause in context.causes
+        if tracker.table.is_suspect(cause)
+    }
+
+
+def find_decision(state: GatewayState, context: RequestContext) -> SendDecision | None:
+    """Return the strictest decision on a request, or None without a suspicion."""
+    decisions = find_suspects(state, context).values()
+    return max(decisions, key=_strictness, default=None)
+
+
+def _strictness(decision: SendDecision) -> tuple[bool, bool, float, int]:
+    """Return a sort key that puts the decision that holds longest last."""
+    is_quarantined = decision.permission is SendPermission.QUARANTINED
+    is_final = is_quarantined and not decision.is_trial_running
+    return is_quarantined, is_final, decision.retry_at_s, decision.crash_count
 
 
 async def wait_for_permission(
@@ -37,33 +57,49 @@
     """
     Return the refusal of `context`, or None if the request may be sent.
 
-    While another router runs a trial of the same request, waits until `until_s` for its
-    outcome: an answer clears the request.
+    While another trial of the same request or prompt part is running, waits until
+    `until_s` for its outcome: an answer clears both.
     """
     while (decision := find_decision(state, context)) is not None:
         context.is_on_trial = decision.permission is SendPermission.TRIAL_ONLY
         if context.is_on_trial and not _is_trial_unrecorded(state, decision):
             return None
         if not decision.is_trial_running or trio.current_time() >= until_s:
-            return _quarantine_refusal(decision)
+            return _quarantine_refusal(state, context, decision)
         with trio.move_on_at(min(until_s, decision.retry_at_s)):
             await state.crashes.changed.wait()
     context.is_on_trial = False
     return None
 
 
+def is_retry_refused(
+    state: GatewayState, context: RequestContext, until_s: float
+) -> bool:
+    """Return whether a retry, which may wait until `until_s`, would be refused now."""
+    decision = find_decision(state, context)
+    if decision is None:
+        return False
+    if decision.permission is SendPermission.TRIAL_ONLY:
+        return _is_trial_unrecorded(state, decision)
+    return not decision.is_trial_running or trio.current_time() >= until_s
+
+
 def _is_trial_unrecorded(state: GatewayState, decision: SendDecision) -> bool:
     """Return whether the request needs a recorded trial and the store records none."""
     is_store_failing = trio.current_time() < state.crashes.store_retry_at_s
     return is_store_failing and decision.crash_count >= MIN_QUARANTINE_CRASHES
 
 
-def _quarantine_refusal(decision: SendDecision) -> FleetError:
+def _quarantine_refusal(
+    state: GatewayState, context: RequestContext, decision: SendDecision
+) -> FleetError:
     """Return the refusal of a quarantined request."""
+    _name_parts(state, context)
     wait_s = decision.retry_at_s - trio.current_time()
     return FleetError(
         ErrorKind.REQUEST_QUARANTINED,
-        f"{decision.crash_count} targets crashed while they ran this request.",
+        f"{decision.crash_count} targets crashed while they ran this request, or"
+        " others with the same part in their prompts.",
         retry_after_s=wait_s if wait_s > 0.0 else STORE_RETRY_S,
     )
 
@@ -74,22 +110,22 @@
     """
     Return whether `context` may be sent to `target` now.
 
-    A suspected request is sent only as a trial, one at a time in the whole fleet. While
-    the store cannot record trials it is sent all the same, unless
-    `MIN_QUARANTINE_CRASHES` or more targets crashed under it.
+    A suspected request, or one with a suspected prompt part, is sent only as a trial,
+    one at a time in the whole fleet. While the store cannot record trials it is sent
+    all the same, unless `MIN_QUARANTINE_CRASHES` or more targets crashed.
     """
-    decision = find_decision(state, context)
-    if decision is None:
+    suspects = find_suspects(state, context)
+    if not suspects:
         return True
+    decision = max(suspects.values(), key=_strictness)
     if decision.permission is not SendPermission.TRIAL_ONLY or not context.is_on_trial:
         return False
     tracker = state.crashes
     outcome = TrialOutcome.UNCOUNTED
     if trio.current_time() >= tracker.store_retry_at_s:
-        outcome = await tracker.begin_trial(context.digest, target)
+        outcome = await tracker.begin_trial(tuple(suspects), target)
     if outcome is TrialOutcome.BEGUN:
-        trial = tracker.table.find_running_trial(context.digest, trio.current_time())
-        context.trial_number = trial.number if trial is not None else None
+        context.trials = tracker.running_trials(suspects)
     if outcome is not TrialOutcome.UNCOUNTED:
         return outcome is TrialOutcome.BEGUN
     tracker.store_retry_at_s = trio.current_time() + STORE_RETRY_S
@@ -97,21 +133,33 @@
 
 
 def cancel_trial(state: GatewayState, context: RequestContext) -> None:
-    """Cancel the trial begun for `context`, if any, since the request is not sent."""
-    if context.trial_number is not None:
-        state.crashes.cancel_trial(context.digest, context.trial_number)
-        context.trial_number = None
+    """Cancel the trials begun with `context`, if any, since no target runs it."""
+    for cause, number in context.trials.items():
+        state.crashes.cancel_trial(cause, number)
+    context.trials = {}
 
 
 async def record_result(
     state: GatewayState, context: RequestContext, result: AttemptResult
 ) -> None:
-    """Record what the result of an attempt says about the request."""
+    """Record what the result of an attempt says about the request and its parts."""
     tracker = state.crashes
     if result in BROKEN_RESULTS and context.probe is not None:
-        if tracker.table.find_history(context.digest) is not None:
+        _name_parts(state, context)
+        if any(map(tracker.table.is_nearly_suspect, context.causes)):
             # One more crash may quarantine the request, so wait for the probe.
             await context.probe.is_done.wait()
+    elif result in NOT_RUN_RESULTS:
+        cancel_trial(state, context)
     elif context.answer_end is AnswerEnd.WHOLE:
         # The target was still running at the end, so the request did not crash it.
-        tracker.record_answer(context.digest)
+        tracker.record_answer((context.digest,))
+        if context.has_succeeded:
+            # A failure may come before the target has begun to write on the prompt.
+            tracker.record_answer(context.part_digests)
+
+
+def _name_parts(state: GatewayState, context: RequestContext) -> None:
+    """Remember the ids of the prompt's parts for operators."""
+    names = zip(context.part_digests, context.match.prompt_parts)
+    state.crashes.part_names.update(names)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -3,9 +3,9 @@
 import msgspec
 
 from scaleloom_core.answer_observations import AnswerObservation
-from scaleloom_core.ids import RequestDigest, TargetId
+from scaleloom_core.cause_digests import part_digest, request_digest
+from scaleloom_core.ids import CauseDigest, TargetId
 from scaleloom_core.placement_key import PlacementKey
-from scaleloom_core.request_digests import request_digest
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.stream_origins import StreamBound
@@ -17,6 +17,9 @@
 from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
 from scaleloom_fleet.http1.links import AnswerHead
 
+# Bounds what one request adds to the counts of crashes.
+MAX_PARTS = 32
+
 
 class RequestContext(msgspec.Struct):
     """
@@ -47,10 +50,12 @@
         The entry of the target that the request was last sent to, as it was then.
     bound : StreamBound or None
         The targets that the stream may go on at; None if it has not begun.
+    has_succeeded : bool
+        Whether the last answer was a success.
     is_on_trial : bool
         Whether the request is suspected of crashing targets and sent as a trial.
-    trial_number : int or None
-        Of the trial that this router has just begun.
+    trials : dict of CauseDigest to int
+        Numbers of the trials that this router has just begun with this request.
     """
 
     connection: CallerConnection
@@ -70,12 +75,14 @@
     probe: TargetProbe | None = None
     sent_to: ListedTarget | None = None
     bound: StreamBound | None = None
+    has_succeeded: bool = False
     is_on_trial: bool = False
-    trial_number: int | None = None
-    _digest: RequestDigest | None = None
+    trials: dict[CauseDigest, int] = msgspec.field(default_factory=dict)
+    _digest: CauseDigest | None = None
+    _part_digests: tuple[CauseDigest, ...] | None = None
 
     @property
-    def digest(self) -> RequestDigest:
+    def digest(self) -> CauseDigest:
         """Return the digest that all retries of the request share."""
         if self._digest is None:
             request = self.request
@@ -85,6 +92,20 @@
             )
         return self._digest
 
+    @property
+    def part_digests(self) -> tuple[CauseDigest, ...]:
+        """Return the digests of the prompt parts that other requests may share."""
+        if self._part_digests is None:
+            # The last part is the request's own.
+            shared = self.match.prompt_parts[:-1][:MAX_PARTS]
+            self._part_digests = tuple(map(part_digest, shared))
+        return self._part_digests
+
+    @property
+    def causes(self) -> tuple[CauseDigest, ...]:
+        """Return the possible causes of a crash: the request, and its prompt parts."""
+        return (self.digest, *self.part_digests)
+
     @property
     def track(self) -> Track:
         """Return the track that the request is sent to."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -1,13 +1,14 @@
 """Probes that find out whether a target crashed after an exchange with it broke."""
 
 import logging
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Sequence
 
 import msgspec
 import trio
 
-from scaleloom_core.crash_table import NEVER_S
-from scaleloom_core.ids import RequestDigest, TargetStart
+from scaleloom_core.crash_history import NEVER_S
+from scaleloom_core.ids import CauseDigest, TargetStart
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_fleet.conf.gateway_schema import TargetsSection
 from scaleloom_fleet.http1.links import open_link
@@ -21,20 +22,31 @@
 # Each probe takes one of its connections, and a crashed target is away for seconds.
 MIN_PROBE_INTERVAL_S = 0.05
 QUEUE_LIMIT = 256
+# A target may run a request for a while after the router has abandoned it.
+ABANDONED_RETENTION_S = 1.0
+MAX_ABANDONED = 512
 _logger = logging.getLogger("scaleloom.crashes")
 
-CrashHandler = Callable[[ListedTarget, list[RequestDigest]], None]
-RunningHandler = Callable[[list[RequestDigest]], None]
+CrashHandler = Callable[[ListedTarget, list[CauseDigest]], None]
+RunningHandler = Callable[[list[CauseDigest]], None]
 
 
-def _ignore_crash(target: ListedTarget, requests: list[RequestDigest]) -> None:
+def _ignore_crash(target: ListedTarget, requests: list[CauseDigest]) -> None:
     """Do nothing; used until a handler is connected."""
 
 
-def _ignore_running(requests: list[RequestDigest]) -> None:
+def _ignore_running(requests: list[CauseDigest]) -> None:
     """Do nothing; used until a handler is connected."""
 
 
+class AbandonedRequest(msgspec.Struct):
+    """A request that was abandoned while its target ran it."""
+
+    target: TargetStart
+    at_s: float
+    causes: Sequence[CauseDigest]
+
+
 class TargetProbe(msgspec.Struct, eq=False):
     """
     One probe of a target.
@@ -43,18 +55,20 @@
     ----------
     begins_s : float
         When the probe begins, on the runtime's clock.
-    requests : list of RequestDigest
-        Requests whose exchanges with the target broke.
-    answered : list of RequestDigest
-        Requests whose answers have an unknown end.
+    broken, answered : list of CauseDigest
+        Causes in requests whose exchanges with the target broke, and in those whose
+        answers have an unknown end.
+    request_count : int
+        How many requests these are.
     is_done : trio.Event
         Set once it is known whether the target accepts connections.
     """
 
     target: ListedTarget
     begins_s: float
-    requests: list[RequestDigest] = msgspec.field(default_factory=list)
-    answered: list[RequestDigest] = msgspec.field(default_factory=list)
+    broken: list[CauseDigest] = msgspec.field(default_factory=list)
+    answered: list[CauseDigest] = msgspec.field(default_factory=list)
+    request_count: int = 0
     is_done: trio.Event = msgspec.field(default_factory=trio.Event)
     has_crashed: bool = False
 
@@ -88,6 +102,7 @@
         self._on_running: RunningHandler = _ignore_running
         self._settings = TargetsSection()
         self._probes: dict[TargetStart, TargetProbe] = {}
+        self._abandoned: deque[AbandonedRequest] = deque(maxlen=MAX_ABANDONED)
         self.crash_count = 0
         channel = trio.open_memory_channel[TargetProbe](QUEUE_LIMIT)
         self._enqueue, self._queued = channel
@@ -99,8 +114,8 @@
         Parameters
         ----------
         on_running : callable
-            Called with requests whose answers have an unknown end, if their target was
-            found running afterwards.
+            Called with the causes in requests whose answers have an unknown end, if
+            their target was found running afterwards.
         """
         self._on_crash = on_crash
         self._on_running = on_running
@@ -110,25 +125,34 @@
         self._settings = settings
 
     def probe_after_break(
-        self, target: ListedTarget, request: RequestDigest
+        self, target: ListedTarget, causes: Sequence[CauseDigest]
     ) -> TargetProbe:
-        """Probe `target`, whose exchange broke."""
+        """Probe `target`, whose exchange of a request with `causes` broke."""
         probe = self._find_probe(target)
         if probe.has_crashed:
-            self._on_crash(target, [request])
+            self._on_crash(target, list(causes))
         else:
-            probe.requests.append(request)
+            probe.broken += causes
+            probe.request_count += 1
         return probe
 
     def probe_after_unknown_end(
-        self, target: ListedTarget, request: RequestDigest
+        self, target: ListedTarget, causes: Sequence[CauseDigest]
     ) -> None:
         """Probe `target`, whose answer is whole unless it crashed."""
         probe = self._find_probe(target)
         if probe.has_crashed:
-            self._on_crash(target, [request])
+            self._on_crash(target, list(causes))
         else:
-            probe.answered.append(request)
+            probe.answered += causes
+            probe.request_count += 1
+
+    def record_abandoned(
+        self, target: ListedTarget, causes: Sequence[CauseDigest]
+    ) -> None:
+        """Record that a request was abandoned, which `target` may still run."""
+        abandoned = AbandonedRequest(target.start, trio.current_time(), causes)
+        self._abandoned.append(abandoned)
 
     def _find_probe(self, target: ListedTarget) -> TargetProbe:
         """Return a probe that tells whether `target` crashed, or queue one."""
@@ -168,17 +192,27 @@
         is_running = await self._is_running(probe.target)
         probe.has_crashed = is_running is False
         if probe.has_crashed:
-            requests = probe.requests + probe.answered
             self.crash_count += 1
-            fields = {"target": probe.target.id, "requests": len(requests)}
+            fields = {"target": probe.target.id, "requests": probe.request_count}
             _logger.info("target crashed", extra=fields)
-            self._on_crash(probe.target, requests)
+            abandoned = self._abandoned_causes(probe.target.start)
+            self._on_crash(probe.target, probe.broken + probe.answered + abandoned)
         elif is_running:
             self._on_running(probe.answered)
-        probe.requests.clear()
+        probe.broken.clear()
         probe.answered.clear()
         probe.is_done.set()
 
+    def _abandoned_causes(self, start: TargetStart) -> list[CauseDigest]:
+        """Return the causes in requests that a target may have run when it crashed."""
+        since_s = trio.current_time() - ABANDONED_RETENTION_S
+        return [
+            cause
+            for request in self._abandoned
+            if request.target == start and request.at_s >= since_s
+            for cause in request.causes
+        ]
+
     async def _is_running(self, target: ListedTarget) -> bool | None:
         """Return whether `target` accepts connections, or None if it is not known."""
         settings = self._settings
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_selection.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_selection.py
@@ -67,9 +67,13 @@
 
 
 def _has_crashed_targets(state: GatewayState, context: RequestContext) -> bool:
-    """Return whether any target crashed with this request in flight."""
+    """Return whether this request, or a part of its prompt, may crash targets."""
     table = state.crashes.table
-    return len(table) > 0 and table.find_history(context.digest) is not None
+    if not len(table):
+        return False
+    if table.find_history(context.digest) is not None:
+        return True
+    return any(map(table.is_suspect, context.part_digests))
 
 
 def _choose_on_track(
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -5,12 +5,8 @@
 
 from msgspec.structs import replace
 
-from scaleloom_core.crash_table import (
-    CrashHistory,
-    CrashTable,
-    SendDecision,
-    SendPermission,
-)
+from scaleloom_core.crash_history import CrashHistory, SendDecision, SendPermission
+from scaleloom_core.crash_table import CrashTable
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.retry_windows import RetryWindow
 from scaleloom_core.rollouts.evidence import Assessment, Evidence
@@ -185,8 +181,8 @@
         return decision
 
     CrashHistory.decide = quarantine
-    CrashTable.record_answer = lambda self, request, now_s: None
-    CrashTable.clear = lambda self, request: None
+    CrashTable.record_answer = lambda self, cause, now_s: None
+    CrashTable.clear = lambda self, cause: None
 
 
 MECHANISMS: dict[str, Callable[[], None]] = {
--- a/tests/core/test_request_digests.py
+++ b/tests/core/test_cause_digests.py
@@ -1,8 +1,8 @@
-"""Tests of the digest that identifies a request and its retries."""
+"""Tests of the digests that identify requests and prompt parts."""
 
 from itertools import combinations
 
-from scaleloom_core.request_digests import request_digest
+from scaleloom_core.cause_digests import is_prompt_part, part_digest, request_digest
 
 FIRST = ("desk", b"POST", b"desk.example", b"/stream/1?page=2", b"a body")
 
@@ -33,6 +33,14 @@
     )
 
 
+def test_digests_tell_prompt_parts_from_requests():
+    parts = [part_digest(f"{number:x}") for number in range(64)]
+    requests = [request_digest(*FIRST[:4], b"%d" % number) for number in range(64)]
+    assert all(map(is_prompt_part, parts))
+    assert not any(map(is_prompt_part, requests))
+    assert len(set(parts)) == len(parts)
+
+
 def _splits(data: bytes) -> list[tuple[bytes, bytes]]:
     """Return every way to split `data` in two."""
     return [(data[:at], data[at:]) for at in range(len(data) + 1)]
--- a/tests/core/test_stream_bounds.py
+++ b/tests/core/test_stream_bounds.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
-from scaleloom_core.ids import RequestDigest, TargetId, Version
+from scaleloom_core.ids import CauseDigest, TargetId, Version
 from scaleloom_core.rollouts.versions import VersionRule
 from scaleloom_core.stream_origins import StreamBound
 from scaleloom_core.target_choice import TargetChooser
@@ -69,7 +69,7 @@
     bound = StreamBound(version)
     chosen = [
         _choose(chooser, bound, key, policy),
-        chooser.choose_for_trial(key, policy, set(), NOW_S, RequestDigest(7), bound),
+        chooser.choose_for_trial(key, policy, set(), NOW_S, CauseDigest(7), bound),
     ]
     assert all(record is None or bound.allows(record.listed) for record in chosen)
     if version not in versions:
--- a/tests/gateway/test_crash_log.py
+++ b/tests/gateway/test_crash_log.py
@@ -3,15 +3,15 @@
 import trio
 from nose2.tools import params
 
-from scaleloom_core.crash_table import (
+from scaleloom_core.cause_digests import request_digest
+from scaleloom_core.crash_history import (
     MAX_TRIALS,
     MIN_QUARANTINE_CRASHES,
-    MIN_SUSPECT_CRASHES,
+    MIN_REQUEST_CRASHES,
     TRIAL_INTERVAL_S,
     Crash,
 )
-from scaleloom_core.ids import RequestDigest, TargetId
-from scaleloom_core.request_digests import request_digest
+from scaleloom_core.ids import CauseDigest, TargetId
 from scaleloom_core.target_signals import AnswerSignals
 from scaleloom_fleet.gateway.crash_records import crash_record, trial_record
 from scaleloom_fleet.gateway.interfaces import KeyedValue, Topic
@@ -44,7 +44,7 @@
 CRASH_DETECTION_S = 0.02
 
 
-def _digest(body: bytes) -> RequestDigest:
+def _digest(body: bytes) -> CauseDigest:
     """Return the digest of a request with `body`."""
     return request_digest(CUSTOMER, b"POST", HOST.encode(), PATH.encode(), body)
 
@@ -86,7 +86,7 @@
     # The target starts to back off at the moment in which the trial is recorded.
     with captured_states() as states:
         async with running_site(1) as site:
-            _append_history(site, MIN_SUSPECT_CRASHES)
+            _append_history(site, MIN_REQUEST_CRASHES)
             await trio.sleep(LOG_READ_S)
             tracker, view = states[0].crashes, states[0].view
             begin_trial = tracker.begin_trial
@@ -120,7 +120,7 @@
             async with trio.open_nursery() as nursery:
                 for number in range(2 * IDLE_LINKS):
                     nursery.start_soon(caller.ask, gateway, b"%d" % number, PATH)
-            _append_history(site, MIN_SUSPECT_CRASHES)
+            _append_history(site, MIN_REQUEST_CRASHES)
             await trio.sleep(LOG_READ_S)
             tracker = states[0].crashes
             begin_trial = tracker.begin_trial
@@ -154,7 +154,7 @@
     async with running_site(runner_count=4, gateway_count=6) as site:
         for target in site.runners:
             target.behaviour = _answer_slowly
-        _append_history(site, MIN_SUSPECT_CRASHES)
+        _append_history(site, MIN_REQUEST_CRASHES)
         await trio.sleep(LOG_READ_S)
         answers: list[Answer] = []
 
@@ -191,7 +191,7 @@
         for target in site.runners:
             target.behaviour = _answer_slowly
         for body in bodies:
-            _append_history(site, MIN_SUSPECT_CRASHES, request=_digest(body))
+            _append_history(site, MIN_REQUEST_CRASHES, request=_digest(body))
         await trio.sleep(LOG_READ_S)
 
         async def ask(number: int, body: bytes) -> None:
@@ -207,7 +207,7 @@
 @runs_on_paused_clock
 async def test_a_request_that_waits_for_a_trial_is_sent_once_cleared():
     async with running_site(runner_count=4, gateway_count=2) as site:
-        _append_history(site, MIN_SUSPECT_CRASHES)
+        _append_history(site, MIN_REQUEST_CRASHES)
         await trio.sleep(LOG_READ_S)
         statuses: list[int | None] = []
 
@@ -223,7 +223,7 @@
 @runs_on_paused_clock
 async def test_a_router_that_joins_quarantines_requests_without_trials_left():
     async with running_site(runner_count=4, gateway_count=1) as site:
-        _append_history(site, MIN_SUSPECT_CRASHES + MAX_TRIALS, MAX_TRIALS)
+        _append_history(site, MIN_REQUEST_CRASHES + MAX_TRIALS, MAX_TRIALS)
         joined = site.start_gateway(site.store_port)
         await joined.wait_ready()
         await trio.sleep(LOG_READ_S)
@@ -242,7 +242,7 @@
         )
 
 
-@params((MIN_SUSPECT_CRASHES, 200), (MIN_QUARANTINE_CRASHES, 503))
+@params((MIN_REQUEST_CRASHES, 200), (MIN_QUARANTINE_CRASHES, 503))
 @runs_on_paused_clock
 async def test_a_request_with_few_crashes_is_sent_while_the_store_is_unavailable(
     crashes, status
@@ -258,7 +258,7 @@
 @runs_on_paused_clock
 async def test_an_unresponsive_store_delays_a_suspected_request_only_briefly(fault):
     async with running_site(runner_count=4) as site:
-        _append_history(site, MIN_SUSPECT_CRASHES)
+        _append_history(site, MIN_REQUEST_CRASHES)
         await trio.sleep(LOG_READ_S)
         site.store.fault = fault
         sent_s = trio.current_time()
@@ -271,7 +271,7 @@
     async with running_site(runner_count=4) as site:
         for key in ("", "config", f"{REQUEST:016x}/ended/far", "\u0660" * 16):
             _append(site, KeyedValue(key, b"1"))
-        _append_history(site, MIN_SUSPECT_CRASHES + MAX_TRIALS, MAX_TRIALS)
+        _append_history(site, MIN_REQUEST_CRASHES + MAX_TRIALS, MAX_TRIALS)
         await trio.sleep(LOG_READ_S)
         assert (await _ask(site.gateways[0], "r-1")).status == 503
 
@@ -296,7 +296,7 @@
 async def test_a_log_that_was_compacted_is_read_anew():
     async with running_site(runner_count=4) as site:
         site.store.compact(LOG_TOPIC)
-        _append_history(site, MIN_SUSPECT_CRASHES + MAX_TRIALS, MAX_TRIALS)
+        _append_history(site, MIN_REQUEST_CRASHES + MAX_TRIALS, MAX_TRIALS)
         site.store.compact(LOG_TOPIC)
 
         async def is_quarantined() -> bool:
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 from returns.result import Failure
 
-from scaleloom_core.crash_table import Crash
+from scaleloom_core.crash_history import Crash
 from scaleloom_core.fleet_roster import FleetMember, GroupId
 from scaleloom_core.ids import TargetId
 from scaleloom_fleet.gateway.crash_records import (
--- a/tests/gateway/test_crash_rollouts.py
+++ b/tests/gateway/test_crash_rollouts.py
@@ -1,8 +1,9 @@
 """Tests of requests that crash targets, while their service is rolled out."""
 
-from scaleloom_core.crash_table import Crash, ReportSource
+from scaleloom_core.cause_digests import request_digest
+from scaleloom_core.crash_history import Crash
+from scaleloom_core.crash_reports import ReportSource
 from scaleloom_core.ids import TargetStart
-from scaleloom_core.request_digests import request_digest
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import CUSTOMER, HOST
 from tests.fixtures.rollouts import request_count, site_on_trial
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -8,9 +8,9 @@
 import trio
 from nose2.tools import params
 
-from scaleloom_core.crash_table import (
+from scaleloom_core.crash_history import (
     MAX_TRIALS,
-    MIN_SUSPECT_CRASHES,
+    MIN_REQUEST_CRASHES,
     TRIAL_INTERVAL_S,
 )
 from scaleloom_fleet.http1.links import BodyDelimiter
@@ -294,7 +294,7 @@
 
 @runs_on_paused_clock
 async def test_answers_of_unknown_end_clear_a_request_if_their_targets_run_on():
-    crashes = iter(range(MIN_SUSPECT_CRASHES))
+    crashes = iter(range(MIN_REQUEST_CRASHES))
 
     def crashes_at_first(request) -> bool:
         return request.body == CRASHING_BODY and next(crashes, None) is not None
--- a/tests/gateway/test_unframed_store.py
+++ b/tests/gateway/test_unframed_store.py
@@ -10,7 +10,7 @@
 import trio
 from nose2.tools import params
 
-from scaleloom_core.crash_table import Crash
+from scaleloom_core.crash_history import Crash
 from scaleloom_fleet.gateway.crash_records import crash_record
 from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.store_access import StoreAccess
