--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,10 +7,11 @@
 
 import trio
 
+from soak.callers import CHAT, PROMPT_COUNT
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.relays import Relay, RelayMode
 from soak.site import PLAIN, SoakSite
-from soak.targets import CRASHING_BODY, GATEWAY_HEADER, SoakTarget
+from soak.targets import CRASHING_BODY, CRASHING_PART, GATEWAY_HEADER, SoakTarget
 from tests.fixtures.gateways import ask_raw, request_bytes
 from tests.fixtures.platform_store import StoreFault
 
@@ -39,6 +40,14 @@
 DRAIN_PAUSE_S = 3.0
 # Few bodies, so that concurrent fault sequences also send the same one.
 CRASHING_BODY_COUNT = 2
+# Prompts with a crashing part, which shares others with those of the chats.
+CRASHING_PROMPTS = (
+    "{part}:100,b{prompt:x}:900,c{own:x}:20",
+    "aa:100,{part}:900,c{own:x}:20",
+    "aa:100,{part}:500,b{prompt:x}:400,c{own:x}:20",
+)
+CRASHING_PART_COUNT = 2
+CRASHING_PART_PAUSE_RANGE_S = (0.1, 0.8)
 CRASHING_REQUEST_TIMEOUT_S = 2.5
 # Until replacements are ready, so that one target or more is left at all times.
 CRASH_PAUSE_S = 5.0
@@ -204,6 +213,24 @@
         await trio.sleep(rng.uniform(*PAUSE_RANGE_S))
 
 
+async def send_crashing_part(site: SoakSite, rng: random.Random) -> None:
+    """Send requests with a part that crashes targets, of which no two are alike."""
+    part = CRASHING_PART + f"{rng.randrange(CRASHING_PART_COUNT)}"
+    template = rng.choice(CRASHING_PROMPTS)
+    for _ in range(rng.randrange(8, 20)):
+        gateway = rng.choice(site.gateways)
+        own, prompt = rng.getrandbits(32), rng.randrange(PROMPT_COUNT)
+        headers = {
+            GATEWAY_HEADER.replace("-", "_"): gateway.name,
+            "Prompt_Prefix": template.format(part=part, prompt=prompt, own=own),
+        }
+        request_id = f"crash-{rng.getrandbits(48):x}"
+        data = request_bytes(f"/{CHAT}/1", request_id, **headers)
+        with trio.move_on_after(CRASHING_REQUEST_TIMEOUT_S):
+            await ask_raw(gateway.front_port, data, "GET", gateway.host)
+        await trio.sleep(rng.uniform(*CRASHING_PART_PAUSE_RANGE_S))
+
+
 async def crash_targets(site: SoakSite, rng: random.Random) -> None:
     """Crash two targets at once that run requests with the same path."""
     while True:
@@ -301,4 +328,5 @@
     signal_in_series,
     answer_until_close,
     change_versions,
+    send_crashing_part,
 )
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -8,7 +8,14 @@
     check_whole_answers,
     was_broken_off,
 )
+from soak.arrivals import ready_count, sorted_arrivals
 from soak.callers import Observations
+from soak.crash_checks import (
+    check_beside_crashing_parts,
+    check_crashing_parts,
+    check_crashing_requests,
+    check_quarantine,
+)
 from soak.disturbances import (
     RECOVERY_S,
     is_undisturbed,
@@ -23,8 +30,7 @@
     check_stream_order,
     check_stream_versions,
 )
-from soak.site import ENGINE, PLAIN, TARGETS_PER_SERVICE, SoakSite
-from soak.targets import Arrival
+from soak.site import ENGINE, PLAIN, SoakSite
 
 AT_MOST_ONCE_KINDS = ("once", "stream-once", "chat")
 SERVICES_BY_KIND = {"chat": ENGINE, MIXED: MIXED}
@@ -41,21 +47,9 @@
 MAX_OVERLOAD_SHARE = 0.03
 MIN_LOAD_SAMPLES = 20
 RETRY_WINDOW_S = 10.0
-CRASHES_TO_QUARANTINE = 3
-MAX_ARRIVALS_AFTER_CRASHES = 3
 MAX_BACKOFF_DELAY_S = 0.5
 MAX_ARRIVALS_IN_BACKOFF = 2
 DRAINING_HEADER = "server-leaving"
-QUARANTINED_KIND = b"request_held"
-# Not zero: requests with identical bytes are quarantined until the isolated trial of
-# one of them has ended.
-MAX_QUARANTINED_SHARE = 0.005
-
-
-def _sorted_arrivals(site: SoakSite) -> list[Arrival]:
-    """Return all requests that reached a target, by time of arrival."""
-    arrivals = [a for target in site.all_targets() for a in target.arrivals]
-    return sorted(arrivals, key=lambda arrival: arrival.arrived_s)
 
 
 def _count_runs(site: SoakSite) -> Counter[str]:
@@ -181,7 +175,7 @@
 def check_load_bound(site: SoakSite, observations: Observations) -> list[str]:
     """Return the arrivals at engines beyond the load bound, if there are too many."""
     gateways = {gateway.name: gateway for gateway in site.gateways}
-    engines = [a for a in _sorted_arrivals(site) if a.service == ENGINE]
+    engines = [a for a in sorted_arrivals(site) if a.service == ENGINE]
     in_flight: Counter[str] = Counter()
     endings: list[tuple[float, str]] = []
     cases: list[str] = []
@@ -198,7 +192,7 @@
             continue
         checked_count += 1
         mean = sum(in_flight.values()) / max(
-            1, _ready_count(site, ENGINE, arrival.arrived_s)
+            1, ready_count(site, ENGINE, arrival.arrived_s)
         )
         if in_flight[arrival.target] > LOAD_MULTIPLE * mean + LOAD_EXTRA:
             cases.append(
@@ -227,14 +221,6 @@
     )
 
 
-def _ready_count(site: SoakSite, service: str, at_s: float) -> int:
-    """Return how many targets of `service` were listed as ready at `at_s`."""
-    return sum(
-        target.service == service and target.added_s <= at_s < target.removed_s
-        for target in site.all_targets()
-    )
-
-
 def check_retry_budget(site: SoakSite, observations: Observations) -> list[str]:
     """Return the time windows in which a service got too many retries."""
     requests_s: dict[str, list[float]] = defaultdict(list)
@@ -244,7 +230,7 @@
     requests_s[PLAIN] += [probe.sent_s for probe in observations.probes]
     known_ids: set[str] = set()
     retries_s: dict[str, list[float]] = defaultdict(list)
-    for arrival in _sorted_arrivals(site):
+    for arrival in sorted_arrivals(site):
         if arrival.request_id in known_ids:
             retries_s[arrival.service].append(arrival.arrived_s)
         known_ids.add(arrival.request_id)
@@ -262,66 +248,6 @@
     return sum(end_s - RETRY_WINDOW_S < at_s <= end_s for at_s in times_s)
 
 
-def check_crashing_requests(site: SoakSite, observations: Observations) -> list[str]:
-    """Return the requests that were sent on though known to crash targets."""
-    gateways = {gateway.name: gateway for gateway in site.gateways}
-    broken: list[str] = []
-    for body, crash_times_s in site.crashes_s.items():
-        if len(crash_times_s) < CRASHES_TO_QUARANTINE:
-            continue
-        since_s = sorted(crash_times_s)[CRASHES_TO_QUARANTINE - 1] + RECOVERY_S
-        late = [
-            arrival
-            for arrival in _sorted_arrivals(site)
-            if arrival.body == body
-            and arrival.arrived_s > since_s
-            and _was_all_undisturbed(site, gateways.get(arrival.gateway), arrival)
-        ]
-        broken += [
-            f"{arrival.request_id} from {arrival.gateway} at {arrival.arrived_s:.2f}"
-            for arrival in late[MAX_ARRIVALS_AFTER_CRASHES:]
-        ]
-    return broken
-
-
-def _was_all_undisturbed(
-    site: SoakSite, gateway: GatewayProcess | None, arrival: Arrival
-) -> bool:
-    """Return whether gateway and store were undisturbed before an arrival."""
-    at_s = arrival.arrived_s
-    is_store_undisturbed = is_undisturbed(
-        site.store_disturbances_s, at_s - RECOVERY_S, at_s
-    )
-    return (
-        gateway is not None
-        and is_store_undisturbed
-        and was_gateway_undisturbed(gateway, at_s, at_s)
-    )
-
-
-def check_quarantine(site: SoakSite, observations: Observations) -> list[str]:
-    """
-    Return the quarantined requests that crash no target, if there are too many.
-
-    While most targets are down, other requests run on the same targets as an isolated
-    trial and crash with them. They would otherwise be refused for lack of capacity, so
-    these cases don't count.
-    """
-    quarantined = [
-        f"{result.request_id} ({result.kind}) from {result.gateway.name}"
-        f" at {result.started_s:.2f}"
-        for result in observations.results
-        if result.answer.status == 503
-        and QUARANTINED_KIND in result.answer.body
-        and _ready_count(site, PLAIN, result.started_s) >= TARGETS_PER_SERVICE / 2
-    ]
-    return (
-        quarantined
-        if len(quarantined) > MAX_QUARANTINED_SHARE * len(observations.results)
-        else []
-    )
-
-
 def check_backoff(site: SoakSite, observations: Observations) -> list[str]:
     """Return the back-off periods in which a gateway sent too many requests."""
     gateways = {gateway.name: gateway for gateway in site.gateways}
@@ -401,6 +327,8 @@
     "no engine exceeds the load bound": check_load_bound,
     "retries stay within the fleet's budget": check_retry_budget,
     "a request that crashes targets is sent to few": check_crashing_requests,
+    "a prompt part that crashes targets is sent to few": check_crashing_parts,
+    "chats begin beside a part that crashes targets": check_beside_crashing_parts,
     "requests that crash nothing are not quarantined": check_quarantine,
     "gateways back off as Retry-After asks": check_backoff,
     "a target that announces draining gets no new requests": check_announced_draining,
--- a/soak/site.py
+++ b/soak/site.py
@@ -43,7 +43,8 @@
     store_disturbances_s : list of float
         When a store fault began or ended.
     crashes_s : dict of bytes to list of float
-        When targets crashed while they ran a request, by the request's body.
+        When targets crashed while they ran a request, by the request's body or by the
+        id of a prompt part.
     has_mixed_service : bool
         Whether there is a service whose targets run several versions.
     """
@@ -136,18 +137,19 @@
             for _ in range(TARGETS_PER_VERSION):
                 self.add_target(MIXED, version)
 
-    def crash_target(self, target: SoakTarget, body: bytes | None = None) -> None:
+    def crash_target(self, target: SoakTarget, cause: bytes | None = None) -> None:
         """
         Crash a target; a replacement starts after a delay.
 
         Parameters
         ----------
-        body : bytes or None
-            The body of the request that crashed the target, or None if none did.
+        cause : bytes or None
+            The body of the request, or the id of the prompt part, that crashed the
+            target; None if none did.
         """
         if target in self.targets:
-            if body is not None:
-                self.crashes_s.setdefault(body, []).append(trio.current_time())
+            if cause is not None:
+                self.crashes_s.setdefault(cause, []).append(trio.current_time())
             self.targets.remove(target)
             self.removed_targets.append(target)
             target.crash()
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -23,6 +23,7 @@
     process,
     state,
 )
+from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.http1 import links
 from scaleloom_fleet.main import main
 
@@ -168,6 +169,11 @@
     CrashTable.record_crash = lambda self, crash, source, now_s: False
 
 
+def _ignore_parts_of_crashes() -> None:
+    """Don't count crashes of targets by prompt part."""
+    RequestContext.part_digests = property(lambda self: ())
+
+
 def _quarantine_without_trial() -> None:
     """Quarantine requests that crashed targets without any isolated trial."""
     find_decision = CrashHistory.decide
@@ -201,6 +207,7 @@
     "rests": _ignore_retry_after,
     "said-leaving": _ignore_announced_draining,
     "crash-count": _ignore_crashes,
+    "crash-parts": _ignore_parts_of_crashes,
     "crash-trials": _quarantine_without_trial,
     "rollout-verdict": _find_every_version_good,
     "rollout-exposure": _allow_all_exposure,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -44,6 +44,8 @@
 GATEWAY_HEADER = "soak-gateway"
 # A target crashes while it runs a request whose body begins with this.
 CRASHING_BODY = b"ends whatever runs it, number "
+# A target crashes while it runs a request with a prompt part whose id begins so.
+CRASHING_PART = "dead"
 CRASH_DELAY_S = 0.04
 BROKEN_UNFRAMED_SHARE = 0.5
 BROKEN_MIXED_SHARE = 0.15
@@ -75,6 +77,8 @@
         When the request arrived and when the target was done with it, on trio's clock.
     has_run : bool
         Whether the target ran the request.
+    prompt : str
+        The parts of its prompt, as listed in its header.
     """
 
     request_id: str
@@ -85,6 +89,7 @@
     ended_s: float
     has_run: bool
     body: bytes = b""
+    prompt: str = ""
 
 
 @dataclass
@@ -114,7 +119,8 @@
     version_defect : VersionDefect or None
         The defect of that version, if any.
     on_crash : callable or None
-        Called with the target and the body of a request that crashes it.
+        Called with the target and what crashes it: the body of a request, or the id
+        of a prompt part.
     retry_after_s : float
         If positive, the target rejects requests with this Retry-After.
     backoff_periods : list of BackoffPeriod
@@ -223,9 +229,10 @@
         try:
             if self.retry_after_s > 0.0:
                 return await self._reject_with_retry_after(stub, request)
-            if request.body.startswith(CRASHING_BODY) and self.on_crash is not None:
+            cause = crash_cause(request)
+            if cause is not None and self.on_crash is not None:
                 await trio.sleep(CRASH_DELAY_S)
-                self.on_crash(self, request.body)
+                self.on_crash(self, cause)
                 return False
             is_chat = request.target.startswith("/chat")
             work_s = CHAT_WORK_S if is_chat else WORK_S
@@ -255,6 +262,7 @@
                     trio.current_time(),
                     has_run,
                     request.body,
+                    request.headers.get("prompt-prefix", ""),
                 )
             )
 
@@ -311,6 +319,16 @@
         return True
 
 
+def crash_cause(request: ReceivedRequest) -> bytes | None:
+    """Return what crashes a target that runs `request`, or None if nothing does."""
+    if request.body.startswith(CRASHING_BODY):
+        return request.body
+    for part in request.headers.get("prompt-prefix", "").split(","):
+        if part.startswith(CRASHING_PART):
+            return part.partition(":")[0].encode()
+    return None
+
+
 def start_target(
     name: str,
     service: str,
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -91,6 +91,18 @@
     assert promise in result.broken, result.describe()
 
 
+@params(7501, 7502)
+def test_a_part_that_crashes_targets_is_found_and_others_are_served(seed):
+    kinds = [faults.send_crashing_part, faults.signal_gateway]
+    _assert_kept(_run(seed, CRASH_LENGTH_S, kinds=kinds))
+
+
+def test_crashes_that_are_not_counted_by_part_are_detected():
+    result = _run(7501, CRASH_LENGTH_S, "crash-parts", [faults.send_crashing_part])
+    promise = "a prompt part that crashes targets is sent to few"
+    assert promise in result.broken, result.describe()
+
+
 def test_the_soak_notices_that_nothing_is_tried():
     # A crashing request alone may take down targets that run nothing else at that
     # moment; then the mechanism that is switched off has nothing to try.
