A router whose timers are late closes new connections unread

What callers see: while most new connections go to one router, its refusals take as long as its answers. Cause: a new caller was admitted and its request read before the limits were looked at. Change: while the process is late and other routers live, a new connection is closed before anything is read from it, so that the next attempt meets another router; requests on open connections get 503 as before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -9,6 +9,8 @@
 from scaleloom_fleet.gateway.attempts import serve
 from scaleloom_fleet.gateway.error_responses import send_error, send_rejection
 from scaleloom_fleet.gateway.overload_refusals import (
+    close_unread,
+    closes_unread,
     exceeded_by_caller,
     exceeded_by_request,
     may_accept,
@@ -51,6 +53,9 @@
             if connection is None:
                 break
             accepted += 1
+            if closes_unread(state):
+                close_unread(state, connection)
+                continue
             limit = exceeded_by_caller(state, connection, admitted)
             if limit is not None:
                 state.refusals_in_progress += 1
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -47,6 +47,23 @@
     return state.refusals_in_progress < MAX_CONCURRENT_REFUSALS
 
 
+def closes_unread(state: GatewayState) -> bool:
+    """
+    Return whether new connections are closed before anything is read from them.
+
+    A router whose timers are late would take long even to refuse a request. The next
+    attempt of a caller whose connection is closed unread reaches another router, as
+    long as there is one.
+    """
+    return state.process_limits.lateness.is_over and state.has_live_peers
+
+
+def close_unread(state: GatewayState, connection: socket.socket) -> None:
+    """Close a new connection before anything is read from it."""
+    connection.close()
+    _record_refusal(state, Resource.PROCESSOR)
+
+
 def exceeded_by_caller(
     state: GatewayState, connection: socket.socket, admitted: int
 ) -> Resource | None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,9 @@
 HOT_PROMPT_SHARE = 0.8
 THINK_TIME_S = 0.03
 KEEP_ALIVE_SHARE = 0.8
+# While one gateway gets most new connections, callers open more of them.
+STEERED_SHARE = 0.9
+STEERED_KEEP_ALIVE_SHARE = 0.3
 ANSWER_TIMEOUT_S = 4.0
 DISCONNECT_SHARE = 0.04
 DISCONNECT_AFTER_S = 0.01
@@ -109,11 +112,14 @@
 
     Every other caller uses its connections until their gateways are gone.
     """
-    keep_alive_share = KEEP_ALIVE_SHARE if number % 2 else 1.0
+    usual_share = KEEP_ALIVE_SHARE if number % 2 else 1.0
     rng = random.Random(site.rng.random())
     idle_connections: dict[str, trio.SocketStream] = {}
     for iteration in range(1_000_000):
-        gateway = rng.choice(site.gateways)
+        gateway = _pick_gateway(site, rng)
+        keep_alive_share = (
+            usual_share if site.steered_to is None else STEERED_KEEP_ALIVE_SHARE
+        )
         stream = idle_connections.pop(gateway.name, None)
         if stream is None or rng.random() > keep_alive_share:
             stream = await connect(gateway)
@@ -131,6 +137,13 @@
         await trio.sleep(THINK_TIME_S)
 
 
+def _pick_gateway(site: SoakSite, rng: random.Random) -> GatewayProcess:
+    """Return the gateway that gets the next request of a caller."""
+    if site.steered_to is not None and rng.random() < STEERED_SHARE:
+        return site.steered_to
+    return rng.choice(site.gateways)
+
+
 async def connect(gateway: GatewayProcess) -> trio.SocketStream | None:
     """Return a new connection to a gateway, or None if it can't be reached."""
     with trio.move_on_after(1.0):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 from soak.callers import CHAT, PROMPT_COUNT
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.relays import Relay, RelayMode
-from soak.site import PLAIN, SoakSite
+from soak.site import PLAIN, SoakSite, SteeredPeriod
 from soak.targets import CRASHING_BODY, CRASHING_PART, GATEWAY_HEADER, SoakTarget
 from tests.fixtures.gateways import ask_raw, request_bytes
 from tests.fixtures.platform_store import StoreFault
@@ -47,6 +47,8 @@
     "aa:100,{part}:500,b{prompt:x}:400,c{own:x}:20",
 )
 CRASHING_PART_COUNT = 2
+# Longer than the recovery time, after which the promise applies.
+STEERED_RANGE_S = (4.5, 7.0)
 CRASHING_PART_PAUSE_RANGE_S = (0.1, 0.8)
 CRASHING_REQUEST_TIMEOUT_S = 2.5
 # Until replacements are ready, so that one target or more is left at all times.
@@ -231,6 +233,18 @@
         await trio.sleep(rng.uniform(*CRASHING_PART_PAUSE_RANGE_S))
 
 
+async def steer_callers(site: SoakSite, rng: random.Random) -> None:
+    """Hand most new connections to one gateway for some seconds."""
+    if site.steered_to is not None:
+        return
+    gateway = site.steered_to = rng.choice(site.gateways)
+    from_s = trio.current_time()
+    await trio.sleep(rng.uniform(*STEERED_RANGE_S))
+    site.steered_to = None
+    period = SteeredPeriod(gateway, from_s, trio.current_time())
+    site.steered_periods.append(period)
+
+
 async def crash_targets(site: SoakSite, rng: random.Random) -> None:
     """Crash two targets at once that run requests with the same path."""
     while True:
@@ -329,4 +343,5 @@
     answer_until_close,
     change_versions,
     send_crashing_part,
+    steer_callers,
 )
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -31,6 +31,7 @@
     check_stream_versions,
 )
 from soak.site import ENGINE, PLAIN, SoakSite
+from soak.steering_checks import check_steered_callers
 
 AT_MOST_ONCE_KINDS = ("once", "stream-once", "chat")
 SERVICES_BY_KIND = {"chat": ENGINE, MIXED: MIXED}
@@ -329,6 +330,7 @@
     "a request that crashes targets is sent to few": check_crashing_requests,
     "a prompt part that crashes targets is sent to few": check_crashing_parts,
     "chats begin beside a part that crashes targets": check_beside_crashing_parts,
+    "a gateway with most new connections serves as before": check_steered_callers,
     "requests that crash nothing are not quarantined": check_quarantine,
     "gateways back off as Retry-After asks": check_backoff,
     "a target that announces draining gets no new requests": check_announced_draining,
--- a/soak/site.py
+++ b/soak/site.py
@@ -29,6 +29,15 @@
 REPLACEMENT_DELAY_RANGE_S = (1.5, 4.0)
 
 
+@dataclass(frozen=True, slots=True)
+class SteeredPeriod:
+    """A time in which most new connections went to one gateway, on trio's clock."""
+
+    gateway: GatewayProcess
+    from_s: float
+    to_s: float
+
+
 @dataclass
 class SoakSite:
     """
@@ -45,6 +54,10 @@
     crashes_s : dict of bytes to list of float
         When targets crashed while they ran a request, by the request's body or by the
         id of a prompt part.
+    steered_to : GatewayProcess or None
+        The gateway that gets most new connections.
+    steered_periods : list of SteeredPeriod
+        When one gateway got them.
     has_mixed_service : bool
         Whether there is a service whose targets run several versions.
     """
@@ -61,6 +74,8 @@
     config_written_s: dict[int, float] = field(default_factory=dict)
     store_disturbances_s: list[float] = field(default_factory=list)
     crashes_s: dict[bytes, list[float]] = field(default_factory=dict)
+    steered_to: GatewayProcess | None = None
+    steered_periods: list[SteeredPeriod] = field(default_factory=list)
     has_mixed_service: bool = False
     _started_count: int = 0
 
--- a/tests/gateway/test_process_limits.py
+++ b/tests/gateway/test_process_limits.py
@@ -171,6 +171,31 @@
             assert site.run_count("r-2") == 0
 
 
+@runs_on_paused_clock
+async def test_a_router_with_late_timers_closes_new_connections_unread():
+    # Most new connections may go to one router. A refusal takes as long as anything
+    # else there, while the next attempt reaches another router.
+    limits = LimitsSection(lateness_s=LATENESS_S)
+    with captured_states() as states:
+        async with running_site(gateway_count=2, limits=limits) as site:
+            late, other = site.gateways
+            (state,) = (s for s in states if s.settings == late.settings)
+            async with _connections(late.front_port, 1) as kept:
+                await _ask_all(kept, [])
+
+                async def knows_its_peer() -> bool:
+                    return state.has_live_peers
+
+                await eventually(knows_its_peer)
+                state.process_limits.lateness.is_over = True
+                assert (await site.ask("/safe/1", "r-2")).status is None
+                with ListHandler.capture("scaleloom.limits"):
+                    answers = []
+                    await _ask_all(kept, answers)
+            assert [answer.status for answer in answers] == [503]
+            assert (await other.ask(request_bytes("/safe/1", "r-2"))).status == 200
+
+
 @runs_on_paused_clock
 async def test_a_router_serves_once_its_timers_are_on_time_again():
     limits = LimitsSection(lateness_s=LATENESS_S)
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -103,6 +103,12 @@
     assert promise in result.broken, result.describe()
 
 
+@params(7601)
+def test_a_gateway_that_gets_most_new_connections_serves_as_before(seed):
+    kinds = [faults.steer_callers, faults.change_config]
+    _assert_kept(_run(seed, LENGTH_S, kinds=kinds))
+
+
 def test_the_soak_notices_that_nothing_is_tried():
     # A crashing request alone may take down targets that run nothing else at that
     # moment; then the mechanism that is switched off has nothing to try.
