--- a/packages/scaleloom-cli/scaleloom_cli/main.py
+++ b/packages/scaleloom-cli/scaleloom_cli/main.py
@@ -3,6 +3,7 @@
 import sys
 import uuid
 from pathlib import Path
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import click
@@ -10,12 +11,15 @@
 from returns.result import Failure, Result
 
 from scaleloom_cli.api import AdminApi
+from scaleloom_cli.crash_log import CrashLogClient, LoggedCause
 from scaleloom_cli.reports import describe_explanation, describe_plan, describe_status
 from scaleloom_cli.request_log import collect_request_lines
 from scaleloom_core.intents import parse_intent
 from scaleloom_core.planning import Plan
 from scaleloom_fleet.conf import check_file
+from scaleloom_fleet.gateway.interfaces import load_adapter
 
+_Value = TypeVar("_Value")
 EXIT_REFUSED = 1
 EXIT_BAD_FILE = 78
 FILE_ARGUMENT = click.Path(path_type=Path, dir_okay=False)
@@ -163,7 +167,50 @@
         )
 
 
-def _unwrap_or_exit(answer: Result[bytes, str]) -> bytes:
+@main.group()
+@click.option(
+    "--store",
+    envvar="SCALELOOM_STORE",
+    required=True,
+    help="Address of the platform's store, as HOST:PORT.",
+)
+@click.option(
+    "--adapter",
+    envvar="SCALELOOM_ADAPTER",
+    default="scaleloom_platform",
+    show_default=True,
+    help="Module that adapts to the platform.",
+)
+@click.pass_context
+def quarantine(context: click.Context, store: str, adapter: str) -> None:
+    """Show and release requests and prompt parts that crash targets."""
+    context.obj = CrashLogClient(store, load_adapter(adapter))
+
+
+@quarantine.command(name="list")
+@click.pass_obj
+def list_causes(log: CrashLogClient) -> None:
+    """Show the suspected requests and prompt parts, and their trials."""
+    for cause in _unwrap_or_exit(log.read()):
+        click.echo(cause.describe())
+
+
+@quarantine.command()
+@click.argument("cause")
+@click.pass_obj
+def release(log: CrashLogClient, cause: str) -> None:
+    """Release CAUSE, a digest of `quarantine list` or the id of a prompt part."""
+    causes: list[LoggedCause] = _unwrap_or_exit(log.read())
+    found = [c for c in causes if cause in (f"{c.digest:016x}", c.name)]
+    if not found:
+        click.echo(f"The crash log does not hold {cause}.", err=True)
+        sys.exit(EXIT_REFUSED)
+    _unwrap_or_exit(log.delete(found))
+    for each in found:
+        click.echo(f"Released {each.describe()}")
+
+
+def _unwrap_or_exit(answer: Result[_Value, str]) -> _Value:
     """Return the value of `answer`; on a failure, print its message and exit."""
     if isinstance(answer, Failure):
         click.echo(answer.failure(), err=True)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -13,6 +13,7 @@
     CrashRecord,
     CrashRecordKind,
     crash_record,
+    deletion_records,
     read_crash_record,
     trial_record,
 )
@@ -254,7 +255,11 @@
                 await self._delete_trial(*tracker.cancelled_trials.pop())
             tracker.forget_old(prunes_log=self._state.rank == 0)
             deleted = dict(tracker.outdated)
-            records = [r for item in deleted.items() for r in deletion_records(*item)]
+            records = [
+                record
+                for cause, history in deleted.items()
+                for record in deletion_records(cause, history.starts, history.trials)
+            ]
             if records and not await self._access.append_all(Topic.CRASHES, records):
                 await trio.sleep(RETRY_S)
                 continue
@@ -285,10 +290,3 @@
                     return
             with trio.move_on_after(RACE_PAUSE_S):
                 await advanced.wait()
-
-
-def deletion_records(cause: CauseDigest, history: CrashHistory) -> list[KeyedValue]:
-    """Return the records that delete all that the log may hold of a cause."""
-    crashes = [crash_record(Crash(cause, start), False) for start in history.starts]
-    numbers = range(1, history.trials + 1)
-    return crashes + [trial_record(cause, number, None) for number in numbers]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_records.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_records.py
@@ -1,5 +1,6 @@
 """Encoding and decoding of the records in the fleet's crash log."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
@@ -82,6 +83,15 @@
     return KeyedValue(key, value)
 
 
+def deletion_records(
+    cause: CauseDigest, starts: Iterable[TargetStart], trial_count: int
+) -> list[KeyedValue]:
+    """Return the records that delete crashes under `cause`, and its trials."""
+    crashes = [crash_record(Crash(cause, start), False) for start in starts]
+    numbers = range(1, trial_count + 1)
+    return crashes + [trial_record(cause, number, None) for number in numbers]
+
+
 def read_crash_record(record: StoredRecord) -> Result[CrashRecord, str]:
     """Return the decoded record, or why it cannot be read."""
     parts = record.key.split(_SEPARATOR)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
@@ -1,7 +1,11 @@
 """Collectors that set the gauges of the metrics page from the gateway's state."""
 
+from collections import Counter
+
 import trio
 
+from scaleloom_core.cause_digests import is_prompt_part
+from scaleloom_core.crash_history import SendPermission
 from scaleloom_core.ids import ServiceName
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
@@ -22,6 +26,7 @@
     async def collect_documents() -> None:
         _set_requests(state)
         _set_documents(state, trio.current_time())
+        _set_suspects(state)
 
     async def collect_process() -> None:
         _set_process(state)
@@ -88,12 +93,22 @@
     registry.set(metric_definitions.READY, int(state.is_ready))
     registry.set(metric_definitions.FOLLOWS_STORE, int(state.follows_store))
     registry.set(metric_definitions.ENTRIES_UNREADABLE, state.unreadable_entry_count)
-    registry.set(
-        metric_definitions.SUSPECTED_REQUESTS, state.crashes.table.suspect_count
-    )
     registry.set(metric_definitions.TARGETS_CRASHED, state.crashes.prober.crash_count)
 
 
+def _set_suspects(state: GatewayState) -> None:
+    """Set the gauges of suspected requests and prompt parts."""
+    registry, tracker = state.metrics_registry, state.crashes
+    suspects = tracker.table.suspects()
+    parts = [cause for cause in suspects if is_prompt_part(cause)]
+    requests = len(suspects) - len(parts)
+    registry.set(metric_definitions.SUSPECTED_REQUESTS, requests)
+    permissions = Counter(tracker.send_decision(part).permission for part in parts)
+    for permission in (SendPermission.TRIAL_ONLY, SendPermission.QUARANTINED):
+        count = permissions[permission]
+        registry.set(metric_definitions.SUSPECTED_PARTS, count, permission.value)
+
+
 def _set_process(state: GatewayState) -> None:
     """Set the gauges of the process, as far as the system reports them."""
     descriptors = process_info.open_descriptor_count()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -216,6 +216,13 @@
     _GAUGE,
     "Requests during which at least two targets crashed, sent only as isolated trials.",
 )
+SUSPECTED_PARTS = MetricDefinition(
+    "scaleloom_prompt_parts_suspected",
+    _GAUGE,
+    "Prompt parts under which targets crashed, by whether requests with them are sent"
+    " as isolated trials only (on_trial) or refused (held).",
+    ("permission",),
+)
 REQUEST_TRIALS = MetricDefinition(
     "scaleloom_request_trials_total",
     _COUNTER,
@@ -286,6 +293,7 @@
     LABEL_SETS_FOLDED,
     TARGETS_CRASHED,
     SUSPECTED_REQUESTS,
+    SUSPECTED_PARTS,
     REQUEST_TRIALS,
     ROLLOUT_STAGE,
     ROLLOUT_REQUESTS,
