--- a/tests/gateway/test_part_clearing.py
+++ b/tests/gateway/test_part_clearing.py
@@ -138,10 +138,11 @@
             TARGETS, 1, lambda request: "dead" in request.headers["prompt-prefix"]
         ) as (site, targets):
             (gateway,) = site.gateways
-            for number in range(20):
-                prompt = f"aa:1,dead:2,c{number}:3"
-                caller = Caller(site)
-                await caller._ask_once(gateway, b"%d" % number, CRASHING_PATH, prompt)
+            async with trio.open_nursery() as nursery:
+                for number in range(2 * TARGETS):
+                    prompt = f"aa:1,dead:2,c{number}:3"
+                    arguments = (gateway, b"%d" % number, CRASHING_PATH, prompt)
+                    nursery.start_soon(Caller(site)._ask_once, *arguments)
             window = states[0].retry_windows.get("plain")
             arrivals = [a for a in targets.arrivals if "dead" in a.prompt]
             retries = window._retries
