--- a/tests/gateway/test_part_clearing.py
+++ b/tests/gateway/test_part_clearing.py
@@ -11,9 +11,9 @@
 from nose2.tools import params
 
 from scaleloom_core.cause_digests import part_digest
-from scaleloom_core.crash_history import MIN_PART_CRASHES, Crash
-from scaleloom_core.ids import TargetStart
-from scaleloom_fleet.gateway.crash_records import crash_record
+from scaleloom_core.crash_history import MAX_TRIALS, MIN_PART_CRASHES, Crash
+from scaleloom_core.ids import TargetId, TargetStart
+from scaleloom_fleet.gateway.crash_records import crash_record, trial_record
 from tests.fixtures.crashing import (
     CRASHING_PATH,
     RESTART_DELAY_S,
@@ -30,6 +30,8 @@
 GATEWAYS = 3
 INTERVAL_S = 0.03
 OBSERVED_S = 3.0
+# Requests are under way, and the log is read, in this time.
+SENT_S = 0.1
 LOG_TOPIC = "keyed.scaleloom-crashes"
 LOG_READ_S = 0.3
 PART = "b1"
@@ -81,6 +83,13 @@
         site.store.topic(LOG_TOPIC).append(record.key, record.value)
 
 
+def _log_trials(site: Site) -> None:
+    """Append the trials after which the part is quarantined to the log."""
+    for number in range(1, MAX_TRIALS + 1):
+        record = trial_record(part_digest(PART), number, TargetId("i-100"))
+        site.store.topic(LOG_TOPIC).append(record.key, record.value)
+
+
 async def _ask(site: Site, gateway: int, name: str) -> Answer:
     """Return the answer of a gateway to a request with the part."""
     caller = Caller(site)
@@ -133,18 +142,24 @@
 
 @runs_on_paused_clock
 async def test_a_retry_that_would_be_quarantined_leaves_the_budget_to_others():
+    # The part is quarantined while requests with it are in flight.
     with captured_states() as states:
-        async with crashing_site(
-            TARGETS, 1, lambda request: "dead" in request.headers["prompt-prefix"]
-        ) as (site, targets):
-            (gateway,) = site.gateways
+        async with crashing_site(TARGETS, 1, lambda request: False) as (site, targets):
+            caller = Caller(site)
             async with trio.open_nursery() as nursery:
-                for number in range(2 * TARGETS):
-                    prompt = f"aa:1,dead:2,c{number}:3"
-                    arguments = (gateway, b"%d" % number, CRASHING_PATH, prompt)
-                    nursery.start_soon(Caller(site)._ask_once, *arguments)
-            window = states[0].retry_windows.get("plain")
-            arrivals = [a for a in targets.arrivals if "dead" in a.prompt]
-            retries = window._retries
-    # Each retry that was paid for reached a target.
-    assert retries <= len(arrivals) - len({a.request_id for a in arrivals})
+                for number in range(TARGETS):
+                    prompt = PROMPT.format(number=number)
+                    arguments = (
+                        site.gateways[0],
+                        b"%d" % number,
+                        CRASHING_PATH,
+                        prompt,
+                    )
+                    nursery.start_soon(caller._ask_once, *arguments)
+                await trio.sleep(SENT_S)
+                _log_crashes(site)
+                _log_trials(site)
+                await trio.sleep(SENT_S)
+                targets.crash(targets.running_most())
+            assert len(targets.arrivals) == TARGETS
+            assert states[0].retry_windows.get("plain")._retries == 0
