Tell streams to known routers while none is heard

Cause: a router that was cut off takes all peers for silent until it hears a report, and told nobody of its streams; what it had not told was not told later. Change: while no peer is heard, the first known ones on the ring are told, three a stream as ever.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
@@ -107,8 +107,11 @@
         if len(untold) == MAX_TOLD_AT_ONCE:
             self.request_telling()
         origins = [(origin.key, origin.version) for origin in untold]
-        alive = set(self._roster.alive_routers(now_s))
-        batches = batches_by_holder(origins, self._current_ring(), self._own, alive)
+        # Peers that seem silent may be reachable again before they are heard.
+        heard = self._roster.alive_routers(now_s) or self._roster.known_routers()
+        batches = batches_by_holder(
+            origins, self._current_ring(), self._own, set(heard)
+        )
         for holder, keys_by_version in batches.items():
             for version, keys in keys_by_version.items():
                 for message in told_origins(version, keys):
