--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -264,8 +264,8 @@
     "memory of a configured customer": _customer_fold,
     "memory of a configured engine": _engine_fold,
     "memory of a recorded origin of a stream": stream_origins.recorded_origins,
-    "memory of a stream that nobody was told of": stream_origins.untold_origins,
-    "memory of a ring of holders, by router": stream_origins.holder_ring,
+    "memory of a stream that nobody was told of": stream_origins.unannounced_origins,
+    "memory of a ring of holders, by router": stream_origins.replica_ring,
 }
 TIMES: dict[str, tuple[Callable[[int], Callable], tuple[int, ...], int]] = {
     "first placement in a slot, by pool member": (
@@ -287,7 +287,7 @@
         1,
     ),
     "telling three of 420 routers of a stream": (
-        stream_origins.tell_of_streams,
+        stream_origins.announce_streams,
         (500, 1000, 2000, 4000),
         1,
     ),
--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -10,25 +10,25 @@
     TargetId,
     Version,
 )
-from scaleloom_core.origin_holders import HolderRing, batches_by_holder
+from scaleloom_core.origin_replicas import ReplicaRing, batches_by_replica
 from scaleloom_core.stream_origins import (
     StreamOrigins,
-    UntoldOrigins,
+    UnannouncedOrigins,
     own_knowledge,
     stream_key,
 )
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_core.version_history import VersionHistory
 from scaleloom_fleet.gateway.origin_messages import (
+    announced_origins,
     decode_origin_message,
     encode_origin_message,
-    told_origins,
 )
 
 FLEET_SIZE = 420
 SERVICE = ServiceName("llm")
 VERSIONS = (Version("v1.1"), Version("v1.2"))
-LIFE_S = 20.0
+RETENTION_S = 20.0
 # Streams that a router begins while it collects what it tells.
 STREAMS_PER_FLUSH = 4
 
@@ -45,29 +45,29 @@
 
 def recorded_origins(size: int) -> StreamOrigins:
     """Return the recorded origins of `size` streams."""
-    origins = StreamOrigins(LIFE_S, 4 * size)
+    origins = StreamOrigins(RETENTION_S, 4 * size)
     for number, key in enumerate(_keys(size)):
         origins.add(key, VERSIONS[number % len(VERSIONS)], 0.0)
     return origins
 
 
-def untold_origins(size: int) -> UntoldOrigins:
+def unannounced_origins(size: int) -> UnannouncedOrigins:
     """Return `size` streams that nobody was told of."""
-    untold = UntoldOrigins(LIFE_S, size)
+    untold = UnannouncedOrigins(RETENTION_S, size)
     for key in _keys(size):
         untold.add(SERVICE, key, VERSIONS[0], 0.0)
     return untold
 
 
-def holder_ring(size: int) -> HolderRing:
+def replica_ring(size: int) -> ReplicaRing:
     """Return the ring of a fleet of `size` routers."""
-    return HolderRing(_routers(size))
+    return ReplicaRing(_routers(size))
 
 
 def build_ring(size: int) -> Callable[[], object]:
     """Return the work of building the ring after a router joined or left."""
     routers = _routers(size)
-    return lambda: HolderRing(routers)
+    return lambda: ReplicaRing(routers)
 
 
 def begin_streams(size: int) -> Callable[[], object]:
@@ -75,7 +75,9 @@
     ids = [f"{number:016x}" for number in range(size)]
 
     def work() -> None:
-        origins, untold = StreamOrigins(LIFE_S, 4 * size), UntoldOrigins(LIFE_S, size)
+        origins, untold = StreamOrigins(RETENTION_S, 4 * size), UnannouncedOrigins(
+            RETENTION_S, size
+        )
         for request_id in ids:
             key = stream_key(SERVICE, None, request_id)
             origins.add(key, VERSIONS[0], 0.0)
@@ -84,20 +86,20 @@
     return work
 
 
-def tell_of_streams(size: int) -> Callable[[], object]:
+def announce_streams(size: int) -> Callable[[], object]:
     """Return the work of telling three routers of each of `size` streams."""
     routers, keys = _routers(FLEET_SIZE), _keys(size)
-    ring, alive = HolderRing(routers), set(routers)
+    ring, alive = ReplicaRing(routers), set(routers)
 
     def work() -> None:
         for start in range(0, size, STREAMS_PER_FLUSH):
             origins = [
                 (key, VERSIONS[0]) for key in keys[start : start + STREAMS_PER_FLUSH]
             ]
-            batches = batches_by_holder(origins, ring, routers[0], alive)
+            batches = batches_by_replica(origins, ring, routers[0], alive)
             for batch in batches.values():
                 for version, told in batch.items():
-                    for message in told_origins(version, told):
+                    for message in announced_origins(version, told):
                         encode_origin_message(message)
 
     return work
@@ -108,11 +110,11 @@
     messages = [
         encode_origin_message(message)
         for key in _keys(size)
-        for message in told_origins(VERSIONS[0], [key])
+        for message in announced_origins(VERSIONS[0], [key])
     ]
 
     def work() -> None:
-        origins = StreamOrigins(LIFE_S, 4 * size)
+        origins = StreamOrigins(RETENTION_S, 4 * size)
         for data in messages:
             message = decode_origin_message(data)
             for key in message.keys:
@@ -130,7 +132,7 @@
     def work() -> None:
         for request_id in ids:
             recorded = origins.find(stream_key(SERVICE, None, request_id), 1.0)
-            own_knowledge(recorded, history.only_version(SERVICE, LIFE_S, 1.0))
+            own_knowledge(recorded, history.only_version(SERVICE, RETENTION_S, 1.0))
 
     return work
 
--- a/packages/scaleloom-core/scaleloom_core/catch_up.py
+++ b/packages/scaleloom-core/scaleloom_core/catch_up.py
@@ -139,7 +139,7 @@
         """Remove `peer` until it reports again."""
         self._versions_by_peer.pop(peer, None)
 
-    def peers_to_ask(
+    def peers_to_query(
         self, own: DocumentVersions, is_store_unavailable: bool, now_s: float
     ) -> list[InstanceId]:
         """Return the peers to request documents from now, in no particular order."""
--- a/packages/scaleloom-core/scaleloom_core/errors.py
+++ b/packages/scaleloom-core/scaleloom_core/errors.py
@@ -62,7 +62,7 @@
     SENDER_TIMEOUT = "sender_timeout"
     STALE_PLAN = "stale_plan"
     STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
-    STREAM_VERSION_GONE = "stream_version_gone"
+    STREAM_VERSION_ABSENT = "stream_version_gone"
     TAKEOVER_WAIT = "takeover_wait"
     TARGET_FAILED = "target_failed"
     TARGET_DRAINING = "target_leaving"
@@ -200,7 +200,7 @@
     _K.STREAM_ORIGIN_UNKNOWN: ErrorResponse(
         503, _N, _LATER, _INFO, "Unknown which version began the stream", _ENTRY
     ),
-    _K.STREAM_VERSION_GONE: ErrorResponse(
+    _K.STREAM_VERSION_ABSENT: ErrorResponse(
         503, _N, _LATER, _INFO, "The version that began the stream is gone", _ENTRY
     ),
     _K.TAKEOVER_WAIT: ErrorResponse(
--- a/packages/scaleloom-core/scaleloom_core/fleet_load.py
+++ b/packages/scaleloom-core/scaleloom_core/fleet_load.py
@@ -8,7 +8,7 @@
 
 from scaleloom_core.ids import InstanceId, TargetId
 
-PEER_REPORT_LIFE_S = 1.5
+PEER_REPORT_RETENTION_S = 1.5
 # A report is half its interval old on average. A relayed report has also waited for
 # the relay's own report.
 DIRECT_AGE_IN_REPORTS = 0.5
@@ -137,7 +137,7 @@
         silent = [
             peer
             for peer, load in self.peers.items()
-            if load.received_s < now_s - PEER_REPORT_LIFE_S
+            if load.received_s < now_s - PEER_REPORT_RETENTION_S
         ]
         for peer in silent:
             self._replace(peer, None)
--- a/packages/scaleloom-core/scaleloom_core/origin_holders.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_replicas.py
@@ -1,4 +1,4 @@
-"""Which routers are told of the origin of a stream, and asked for it."""
+"""Which routers the origin of a stream is announced to, and are queried for it."""
 
 from bisect import bisect
 from collections.abc import Collection, Iterable, Iterator
@@ -6,19 +6,19 @@
 from scaleloom_core.hashing import hash_text
 from scaleloom_core.ids import InstanceId, StreamKey, Version
 
-# With a third of the routers lost at once, 4 in 100 streams lose all their holders.
-HOLDER_COUNT = 3
-# In smaller fleets all routers are asked, which finds a sender that is alive.
-ASK_ALL_SIZE = 8
-# Silent routers are asked as well, but a fleet that seems silent is not asked whole.
-MAX_ASKED = 8
-# With this many, the busiest of 420 routers is told 1.5 times the mean.
+# With a third of the routers lost at once, 4 in 100 streams lose all their replicas.
+REPLICA_COUNT = 3
+# In smaller fleets all routers are queried, which finds a sender that is alive.
+QUERY_ALL_SIZE = 8
+# Silent routers are queried as well, but not all of a fleet that seems silent.
+MAX_QUERIED = 8
+# With this many, the busiest of 420 routers hears 1.5 times the mean.
 POINTS_PER_ROUTER = 16
 
 
-class HolderRing:
+class ReplicaRing:
     """
-    The other routers on a ring of hashes, from which each key takes its holders.
+    The other routers on a ring of hashes, from which each key takes its replicas.
 
     Rendezvous hashing would rank all routers anew for each key, which takes a hundred
     times as long at 420 routers.
@@ -40,7 +40,7 @@
         self._owners = [router for _, router in points]
 
     def ranked(self, key: StreamKey) -> Iterator[InstanceId]:
-        """Yield all routers in the order in which they hold the origin of `key`."""
+        """Yield all routers in the order in which they store the origin of `key`."""
         start = bisect(self._hashes, key)
         seen: set[InstanceId] = set()
         for number in range(len(self._owners)):
@@ -49,30 +49,30 @@
                 seen.add(router)
                 yield router
 
-    def to_tell(
+    def to_announce(
         self, key: StreamKey, own: InstanceId, alive: Collection[InstanceId]
     ) -> list[InstanceId]:
-        """Return the other routers that are told of the origin of `key`."""
-        return self._first_alive(key, own, alive, HOLDER_COUNT)
+        """Return the other routers to announce the origin of `key` to."""
+        return self._first_alive(key, own, alive, REPLICA_COUNT)
 
-    def to_ask(
+    def to_query(
         self, key: StreamKey, own: InstanceId, alive: Collection[InstanceId]
     ) -> list[InstanceId]:
         """
-        Return the other routers that are asked for the origin of `key`.
+        Return the other routers that are queried for the origin of `key`.
 
-        One more than are told, and those before them that seem silent, since the
+        One more than it is announced to, and those before them that seem silent, since the
         sender may have known other routers as alive.
         """
-        asked: list[InstanceId] = []
+        queried: list[InstanceId] = []
         alive_count = 0
         for router in self.ranked(key):
-            if len(asked) == MAX_ASKED or alive_count > HOLDER_COUNT:
+            if len(queried) == MAX_QUERIED or alive_count > REPLICA_COUNT:
                 break
             if router != own:
-                asked.append(router)
-                alive_count += router in alive and len(self.routers) > ASK_ALL_SIZE
-        return asked
+                queried.append(router)
+                alive_count += router in alive and len(self.routers) > QUERY_ALL_SIZE
+        return queried
 
     def _first_alive(
         self,
@@ -91,15 +91,15 @@
         return found
 
 
-def batches_by_holder(
+def batches_by_replica(
     origins: Iterable[tuple[StreamKey, Version]],
-    ring: HolderRing,
+    ring: ReplicaRing,
     own: InstanceId,
     alive: Collection[InstanceId],
 ) -> dict[InstanceId, dict[Version, list[StreamKey]]]:
-    """Return what each router is told of `origins`: the keys of each version."""
+    """Return the keys of `origins` to announce to each router, by version."""
     batches: dict[InstanceId, dict[Version, list[StreamKey]]] = {}
     for key, version in origins:
-        for holder in ring.to_tell(key, own, alive):
+        for holder in ring.to_announce(key, own, alive):
             batches.setdefault(holder, {}).setdefault(version, []).append(key)
     return batches
--- a/packages/scaleloom-core/scaleloom_core/origin_tables.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_tables.py
@@ -4,11 +4,11 @@
 
 from scaleloom_core.ids import CustomerId, ServiceName, StreamKey, Version
 from scaleloom_core.stream_origins import (
-    MIN_LIFE_S,
+    MIN_RETENTION_S,
     OriginKnowledge,
     StreamOrigins,
-    UntoldOrigin,
-    UntoldOrigins,
+    UnannouncedOrigin,
+    UnannouncedOrigins,
     own_knowledge,
     stream_key,
 )
@@ -22,23 +22,25 @@
     Parameters
     ----------
     origins : StreamOrigins
-        Records of this router's streams and of those that others told of.
-    untold : UntoldOrigins
-        This router's streams that nobody was told of.
+        Records of this router's streams and of those that others announced.
+    untold : UnannouncedOrigins
+        This router's streams that were announced to nobody.
     versions : VersionHistory
         Which services have had only one version.
-    life_s : float
-        For how long a stream may be taken up, in seconds.
+    retention_s : float
+        For how long a stream may be resumed, in seconds.
     """
 
     origins: StreamOrigins = msgspec.field(default_factory=StreamOrigins)
-    untold: UntoldOrigins = msgspec.field(default_factory=UntoldOrigins)
+    untold: UnannouncedOrigins = msgspec.field(default_factory=UnannouncedOrigins)
     versions: VersionHistory = msgspec.field(default_factory=VersionHistory)
-    life_s: float = MIN_LIFE_S
+    retention_s: float = MIN_RETENTION_S
 
-    def set_life(self, life_s: float) -> None:
-        """Remember streams for `life_s` from now on."""
-        self.life_s = self.origins.life_s = self.untold.life_s = life_s
+    def set_retention(self, retention_s: float) -> None:
+        """Remember streams for `retention_s` from now on."""
+        self.retention_s = self.origins.retention_s = self.untold.retention_s = (
+            retention_s
+        )
 
     def record_begun(
         self,
@@ -56,22 +58,22 @@
         Returns
         -------
         bool
-            Whether others must be told of it.
+            Whether it must be announced to others.
         """
         if not version:
             return False
         key = stream_key(service, customer, request_id)
         self.origins.add(key, version, now_s)
         self.untold.add(service, key, version, now_s)
-        return self.must_tell(service, now_s)
+        return self.must_announce(service, now_s)
 
-    def must_tell(self, service: ServiceName, now_s: float) -> bool:
-        """Return whether others must be told of the streams of `service`."""
-        return self.versions.must_tell(service, self.life_s, now_s)
+    def must_announce(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether streams of `service` must be announced to others."""
+        return self.versions.must_announce(service, self.retention_s, now_s)
 
     def only_version(self, service: ServiceName, now_s: float) -> Version | None:
         """Return the version that began all streams of `service`, if there is one."""
-        return self.versions.only_version(service, self.life_s, now_s)
+        return self.versions.only_version(service, self.retention_s, now_s)
 
     def knowledge(
         self, key: StreamKey, service: ServiceName, now_s: float
@@ -80,10 +82,10 @@
         recorded = self.origins.find(key, now_s)
         return own_knowledge(recorded, self.only_version(service, now_s))
 
-    def pop_untold(self, limit: int, now_s: float) -> list[UntoldOrigin]:
-        """Return and remove up to `limit` streams that others must be told of."""
-        popped: list[UntoldOrigin] = []
+    def pop_unannounced(self, limit: int, now_s: float) -> list[UnannouncedOrigin]:
+        """Return and remove up to `limit` streams that must be announced to others."""
+        popped: list[UnannouncedOrigin] = []
         for service in self.untold.services:
-            if self.must_tell(service, now_s):
+            if self.must_announce(service, now_s):
                 popped += self.untold.pop(service, limit - len(popped), now_s)
         return popped
--- a/packages/scaleloom-core/scaleloom_core/prefix_holders.py
+++ b/packages/scaleloom-core/scaleloom_core/prefix_holders.py
@@ -8,8 +8,8 @@
 
 from scaleloom_core.fleet_load import TargetKey
 
-HOLDER_LIFE_S = 30.0
-# Shorter than `HOLDER_LIFE_S`, so that peers keep a holder that is still in use.
+HOLDER_RETENTION_S = 30.0
+# Shorter than `HOLDER_RETENTION_S`, so that peers keep a holder that is still in use.
 REPORT_INTERVAL_S = 10.0
 MAX_PARTS = 20_000
 MAX_HOLDERS_PER_PART = 4
@@ -53,7 +53,7 @@
 
     Parameters
     ----------
-    life_s : float
+    retention_s : float
         How long a target is assumed to keep an unused part, in seconds.
     max_parts : int
         Number of parts that are remembered.
@@ -61,7 +61,7 @@
         Incremented when a part is first seen at a target.
     """
 
-    life_s: float = HOLDER_LIFE_S
+    retention_s: float = HOLDER_RETENTION_S
     max_parts: int = MAX_PARTS
     version: int = 0
     _used_s: OrderedDict[PartKey, dict[TargetKey, float]] = msgspec.field(
@@ -109,12 +109,14 @@
     def holds(self, part: PartKey, target: TargetKey, now_s: float) -> bool:
         """Return whether `target` is assumed to hold `part`."""
         used_s = self._used_s.get(part, {}).get(target)
-        return used_s is not None and now_s - used_s <= self.life_s
+        return used_s is not None and now_s - used_s <= self.retention_s
 
     def holders_of(self, part: PartKey, now_s: float) -> list[TargetKey]:
         """Return the targets that are assumed to hold `part`, the last used first."""
         used_s = self._used_s.get(part, {})
-        fresh = [target for target in used_s if now_s - used_s[target] <= self.life_s]
+        fresh = [
+            target for target in used_s if now_s - used_s[target] <= self.retention_s
+        ]
         return sorted(fresh, key=used_s.__getitem__, reverse=True)
 
     def most_recent(self, limit: int, now_s: float) -> list[HoldingAge]:
--- a/packages/scaleloom-core/scaleloom_core/service_pools.py
+++ b/packages/scaleloom-core/scaleloom_core/service_pools.py
@@ -13,8 +13,8 @@
 # Building a pool takes about 2 us a target. This lifetime keeps it below a tenth
 # of a core; peers' reports are older than this in a fleet of that size.
 LARGE_POOL = 128
-LIFE_PER_TARGET_S = 2e-5
-MAX_LIFE_S = 0.1
+RETENTION_PER_TARGET_S = 2e-5
+MAX_RETENTION_S = 0.1
 
 
 class ServicePool(msgspec.Struct):
@@ -43,11 +43,11 @@
     generation: int
 
     @property
-    def life_s(self) -> float:
+    def retention_s(self) -> float:
         """Return how long this may be used, in seconds; 0 for a small pool."""
         if len(self.records) < LARGE_POOL:
             return 0.0
-        return min(MAX_LIFE_S, LIFE_PER_TARGET_S * len(self.records))
+        return min(MAX_RETENTION_S, RETENTION_PER_TARGET_S * len(self.records))
 
 
 class ServicePools(msgspec.Struct):
@@ -61,7 +61,7 @@
         """Return a pool, which is rebuilt unless it is large and still valid."""
         pool = self._pools.get(key)
         if pool is not None and pool.generation == view.generation:
-            if now_s - pool.built_s < pool.life_s:
+            if now_s - pool.built_s < pool.retention_s:
                 return pool
         usable = view.usable_targets(key.service, now_s, key.track)
         pool = self._pools[key] = _build(key.service, usable, view, load, now_s)
--- a/packages/scaleloom-core/scaleloom_core/stream_origins.py
+++ b/packages/scaleloom-core/scaleloom_core/stream_origins.py
@@ -2,7 +2,7 @@
 Which software version began a stream, and the targets that it may go on at.
 
 What two versions write does not fit together, so a stream goes on only at targets of
-the version that began it. A caller that takes a stream up names the request whose
+the version that began it. A caller that resumes a stream names the request whose
 answer brought the first event; routers remember the version under that request's key.
 """
 
@@ -16,17 +16,17 @@
 from scaleloom_core.ids import CustomerId, ServiceName, StreamKey, Version
 from scaleloom_core.target_entries import ListedTarget
 
-# A stream may last for the longest time-out of its route, and be taken up until the
+# A stream may last for the longest time-out of its route, and be resumed until the
 # caller's own deadline, which is about as long.
-LIFE_IN_TIMEOUTS = 2.0
-MIN_LIFE_S = 10.0
-MAX_LIFE_S = 120.0
-# In the largest supported fleet a router begins 67 streams a second and is told of up
+RETENTION_IN_TIMEOUTS = 2.0
+MIN_RETENTION_S = 10.0
+MAX_RETENTION_S = 120.0
+# In the largest supported fleet a router begins 67 streams a second and hears of up
 # to 1.5 times 200, and remembers two generations of 20 s; twice that leaves room for
 # uneven shares of the callers.
 MAX_ORIGINS = 32_768
 # Of one service; three times the streams of the largest supported fleet's routers.
-MAX_UNTOLD = 4_096
+MAX_UNANNOUNCED = 4_096
 NO_VERSION = Version("")
 
 
@@ -37,10 +37,10 @@
     return StreamKey(hash_text(service, customer or "", request_id))
 
 
-def origin_life_s(longest_timeout_ms: int) -> float:
+def origin_retention_s(longest_timeout_ms: int) -> float:
     """Return for how long the version that began a stream must be remembered."""
-    life_s = LIFE_IN_TIMEOUTS * longest_timeout_ms / 1000.0
-    return min(MAX_LIFE_S, max(MIN_LIFE_S, life_s))
+    retention_s = RETENTION_IN_TIMEOUTS * longest_timeout_ms / 1000.0
+    return min(MAX_RETENTION_S, max(MIN_RETENTION_S, retention_s))
 
 
 class StreamBound(msgspec.Struct, frozen=True):
@@ -86,18 +86,19 @@
     """
     The versions that began streams, by key, for a limited time.
 
-    Origins are kept in two generations, so that each is known for at least `life_s`
-    and for less than twice that, unless more than `max_origins` are recorded.
+    Origins are stored in two generations, so that each is known for at least
+    `retention_s` and for less than twice that, unless more than `max_origins` are
+    recorded.
 
     Parameters
     ----------
-    life_s : float
+    retention_s : float
         How long an origin is remembered at least, in seconds.
     max_origins : int
         Number of origins in the two generations together.
     """
 
-    life_s: float = MIN_LIFE_S
+    retention_s: float = MIN_RETENTION_S
     max_origins: int = MAX_ORIGINS
     _newer: dict[StreamKey, Version] = msgspec.field(default_factory=dict)
     _older: dict[StreamKey, Version] = msgspec.field(default_factory=dict)
@@ -139,11 +140,11 @@
     def _expire(self, now_s: float) -> None:
         """Drop the generations that are too old."""
         age_s = now_s - self._newer_since_s
-        if age_s >= 2 * self.life_s:
+        if age_s >= 2 * self.retention_s:
             self._newer = {}
             self._begin_generation(now_s)
-        elif age_s >= self.life_s:
-            self._begin_generation(self._newer_since_s + self.life_s)
+        elif age_s >= self.retention_s:
+            self._begin_generation(self._newer_since_s + self.retention_s)
 
     def _begin_generation(self, since_s: float) -> None:
         """Begin a new generation and drop the older of the two."""
@@ -151,32 +152,32 @@
         self._newer_since_s = since_s
 
 
-class UntoldOrigin(msgspec.Struct, array_like=True, frozen=True):
-    """An origin that no other router has been told of."""
+class UnannouncedOrigin(msgspec.Struct, array_like=True, frozen=True):
+    """An origin that was announced to no other router."""
 
     key: StreamKey
     version: Version
     begun_s: float
 
 
-class UntoldOrigins(msgspec.Struct):
+class UnannouncedOrigins(msgspec.Struct):
     """
-    The streams that this router has begun and has told nobody of, by service.
+    The streams that this router has begun and announced to nobody, by service.
 
-    They are told when the router can no longer be sure that the service has had only
+    They are announced when the router can no longer be sure that the service has had only
     one version; until then nobody needs to know.
 
     Parameters
     ----------
-    life_s : float
+    retention_s : float
         Age from which on an origin is of no use any more, in seconds.
     max_origins : int
         Number of origins that are kept for each service, the newest.
     """
 
-    life_s: float = MIN_LIFE_S
-    max_origins: int = MAX_UNTOLD
-    _by_service: dict[ServiceName, dict[StreamKey, UntoldOrigin]] = msgspec.field(
+    retention_s: float = MIN_RETENTION_S
+    max_origins: int = MAX_UNANNOUNCED
+    _by_service: dict[ServiceName, dict[StreamKey, UnannouncedOrigin]] = msgspec.field(
         default_factory=dict
     )
 
@@ -186,7 +187,7 @@
         """Add a stream of `service` that `version` has just begun."""
         origins = self._by_service.setdefault(service, {})
         origins.pop(key, None)
-        origins[key] = UntoldOrigin(key, version, now_s)
+        origins[key] = UnannouncedOrigin(key, version, now_s)
         expired = self._expired(origins, now_s)
         excess = len(origins) - len(expired) - self.max_origins
         for old in expired or list(islice(origins, max(0, excess))):
@@ -194,28 +195,30 @@
 
     @property
     def services(self) -> list[ServiceName]:
-        """Return the services that have any stream to tell of."""
+        """Return the services that have any stream to announce."""
         return [service for service, origins in self._by_service.items() if origins]
 
-    def pop(self, service: ServiceName, limit: int, now_s: float) -> list[UntoldOrigin]:
+    def pop(
+        self, service: ServiceName, limit: int, now_s: float
+    ) -> list[UnannouncedOrigin]:
         """Return and remove up to `limit` streams of `service`, the newest first."""
         origins = self._by_service.get(service, {})
-        popped: list[UntoldOrigin] = []
+        popped: list[UnannouncedOrigin] = []
         while origins and len(popped) < limit:
             _, newest = origins.popitem()
-            if now_s - newest.begun_s >= self.life_s:
+            if now_s - newest.begun_s >= self.retention_s:
                 origins.clear()
                 break
             popped.append(newest)
         return popped
 
     def _expired(
-        self, origins: dict[StreamKey, UntoldOrigin], now_s: float
+        self, origins: dict[StreamKey, UnannouncedOrigin], now_s: float
     ) -> list[StreamKey]:
-        """Return the keys of the streams that are too old to be told of."""
+        """Return the keys of the streams that are too old to be announced."""
         expired: list[StreamKey] = []
         for key, origin in origins.items():
-            if now_s - origin.begun_s < self.life_s:
+            if now_s - origin.begun_s < self.retention_s:
                 break
             expired.append(key)
         return expired
@@ -269,13 +272,13 @@
     return UNKNOWN_ORIGIN
 
 
-def needs_asking(own: OriginKnowledge) -> bool:
+def needs_query(own: OriginKnowledge) -> bool:
     """
-    Return whether other routers must be asked before a stream goes on.
+    Return whether other routers must be queried before a stream goes on.
 
     Another may have a record where this router would only conclude a version: one that
     has just started sends to every version that its first list shows. Where no entry
-    has ever told a version, nobody has a record.
+    has ever stated a version, nobody has a record.
     """
     if own.source is OriginSource.ONLY_VERSION:
         return own.version != NO_VERSION
@@ -303,16 +306,16 @@
     return UNKNOWN_ORIGIN
 
 
-class TakeUpRefusal(Enum):
-    """Why a stream that a caller takes up does not go on."""
+class ResumptionRefusal(Enum):
+    """Why a stream that a caller resumes does not go on."""
 
     ORIGIN_UNKNOWN = "origin_unknown"
-    VERSION_GONE = "version_gone"
+    VERSION_ABSENT = "version_gone"
 
 
-def take_up_refusal(
+def resumption_refusal(
     knowledge: OriginKnowledge, ready: Iterable[ListedTarget]
-) -> TakeUpRefusal | None:
+) -> ResumptionRefusal | None:
     """
     Return why a stream cannot go on at any target, or None if it can.
 
@@ -323,7 +326,7 @@
     """
     bound = knowledge.bound
     if bound is None:
-        return TakeUpRefusal.ORIGIN_UNKNOWN
+        return ResumptionRefusal.ORIGIN_UNKNOWN
     if not any(map(bound.allows, ready)):
-        return TakeUpRefusal.VERSION_GONE
+        return ResumptionRefusal.VERSION_ABSENT
     return None
--- a/packages/scaleloom-core/scaleloom_core/target_records.py
+++ b/packages/scaleloom-core/scaleloom_core/target_records.py
@@ -69,7 +69,7 @@
         When an ejection for a high failure ratio ends.
     expires_s : float
         When the target counts as gone because its entry is missing.
-    gone_at_s : float
+    stopped_by_s : float
         When a target that is no longer listed has certainly stopped.
     cold_until_s : float
         Until when the target reports that it is cold.
@@ -90,7 +90,7 @@
     ejected_until_s: float = 0.0
     failure_ejected_until_s: float = 0.0
     expires_s: float = FOREVER_S
-    gone_at_s: float = FOREVER_S
+    stopped_by_s: float = FOREVER_S
     cold_until_s: float = NEVER_S
     readmitted_s: float = NEVER_S
     misdirected_until_s: float = NEVER_S
--- a/packages/scaleloom-core/scaleloom_core/targets.py
+++ b/packages/scaleloom-core/scaleloom_core/targets.py
@@ -89,7 +89,7 @@
                 record.signals = self.signals.find(target.id) or record.signals
             record.update_entry(target, now_s)
             record.expires_s = FOREVER_S
-            record.gone_at_s = FOREVER_S
+            record.stopped_by_s = FOREVER_S
             self.records[target.id] = record
         if now_s < self._grace_end_s:
             self._retain_expired(before)
@@ -160,12 +160,12 @@
         for target, record in before.items():
             has_restarted = record.listed.key in self._ids_by_entry
             if target not in self.records and not has_restarted:
-                record.gone_at_s = now_s + DEPARTED_SOURCE_S
+                record.stopped_by_s = now_s + DEPARTED_SOURCE_S
                 self._departed[target] = record
         self._departed = {
             target: record
             for target, record in self._departed.items()
-            if now_s < record.gone_at_s and target not in self.records
+            if now_s < record.stopped_by_s and target not in self.records
         }
 
     def find_source(self, target: TargetId, now_s: float) -> TargetRecord | None:
@@ -176,7 +176,7 @@
         and its entry disappears only some heartbeats later.
         """
         record = self.records.get(target) or self._departed.get(target)
-        if record is None or now_s >= record.gone_at_s or record.ejection_s > 0.0:
+        if record is None or now_s >= record.stopped_by_s or record.ejection_s > 0.0:
             return None
         return record
 
--- a/packages/scaleloom-core/scaleloom_core/version_history.py
+++ b/packages/scaleloom-core/scaleloom_core/version_history.py
@@ -90,10 +90,10 @@
             self._only[service] = OnlyVersion(next(iter(shown)), self.confirmed_s)
 
     def only_version(
-        self, service: ServiceName, life_s: float, now_s: float
+        self, service: ServiceName, retention_s: float, now_s: float
     ) -> Version | None:
         """
-        Return the version that began every stream of `service` of the last `life_s`.
+        Return the version that began all streams of `service` in `retention_s`.
 
         None if several versions may have, or if this router cannot tell. Where no
         entry has ever told a version, there is nothing to tell apart, and the result
@@ -106,11 +106,13 @@
             return only.version
         confirmed_s = self.confirmed_s if only.until_s is None else only.until_s
         is_current = now_s <= confirmed_s + VERSION_HOLD_S
-        if is_current and only.since_s <= now_s - life_s and only.version:
+        if is_current and only.since_s <= now_s - retention_s and only.version:
             return only.version
         return None
 
-    def must_tell(self, service: ServiceName, life_s: float, now_s: float) -> bool:
+    def must_announce(
+        self, service: ServiceName, retention_s: float, now_s: float
+    ) -> bool:
         """
         Return whether others could not tell which version began a stream of `service`.
 
@@ -125,7 +127,7 @@
         if only.until_s is not None or not only.version:
             return True
         is_stale = now_s > self.confirmed_s + MAX_TELLER_AGE_S
-        return is_stale or only.since_s > now_s - life_s
+        return is_stale or only.since_s > now_s - retention_s
 
     def _is_unversioned(self, service: ServiceName, only: OnlyVersion) -> bool:
         """Return whether no entry of `service` has ever told a version."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -31,10 +31,10 @@
 )
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import (
-    bind_take_up,
+    bind_resumption,
     is_narrowed,
-    is_version_gone,
-    version_gone_error,
+    is_version_absent,
+    version_absent_error,
 )
 from scaleloom_fleet.gateway.target_selection import (
     backoff_until_s,
@@ -198,8 +198,8 @@
     state: GatewayState, context: RequestContext
 ) -> FleetError | None:
     """Attempt targets until one answers; return the error if none does."""
-    if context.match.is_take_up:
-        refusal = await bind_take_up(state, context)
+    if context.match.is_resumption:
+        refusal = await bind_resumption(state, context)
         if refusal is not None:
             return refusal
     for _ in range(ATTEMPT_LIMIT):
@@ -222,8 +222,8 @@
         await record_result(state, context, result)
         if result is AttemptResult.ANSWERED:
             return _failure_error(context)
-        if is_version_gone(state, context):
-            return _version_gone_error(state, context)
+        if is_version_absent(state, context):
+            return _version_absent_error(state, context)
         if not _should_continue(state, context, result):
             return _no_answer_error(state, context)
     return _no_answer_error(state, context)
@@ -239,11 +239,11 @@
     )
 
 
-def _version_gone_error(state: GatewayState, context: RequestContext) -> FleetError:
+def _version_absent_error(state: GatewayState, context: RequestContext) -> FleetError:
     """Return the error of a stream that can go on at no target."""
     if context.may_have_run:
         return _no_answer_error(state, context)
-    return version_gone_error()
+    return version_absent_error()
 
 
 def _quarantine_error(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -20,9 +20,9 @@
     answer_end,
 )
 from scaleloom_fleet.gateway.forwarding import (
-    WHOLE_ANSWER_LIMIT_BYTES,
+    BUFFERED_ANSWER_LIMIT_BYTES,
+    forward_complete,
     forward_stream,
-    forward_whole,
 )
 from scaleloom_fleet.gateway.headers import outgoing_request
 from scaleloom_fleet.gateway.metric_definitions import PROMPT_PARTS_COPIED
@@ -261,14 +261,14 @@
     if context.observation is not None:
         context.observation.has_known_end = head.has_known_end
     if not 200 <= head.status < 300:
-        body = await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
+        body = await link.read_body(BUFFERED_ANSWER_LIMIT_BYTES)
         context.failure = (head, body)
         return AttemptResult.FAILED if head.status >= 500 else AttemptResult.ANSWERED
     context.has_succeeded = True
     _record_cached_prompt(state, context, record.listed.id)
     if context.match.route.kind is not RequestKind.STREAM:
         _record_first_byte(state, context, record, now_s)
-        return await forward_whole(state, context, link, head)
+        return await forward_complete(state, context, link, head)
 
     def record_first_data() -> None:
         # A long prompt that must be read first delays the answer of a healthy target.
@@ -336,7 +336,7 @@
 async def _skip_body(link: Link) -> None:
     """Discard the body of an answer whose head says all."""
     try:
-        await link.read_body(WHOLE_ANSWER_LIMIT_BYTES)
+        await link.read_body(BUFFERED_ANSWER_LIMIT_BYTES)
     except AnswerProtocolError:
         # The head has proved that nothing ran; the link is closed as incomplete.
         return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -20,12 +20,12 @@
     Link,
 )
 
-WHOLE_ANSWER_LIMIT_BYTES = 1 << 20
+BUFFERED_ANSWER_LIMIT_BYTES = 1 << 20
 EVENT_TIMEOUT_S = 1.0
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
-async def forward_whole(
+async def forward_complete(
     state: GatewayState, context: RequestContext, link: Link, head: AnswerHead
 ) -> AttemptResult:
     """Forward an answer that is short enough to be buffered first."""
@@ -34,7 +34,7 @@
     while (part := await link.read_data()) is not None:
         parts.append(part)
         size += len(part)
-        if size > WHOLE_ANSWER_LIMIT_BYTES:
+        if size > BUFFERED_ANSWER_LIMIT_BYTES:
             return await _forward_long(state, context, link, head, b"".join(parts))
     if context.observation is not None:
         context.observation.record_body_complete(trio.current_time())
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -49,7 +49,7 @@
         caller sends is removed.
     begun_by : bytes
         Header with the id of the request whose answer brought the first event of the
-        stream that a caller takes up.
+        stream that a caller resumes.
     leaving : bytes
         Header with the value ``1`` in the answers of a draining target.
     """
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/matching.py
@@ -26,8 +26,8 @@
         The caller's id of this attempt; a retry has another one.
     deadline_s : float
         When the request is abandoned, on the runtime's clock.
-    is_take_up : bool
-        Whether the caller takes up a stream that has begun.
+    is_resumption : bool
+        Whether the caller resumes a stream that has begun.
     begun_by : str or None
         The id of the request whose answer brought the first event of that stream, if
         the caller names it.
@@ -44,7 +44,7 @@
     placement: PlacementKey
     received_s: float
     deadline_s: float
-    is_take_up: bool = False
+    is_resumption: bool = False
     begun_by: str | None = None
     prompt_parts: tuple[str, ...] = ()
 
@@ -84,7 +84,7 @@
         customer = routing.find_customer(_bearer_key(request))
         if customer is None:
             return Failure(FleetError(_K.UNAUTHENTICATED, "The key is unknown."))
-    is_take_up, begun_by = _find_take_up(request, route, names)
+    is_resumption, begun_by = _find_resumption(request, route, names)
     prompt_parts = _find_prompt_parts(request, names)
     # The service that began a stream goes on with it.
     service = route.pick_service(begun_by or request_id)
@@ -103,7 +103,7 @@
             placement=PlacementKey(service, _last_shared_part(prompt_parts)),
             received_s=request.received_s,
             deadline_s=_deadline_s(request, route, names),
-            is_take_up=is_take_up,
+            is_resumption=is_resumption,
             begun_by=begun_by,
             prompt_parts=prompt_parts,
         )
@@ -119,15 +119,15 @@
     return values[0].decode("latin-1")
 
 
-def _find_take_up(
+def _find_resumption(
     request: CallerRequest, route: HttpRoute, names: HeaderNames
 ) -> tuple[bool, str | None]:
-    """Return whether a stream is taken up, and the id of the request that began it."""
+    """Return whether a stream is resumed, and the id of the request that began it."""
     if not route.is_resumable:
         return False, None
     begun_by = request.values.get(names.begun_by.lower(), b"").decode("latin-1")
-    is_take_up = bool(begun_by or request.values.get(names.last_event_id.lower()))
-    return is_take_up, begun_by or None
+    is_resumption = bool(begun_by or request.values.get(names.last_event_id.lower()))
+    return is_resumption, begun_by or None
 
 
 def _bearer_key(request: CallerRequest) -> str:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -70,7 +70,7 @@
     _COUNTER,
     "Requests whose target was asked to copy a shared prompt part from another one.",
 )
-STREAMS_TAKEN_UP = MetricDefinition(
+STREAMS_RESUMED = MetricDefinition(
     "scaleloom_streams_taken_up_total",
     _COUNTER,
     "Streams that callers took up again: goes_on at the version that began them, or"
@@ -264,7 +264,7 @@
     FIRST_BYTE_SECONDS,
     REQUEST_SECONDS,
     PROMPT_PARTS_COPIED,
-    STREAMS_TAKEN_UP,
+    STREAMS_RESUMED,
     BACK_OFFS_ASKED,
     STORE_CALLS,
     STORE_CALL_SECONDS,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
@@ -7,30 +7,30 @@
 
 from scaleloom_core.fleet_roster import FleetRoster
 from scaleloom_core.ids import InstanceId, ServiceName, StreamKey
-from scaleloom_core.origin_holders import HolderRing, batches_by_holder
+from scaleloom_core.origin_replicas import ReplicaRing, batches_by_replica
 from scaleloom_core.origin_tables import OriginTables
 from scaleloom_core.stream_origins import (
     OriginKnowledge,
     OriginSource,
     combine_knowledge,
-    needs_asking,
+    needs_query,
 )
 from scaleloom_fleet.gateway.origin_messages import (
+    AnnouncedOrigins,
     OriginMessage,
     OriginQuery,
     OriginReply,
-    ToldOrigins,
+    announced_origins,
     decode_origin_message,
     encode_origin_message,
-    told_origins,
 )
 
 # Streams that begin within this time share a message, and are lost to the others if
 # the router is killed in it.
-TELL_INTERVAL_S = 0.05
-# How soon streams are told of that began before they had to be.
-TELL_CHECK_INTERVAL_S = 0.5
-MAX_TOLD_AT_ONCE = 512
+ANNOUNCE_INTERVAL_S = 0.05
+# How soon streams are announced that began before they had to be.
+ANNOUNCE_CHECK_INTERVAL_S = 0.5
+MAX_ANNOUNCED_AT_ONCE = 512
 # A query or its reply may be lost; together a quarter of the shortest objective.
 QUERY_PAUSES_S = (0.04, 0.06)
 _DECISIVE = frozenset({OriginSource.RECORDED, OriginSource.CONFLICTING})
@@ -57,7 +57,7 @@
 
 class OriginExchange:
     """
-    Tells other routers of streams, and queries them.
+    Announces streams to other routers, and queries them.
 
     Parameters
     ----------
@@ -82,40 +82,40 @@
         self._tables = tables
         self._roster = roster
         self._send_datagram = send_datagram
-        self._ring = HolderRing([own])
+        self._ring = ReplicaRing([own])
         self._pending: dict[StreamKey, list[_PendingQuery]] = {}
-        self._tell_requested = trio.Event()
+        self._announcement_requested = trio.Event()
 
-    def request_telling(self) -> None:
-        """Tell of new streams as soon as `TELL_INTERVAL_S` allows."""
-        self._tell_requested.set()
+    def request_announcement(self) -> None:
+        """Announce new streams as soon as `ANNOUNCE_INTERVAL_S` allows."""
+        self._announcement_requested.set()
 
-    async def tell_forever(self) -> None:
-        """Tell others of streams, for as long as the process runs."""
+    async def announce_forever(self) -> None:
+        """Announce streams to others, for as long as the process runs."""
         while True:
-            with trio.move_on_after(TELL_CHECK_INTERVAL_S):
-                await self._tell_requested.wait()
-            self._tell_requested = trio.Event()
-            self._tell(trio.current_time())
-            await trio.sleep(TELL_INTERVAL_S)
-
-    def _tell(self, now_s: float) -> None:
-        """Tell the holders of the streams that they must know of."""
-        untold = self._tables.pop_untold(MAX_TOLD_AT_ONCE, now_s)
-        if not untold:
+            with trio.move_on_after(ANNOUNCE_CHECK_INTERVAL_S):
+                await self._announcement_requested.wait()
+            self._announcement_requested = trio.Event()
+            self._announce(trio.current_time())
+            await trio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def _announce(self, now_s: float) -> None:
+        """Announce to the replicas the streams that they must know of."""
+        unannounced = self._tables.pop_unannounced(MAX_ANNOUNCED_AT_ONCE, now_s)
+        if not unannounced:
             return
-        if len(untold) == MAX_TOLD_AT_ONCE:
-            self.request_telling()
-        origins = [(origin.key, origin.version) for origin in untold]
+        if len(unannounced) == MAX_ANNOUNCED_AT_ONCE:
+            self.request_announcement()
+        origins = [(origin.key, origin.version) for origin in unannounced]
         # Peers that seem silent may be reachable again before they are heard.
         heard = self._roster.alive_routers(now_s) or self._roster.known_routers()
-        batches = batches_by_holder(
+        batches = batches_by_replica(
             origins, self._current_ring(), self._own, set(heard)
         )
-        for holder, keys_by_version in batches.items():
+        for replica, keys_by_version in batches.items():
             for version, keys in keys_by_version.items():
-                for message in told_origins(version, keys):
-                    self._send(holder, message)
+                for message in announced_origins(version, keys):
+                    self._send(replica, message)
 
     async def find_origin(
         self, key: StreamKey, service: ServiceName
@@ -123,10 +123,10 @@
         """Return what is known of a stream's origin, here or at other routers."""
         tables = self._tables
         own = tables.knowledge(key, service, trio.current_time())
-        if not needs_asking(own):
+        if not needs_query(own):
             return own
         replies = await self._query(key, service)
-        # A router may have told of the stream meanwhile.
+        # A router may have announced the stream meanwhile.
         own = tables.knowledge(key, service, trio.current_time())
         return combine_knowledge([own, *replies])
 
@@ -135,7 +135,7 @@
     ) -> list[OriginKnowledge]:
         """Return the replies of the routers that should know of a stream."""
         alive = set(self._roster.alive_routers(trio.current_time()))
-        routers = self._current_ring().to_ask(key, self._own, alive)
+        routers = self._current_ring().to_query(key, self._own, alive)
         query = _PendingQuery(set(routers))
         if not routers:
             return query.replies
@@ -166,7 +166,7 @@
         """
         message = decode_origin_message(data)
         now_s = trio.current_time()
-        if isinstance(message, ToldOrigins):
+        if isinstance(message, AnnouncedOrigins):
             for key in message.keys:
                 self._tables.origins.add(key, message.version, now_s)
         elif isinstance(message, OriginQuery):
@@ -176,11 +176,11 @@
             for query in self._pending.get(message.key, []):
                 query.record_reply(sender, message.knowledge)
 
-    def _current_ring(self) -> HolderRing:
+    def _current_ring(self) -> ReplicaRing:
         """Return the ring of all known routers."""
         known = frozenset(self._roster.known_routers())
         if known != self._ring.routers:
-            self._ring = HolderRing(known)
+            self._ring = ReplicaRing(known)
         return self._ring
 
     def _send(self, router: InstanceId, message: OriginMessage) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_messages.py
@@ -16,7 +16,7 @@
 MAX_KEYS_PER_MESSAGE = 128
 
 
-class ToldOrigins(msgspec.Struct, array_like=True, frozen=True, tag=1):
+class AnnouncedOrigins(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """
     Streams that targets of one version have begun.
 
@@ -50,15 +50,17 @@
     knowledge: OriginKnowledge
 
 
-OriginMessage = ToldOrigins | OriginQuery | OriginReply
+OriginMessage = AnnouncedOrigins | OriginQuery | OriginReply
 _decoder = msgspec.msgpack.Decoder(OriginMessage)
 
 
-def told_origins(version: Version, keys: Sequence[StreamKey]) -> Iterator[ToldOrigins]:
-    """Yield the messages that tell of the streams `keys`, which `version` began."""
+def announced_origins(
+    version: Version, keys: Sequence[StreamKey]
+) -> Iterator[AnnouncedOrigins]:
+    """Yield the messages that announce the streams `keys`, which `version` began."""
     for start in range(0, len(keys), MAX_KEYS_PER_MESSAGE):
         part = keys[start : start + MAX_KEYS_PER_MESSAGE]
-        yield ToldOrigins(version, struct.pack(f"<{len(part)}Q", *part))
+        yield AnnouncedOrigins(version, struct.pack(f"<{len(part)}Q", *part))
 
 
 def encode_origin_message(message: OriginMessage) -> bytes:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -100,9 +100,9 @@
         """Send reports to peers."""
         await self._reports.send_forever()
 
-    async def tell_origins_forever(self) -> None:
-        """Tell peers of the streams that this router has begun."""
-        await self._origins.tell_forever()
+    async def announce_origins_forever(self) -> None:
+        """Announce to peers the streams that this router has begun."""
+        await self._origins.announce_forever()
 
     def _send_datagram(self, router: InstanceId, data: bytes) -> None:
         """Send `data` to `router`, if its address can be reached."""
@@ -208,7 +208,7 @@
     async def fetch_forever(self) -> None:
         """Fetch newer documents from peers when the store does not provide them."""
         while True:
-            peer = self._peer_to_ask(trio.current_time())
+            peer = self._peer_to_query(trio.current_time())
             if peer is not None:
                 self._catch_up.remove_peer(peer)
                 await fetch_documents(self._state, router_address(peer))
@@ -218,11 +218,11 @@
             with trio.move_on_after(FETCH_PAUSE_S):
                 await self._peer_is_ahead.wait()
 
-    def _peer_to_ask(self, now_s: float) -> InstanceId | None:
+    def _peer_to_query(self, now_s: float) -> InstanceId | None:
         """Return a peer with newer documents, or any peer while there are none here."""
         is_following_store = self._access.is_reachable and self._state.follows_store
         own = own_document_versions(self._state)
-        ahead = self._catch_up.peers_to_ask(own, not is_following_store, now_s)
+        ahead = self._catch_up.peers_to_query(own, not is_following_store, now_s)
         if ahead:
             # A random choice avoids that all routers query the first one ahead.
             return random.choice(ahead)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -90,7 +90,7 @@
             config.follow,
             peers.receive_forever,
             peers.report_forever,
-            peers.tell_origins_forever,
+            peers.announce_origins_forever,
             peers.fetch_forever,
             peers.register_forever,
             copies.read_until_loaded,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -17,7 +17,7 @@
 from scaleloom_core.retry_after import RetryAfterScheduler
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.routing import RequestLimits, RoutingTable
-from scaleloom_core.stream_origins import origin_life_s
+from scaleloom_core.stream_origins import origin_retention_s
 from scaleloom_core.target_choice import TargetChooser
 from scaleloom_core.target_delays import BaselineDelays
 from scaleloom_core.target_outcomes import OutcomeCounts
@@ -109,7 +109,7 @@
     stream_origins : OriginTables
         What is known of the versions that began streams.
     origin_exchange : OriginExchange or None
-        Tells other routers of streams, and queries them; None until it is connected.
+        Announces streams to other routers, and queries them; None until it is connected.
     outcomes : OutcomeCounts
         Outcomes of this router's requests, to be reported to peers.
     unreadable_entry_count : int
@@ -303,5 +303,7 @@
         self.routing = routing
         self.config_applied_s = trio.current_time()
         self.config_document = document
-        self.stream_origins.set_life(origin_life_s(routing.longest_resumable_ms))
+        self.stream_origins.set_retention(
+            origin_retention_s(routing.longest_resumable_ms)
+        )
         return True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
@@ -7,10 +7,10 @@
 from scaleloom_core.errors import ErrorKind, FleetError
 from scaleloom_core.stream_origins import (
     OriginKnowledge,
-    TakeUpRefusal,
+    ResumptionRefusal,
     bound_of_begun,
+    resumption_refusal,
     stream_key,
-    take_up_refusal,
 )
 from scaleloom_fleet.gateway import metric_definitions
 from scaleloom_fleet.gateway.request_context import RequestContext
@@ -19,20 +19,20 @@
 # Another router may know the origin, or this one a moment later.
 UNKNOWN_RETRY_AFTER_S = 0.2
 # A target of the version may come back.
-GONE_RETRY_AFTER_S = 1.0
+ABSENT_RETRY_AFTER_S = 1.0
 GOES_ON = "goes_on"
 _logger = logging.getLogger("scaleloom.gateway")
 
 
-async def bind_take_up(
+async def bind_resumption(
     state: GatewayState, context: RequestContext
 ) -> FleetError | None:
-    """Bind a stream that its caller takes up; return its refusal if it can't go on."""
+    """Bind a stream that its caller resumes; return its refusal if it can't go on."""
     known = await _find_origin(state, context)
     ready = state.view.ready_for_streams(context.match.service)
-    refusal = take_up_refusal(known, [record.listed for record in ready])
+    refusal = resumption_refusal(known, [record.listed for record in ready])
     outcome = GOES_ON if refusal is None else refusal.value
-    state.metrics_registry.add(metric_definitions.STREAMS_TAKEN_UP, outcome)
+    state.metrics_registry.add(metric_definitions.STREAMS_RESUMED, outcome)
     if refusal is None:
         context.bound = known.bound
         return None
@@ -43,18 +43,18 @@
         "why": refusal.value,
         "source": known.source.value,
     }
-    _logger.info("stream not taken up", extra=fields)
+    _logger.info("stream not resumed", extra=fields)
     return _refusal_error(refusal)
 
 
 async def _find_origin(state: GatewayState, context: RequestContext) -> OriginKnowledge:
-    """Return what is known of the origin of the stream that is taken up."""
+    """Return what is known of the origin of the stream that is resumed."""
     match = context.match
     key = stream_key(match.service, match.customer, match.begun_by or "")
     return await state.origin_exchange.find_origin(key, match.service)
 
 
-def is_version_gone(state: GatewayState, context: RequestContext) -> bool:
+def is_version_absent(state: GatewayState, context: RequestContext) -> bool:
     """Return whether the stream has begun and no ready target may go on with it."""
     bound = context.bound
     if bound is None:
@@ -72,23 +72,23 @@
     return not all(bound.allows(record.listed) for record in ready)
 
 
-def version_gone_error() -> FleetError:
+def version_absent_error() -> FleetError:
     """Return the error of a stream whose version has no ready target."""
-    return _refusal_error(TakeUpRefusal.VERSION_GONE)
+    return _refusal_error(ResumptionRefusal.VERSION_ABSENT)
 
 
-def _refusal_error(refusal: TakeUpRefusal) -> FleetError:
+def _refusal_error(refusal: ResumptionRefusal) -> FleetError:
     """Return the error of a stream that can't go on."""
-    if refusal is TakeUpRefusal.ORIGIN_UNKNOWN:
+    if refusal is ResumptionRefusal.ORIGIN_UNKNOWN:
         return FleetError(
             ErrorKind.STREAM_ORIGIN_UNKNOWN,
             "No router knows which software version began the stream.",
             retry_after_s=UNKNOWN_RETRY_AFTER_S,
         )
     return FleetError(
-        ErrorKind.STREAM_VERSION_GONE,
+        ErrorKind.STREAM_VERSION_ABSENT,
         "No target of the version that began the stream is ready; begin it anew.",
-        retry_after_s=GONE_RETRY_AFTER_S,
+        retry_after_s=ABSENT_RETRY_AFTER_S,
     )
 
 
@@ -110,8 +110,8 @@
     if not context.bound.version:
         return
     begun_by = match.begun_by or match.request_id
-    must_tell = tables.record_begun(
+    must_announce = tables.record_begun(
         match.service, match.customer, begun_by, context.bound.version, now_s
     )
-    if must_tell:
-        state.origin_exchange.request_telling()
+    if must_announce:
+        state.origin_exchange.request_announcement()
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
@@ -59,7 +59,7 @@
 
 
 async def read_whole(
-    response: httpcore.Response, method: str, proves_whole: Proof = is_labelled_json
+    response: httpcore.Response, method: str, proves_complete: Proof = is_labelled_json
 ) -> bytes:
     """
     Return the body of an answer, if it is known to be whole.
@@ -68,7 +68,7 @@
     ----------
     method : str
         The method of the request.
-    proves_whole : callable
+    proves_complete : callable
         Returns whether the content proves the body of an answer whole whose end is
         unknown.
 
@@ -80,6 +80,6 @@
         If the answer broke off.
     """
     body = await response.aread()
-    if is_end_known(response, method) or proves_whole(response, body):
+    if is_end_known(response, method) or proves_complete(response, body):
         return body
     raise AnswerEndUnknown("the answer ended with its connection")
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -119,14 +119,14 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         timeout_s: float | None = None,
-        proves_whole: Proof = is_labelled_json,
+        proves_complete: Proof = is_labelled_json,
     ) -> Result[ClientAnswer, RequestFailure]:
         """
         Send a request; return its complete answer or its failure.
 
         Parameters
         ----------
-        proves_whole : callable
+        proves_complete : callable
             Returns whether the content proves an answer whole that has neither a
             length nor chunks.
         """
@@ -134,7 +134,7 @@
         try:
             with trio.fail_after(deadline_s):
                 return Success(
-                    await self._read_answer(method, url, headers, body, proves_whole)
+                    await self._read_answer(method, url, headers, body, proves_complete)
                 )
         except (*NEVER_SENT_ERRORS, *TRANSPORT_ERRORS) as error:
             return Failure(RequestFailure(get_send_state(error), describe_error(error)))
@@ -145,11 +145,11 @@
         url: str,
         headers: dict[str, str] | None,
         body: bytes,
-        proves_whole: Proof,
+        proves_complete: Proof,
     ) -> ClientAnswer:
         """Send a request and return its complete answer."""
         async with self.stream(method, url, headers, body) as response:
-            content = await read_whole(response, method, proves_whole)
+            content = await read_whole(response, method, proves_complete)
         return ClientAnswer(response.status, decode_headers(response), content)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/json_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/json_documents.py
@@ -17,7 +17,7 @@
 ) -> Result[Document, str]:
     """Fetch and decode the document at `url`; the error says why that failed."""
     outcome = await client.request(
-        "GET", url, timeout_s=timeout_s, proves_whole=is_json
+        "GET", url, timeout_s=timeout_s, proves_complete=is_json
     )
     return outcome.alt(lambda fault: fault.detail).bind(
         lambda response: decode_document(response, document_type)
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/log.py
@@ -80,7 +80,7 @@
     async def read(offset: int) -> Result[LogReading, LogFault]:
         url = address.url(f"/records?from={offset}&limit={MAX_READ_RECORDS}")
         outcome = await client.request(
-            "GET", url, timeout_s=timeout_s, proves_whole=is_json
+            "GET", url, timeout_s=timeout_s, proves_complete=is_json
         )
         return _decode_response(outcome, LogReading)
 
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -72,7 +72,7 @@
     async def bind_nothing(state, context):
         return None
 
-    attempts.bind_take_up = bind_nothing
+    attempts.bind_resumption = bind_nothing
     forwarding.record_first_event = lambda state, context: None
 
 
--- a/tests/core/test_catching_up.py
+++ b/tests/core/test_catching_up.py
@@ -33,7 +33,7 @@
 def test_when_a_peer_is_asked(versions, is_store_unavailable, waited_s, is_asked):
     catch_up = CatchUp(GRACE_S)
     catch_up.record_peer(PEER, versions, 7.0)
-    asked = catch_up.peers_to_ask(OWN, is_store_unavailable, 7.0 + waited_s)
+    asked = catch_up.peers_to_query(OWN, is_store_unavailable, 7.0 + waited_s)
     assert asked == ([PEER] if is_asked else [])
 
 
@@ -44,7 +44,7 @@
         versions = DocumentVersions(version, 10, 1)
         catch_up.record_peer(PEER, versions, now_s)
         own = DocumentVersions(version - 3, 10, 1)
-        assert catch_up.peers_to_ask(own, False, now_s) == []
+        assert catch_up.peers_to_query(own, False, now_s) == []
 
 
 def test_without_a_configuration_all_peers_that_have_one_are_asked_at_once():
@@ -52,9 +52,9 @@
     catch_up.record_peer(PEER, OWN, 0.0)
     catch_up.record_peer(OTHER, OWN, 0.0)
     no_documents = DocumentVersions(-1, -1, 0)
-    assert set(catch_up.peers_to_ask(no_documents, False, 0.0)) == {PEER, OTHER}
+    assert set(catch_up.peers_to_query(no_documents, False, 0.0)) == {PEER, OTHER}
     catch_up.remove_peer(PEER)
-    assert catch_up.peers_to_ask(no_documents, False, 0.0) == [OTHER]
+    assert catch_up.peers_to_query(no_documents, False, 0.0) == [OTHER]
 
 
 @params(
--- a/tests/core/test_prefix_holders.py
+++ b/tests/core/test_prefix_holders.py
@@ -191,7 +191,7 @@
 
 
 def test_holders_are_limited_in_age_and_number():
-    holders = PrefixHolders(life_s=10.0, max_parts=2)
+    holders = PrefixHolders(retention_s=10.0, max_parts=2)
     a, c = part_key("a"), part_key("c")
     for second, part in enumerate((a, part_key("b"), c)):
         holders.add(part, 1, float(second))
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -7,30 +7,30 @@
 from scaleloom_core.ids import CustomerId, ServiceName, StreamKey, Version
 from scaleloom_core.stream_origins import (
     CONFLICTING_ORIGIN,
-    MAX_LIFE_S,
-    MIN_LIFE_S,
+    MAX_RETENTION_S,
+    MIN_RETENTION_S,
     NO_VERSION,
     UNKNOWN_ORIGIN,
     OriginKnowledge,
     OriginSource,
+    ResumptionRefusal,
     StreamBound,
     StreamOrigins,
-    TakeUpRefusal,
-    UntoldOrigins,
+    UnannouncedOrigins,
     bound_of_begun,
     combine_knowledge,
-    needs_asking,
-    origin_life_s,
+    needs_query,
+    origin_retention_s,
     own_knowledge,
+    resumption_refusal,
     stream_key,
-    take_up_refusal,
 )
 from tests.fixtures.targets import SERVICE, listed_target
 
 V1, V2 = Version("1.1"), Version("1.2")
 KEY, OTHER_KEY = StreamKey(1), StreamKey(2)
 CUSTOMER = CustomerId("ana")
-LIFE_S = 10.0
+RETENTION_S = 10.0
 RECORDED_V1 = OriginKnowledge(OriginSource.RECORDED, V1)
 RECORDED_V2 = OriginKnowledge(OriginSource.RECORDED, V2)
 ONLY_V1 = OriginKnowledge(OriginSource.ONLY_VERSION, V1)
@@ -39,7 +39,7 @@
     OriginKnowledge, st.sampled_from(OriginSource), st.sampled_from([V1, V2])
 )
 # Times of streams that begin, as the distance to the one before.
-DISTANCES_S = st.lists(st.floats(0.0, 2.5 * LIFE_S), min_size=1, max_size=30)
+DISTANCES_S = st.lists(st.floats(0.0, 2.5 * RETENTION_S), min_size=1, max_size=30)
 
 
 def test_a_stream_goes_on_at_the_version_that_began_it_only():
@@ -87,14 +87,14 @@
     assert len(others) == 5
 
 
-@params((0, MIN_LIFE_S), (8_000, 16.0), (10_000, 20.0), (10**9, MAX_LIFE_S))
+@params((0, MIN_RETENTION_S), (8_000, 16.0), (10_000, 20.0), (10**9, MAX_RETENTION_S))
 def test_an_origin_outlives_the_longest_stream(longest_timeout_ms, expected_s):
-    assert origin_life_s(longest_timeout_ms) == expected_s
+    assert origin_retention_s(longest_timeout_ms) == expected_s
 
 
-@given(DISTANCES_S, st.floats(0.0, 3.0 * LIFE_S))
+@given(DISTANCES_S, st.floats(0.0, 3.0 * RETENTION_S))
 def test_an_origin_is_known_for_one_to_two_lives(distances_s, later_s):
-    origins = StreamOrigins(LIFE_S)
+    origins = StreamOrigins(RETENTION_S)
     begun_s, now_s = {}, 0.0
     for number, distance_s in enumerate(distances_s):
         now_s += distance_s
@@ -103,15 +103,15 @@
     now_s += later_s
     for key, at_s in begun_s.items():
         age_s = now_s - at_s
-        if age_s < LIFE_S:
+        if age_s < RETENTION_S:
             assert origins.find(key, now_s) == V1
-        if age_s >= 2 * LIFE_S:
+        if age_s >= 2 * RETENTION_S:
             assert origins.find(key, now_s) is None
 
 
 @given(st.integers(2, 40), st.integers(0, 200))
 def test_the_number_of_origins_is_bounded_and_the_newest_stay(max_origins, count):
-    origins = StreamOrigins(LIFE_S, max_origins)
+    origins = StreamOrigins(RETENTION_S, max_origins)
     for number in range(count):
         origins.add(StreamKey(number), V1, 0.0)
         assert len(origins) <= max_origins
@@ -119,11 +119,11 @@
         assert origins.find(StreamKey(number), 0.0) == V1
 
 
-@params(0.0, LIFE_S - 0.1, 1.5 * LIFE_S)
+@params(0.0, RETENTION_S - 0.1, 1.5 * RETENTION_S)
 def test_a_key_of_two_versions_has_no_known_origin(later_s):
-    origins = StreamOrigins(LIFE_S)
+    origins = StreamOrigins(RETENTION_S)
     origins.add(OTHER_KEY, V1, 0.0)
-    origins.add(KEY, V1, LIFE_S - 0.2)
+    origins.add(KEY, V1, RETENTION_S - 0.2)
     origins.add(KEY, V2, later_s)
     origins.add(KEY, V1, later_s)
     assert origins.find(KEY, later_s) == NO_VERSION
@@ -131,7 +131,7 @@
 
 
 def test_an_origin_told_twice_stays_known():
-    origins = StreamOrigins(LIFE_S)
+    origins = StreamOrigins(RETENTION_S)
     origins.add(KEY, V1, 0.0)
     origins.add(KEY, V1, 1.0)
     assert origins.find(KEY, 1.0) == V1
@@ -139,7 +139,7 @@
 
 
 def test_untold_streams_are_told_once_and_the_newest_first():
-    untold = UntoldOrigins(LIFE_S)
+    untold = UnannouncedOrigins(RETENTION_S)
     for number in range(5):
         untold.add(SERVICE, StreamKey(number), V1, float(number))
     assert untold.services == [SERVICE]
@@ -152,11 +152,11 @@
     assert untold.services == []
 
 
-@given(DISTANCES_S, st.floats(0.0, 3.0 * LIFE_S), st.integers(1, 10))
+@given(DISTANCES_S, st.floats(0.0, 3.0 * RETENTION_S), st.integers(1, 10))
 def test_untold_streams_are_bounded_in_age_and_number(
     distances_s, later_s, max_origins
 ):
-    untold = UntoldOrigins(LIFE_S, max_origins)
+    untold = UnannouncedOrigins(RETENTION_S, max_origins)
     begun_s, now_s = [], 0.0
     for number, distance_s in enumerate(distances_s):
         now_s += distance_s
@@ -164,7 +164,7 @@
         begun_s.append(now_s)
     now_s += later_s
     told = [origin.begun_s for origin in untold.pop(SERVICE, len(begun_s), now_s)]
-    current = [at_s for at_s in begun_s if now_s - at_s < LIFE_S]
+    current = [at_s for at_s in begun_s if now_s - at_s < RETENTION_S]
     assert told == current[::-1][:max_origins]
 
 
@@ -188,7 +188,7 @@
     (UNKNOWN_ORIGIN, True),
 )
 def test_others_are_asked_unless_a_record_suffices(own, expected):
-    assert needs_asking(own) is expected
+    assert needs_query(own) is expected
 
 
 @params(
@@ -215,12 +215,12 @@
 @params(
     (RECORDED_V1, (V1, V2), None),
     (ONLY_V2, (V2,), None),
-    (RECORDED_V1, (V2,), TakeUpRefusal.VERSION_GONE),
-    (RECORDED_V1, ("",), TakeUpRefusal.VERSION_GONE),
-    (RECORDED_V1, (), TakeUpRefusal.VERSION_GONE),
-    (UNKNOWN_ORIGIN, (V1,), TakeUpRefusal.ORIGIN_UNKNOWN),
-    (CONFLICTING_ORIGIN, (V1, V2), TakeUpRefusal.ORIGIN_UNKNOWN),
+    (RECORDED_V1, (V2,), ResumptionRefusal.VERSION_ABSENT),
+    (RECORDED_V1, ("",), ResumptionRefusal.VERSION_ABSENT),
+    (RECORDED_V1, (), ResumptionRefusal.VERSION_ABSENT),
+    (UNKNOWN_ORIGIN, (V1,), ResumptionRefusal.ORIGIN_UNKNOWN),
+    (CONFLICTING_ORIGIN, (V1, V2), ResumptionRefusal.ORIGIN_UNKNOWN),
 )
 def test_why_a_stream_does_not_go_on(knowledge, ready_versions, expected):
     ready = [listed_target(n, version=v) for n, v in enumerate(ready_versions)]
-    assert take_up_refusal(knowledge, ready) is expected
+    assert resumption_refusal(knowledge, ready) is expected
--- a/tests/core/test_target_choice.py
+++ b/tests/core/test_target_choice.py
@@ -2,9 +2,9 @@
 
 from nose2.tools import params
 
-from scaleloom_core.fleet_load import PEER_REPORT_LIFE_S, FleetLoad, target_key
+from scaleloom_core.fleet_load import PEER_REPORT_RETENTION_S, FleetLoad, target_key
 from scaleloom_core.ids import InstanceId, TargetId
-from scaleloom_core.service_pools import LARGE_POOL, LIFE_PER_TARGET_S
+from scaleloom_core.service_pools import LARGE_POOL, RETENTION_PER_TARGET_S
 from scaleloom_core.target_choice import BOUND_HEADROOM, TargetChooser
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.targets import TargetView
@@ -74,7 +74,7 @@
     report = {target_key(home): 30}
     chooser.load.update_peer(InstanceId("peer"), report, now_s=1.0)
     assert chooser.choose(placement_key(), ENGINE, set(), 1.0).listed.id != home
-    chooser.load.remove_silent(1.0 + PEER_REPORT_LIFE_S + 0.1)
+    chooser.load.remove_silent(1.0 + PEER_REPORT_RETENTION_S + 0.1)
     assert chooser.choose(placement_key(), ENGINE, set(), 3.0).listed.id == home
 
 
@@ -85,8 +85,8 @@
     for record in view.records.values():
         if record is not first:
             chooser.load.add_request(record.listed.id)
-    stale_s = LIFE_PER_TARGET_S * LARGE_POOL / 2
-    fresh_s = LIFE_PER_TARGET_S * LARGE_POOL
+    stale_s = RETENTION_PER_TARGET_S * LARGE_POOL / 2
+    fresh_s = RETENTION_PER_TARGET_S * LARGE_POOL
     filled = _filled_at_home(chooser, first, stale_s)
     assert filled == BOUND_HEADROOM
     assert _filled_at_home(chooser, first, fresh_s) > filled
--- a/tests/core/test_target_signals.py
+++ b/tests/core/test_target_signals.py
@@ -3,7 +3,7 @@
 from nose2.tools import params
 
 from scaleloom_core.ids import TargetId
-from scaleloom_core.service_pools import MAX_LIFE_S
+from scaleloom_core.service_pools import MAX_RETENTION_S
 from scaleloom_core.target_entries import ListedState, ListedTarget, target_start_id
 from scaleloom_core.target_signals import (
     RAMP_UP_S,
@@ -25,7 +25,7 @@
 
 NOW_S = 100.0
 BACK_OFF_S = 3.0
-RETURN_TO_FULL_USE_S = RETURN_JITTER_S + RAMP_UP_S + MAX_LIFE_S
+RETURN_TO_FULL_USE_S = RETURN_JITTER_S + RAMP_UP_S + MAX_RETENTION_S
 FIRST, SECOND = TargetId("i-0"), TargetId("i-1")
 BACKING_OFF = AnswerSignals(is_not_run=True, retry_after_s=BACK_OFF_S)
 DRAINING = AnswerSignals(is_draining=True)
--- a/tests/gateway/test_origin_messages.py
+++ b/tests/gateway/test_origin_messages.py
@@ -11,13 +11,13 @@
     KEY_BYTES,
     MAX_KEYS_PER_MESSAGE,
     PREFIX,
+    AnnouncedOrigins,
     OriginQuery,
     OriginReply,
-    ToldOrigins,
+    announced_origins,
     decode_origin_message,
     encode_origin_message,
     is_origin_message,
-    told_origins,
 )
 from scaleloom_fleet.gateway.peer_messages import PeerReport
 
@@ -35,7 +35,7 @@
 
 @given(st.lists(KEYS, max_size=3 * MAX_KEYS_PER_MESSAGE), st.text(max_size=20))
 def test_told_keys_arrive_in_messages_of_one_packet(keys, version):
-    messages = list(told_origins(Version(version), keys))
+    messages = list(announced_origins(Version(version), keys))
     assert all(len(encode_origin_message(m)) <= PACKET_BYTES for m in messages)
     read = [_round_trip(message) for message in messages]
     assert [key for message in read for key in message.keys] == keys
@@ -51,7 +51,7 @@
 
 
 def test_an_incomplete_key_is_left_out():
-    message = ToldOrigins(V1, b"\x01" * (KEY_BYTES + 3))
+    message = AnnouncedOrigins(V1, b"\x01" * (KEY_BYTES + 3))
     assert len(message.keys) == 1
 
 
@@ -68,7 +68,7 @@
     group = GroupId(DataCentreName("here"))
     report = msgspec.msgpack.encode(PeerReport(member, group, 1, 1, 1, 0, {}))
     assert not is_origin_message(report)
-    message = encode_origin_message(ToldOrigins(V1, b"\x00" * KEY_BYTES))
+    message = encode_origin_message(AnnouncedOrigins(V1, b"\x00" * KEY_BYTES))
     try:
         msgspec.msgpack.decode(message, type=PeerReport)
     except msgspec.DecodeError:
--- a/tests/gateway/test_prefix_holder_copies.py
+++ b/tests/gateway/test_prefix_holder_copies.py
@@ -69,7 +69,7 @@
 
 
 def test_only_the_most_recently_used_holders_are_written():
-    holders = PrefixHolders(life_s=10.0)
+    holders = PrefixHolders(retention_s=10.0)
     for second in range(4):
         holders.add(part_key(f"p-{second}"), second, float(second))
     rows = holders.most_recent(2, 5.0)
@@ -80,7 +80,7 @@
 
 
 def test_adopted_holders_age_from_their_last_use():
-    holders = PrefixHolders(life_s=10.0)
+    holders = PrefixHolders(retention_s=10.0)
     part = part_key("p")
     holders.add(part, 1, 100.0)
     holders.merge([HoldingAge(part, 1, 50), HoldingAge(part, 2, 8)], 101.0)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -19,7 +19,7 @@
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.version_holds import VERSION_HOLD_S
 from scaleloom_fleet.gateway.origin_messages import (
-    ToldOrigins,
+    AnnouncedOrigins,
     decode_origin_message,
     is_origin_message,
 )
@@ -33,11 +33,11 @@
     EVENT_COUNT,
     EVENT_PAUSE_S,
     GONE,
-    LIFE_S,
     LIST_UPDATE_S,
     OTHER_KEY,
     OTHER_SERVICE,
     PATH,
+    RETENTION_S,
     SPLIT_PATH,
     UNKNOWN,
     UNTOLD,
@@ -196,7 +196,7 @@
     async with version_site([V1, V1, V2, V2]) as versioned:
         for number in (2, 3):
             versioned.list_target(number, V2, service=OTHER_SERVICE)
-        await pass_time(LIFE_S + VERSION_HOLD_S)
+        await pass_time(RETENTION_S + VERSION_HOLD_S)
         first, second, _ = versioned.gateways
         ids = stream_ids(STREAMS)
         begun = await versioned.begin_many(first, ids, path=SPLIT_PATH)
@@ -296,7 +296,7 @@
 @runs_on_paused_clock
 async def test_a_stream_of_unknown_origin_goes_on_while_there_is_one_version():
     async with version_site([V1, V1]) as versioned:
-        await pass_time(LIFE_S + VERSION_HOLD_S)
+        await pass_time(RETENTION_S + VERSION_HOLD_S)
         first, second, _ = versioned.gateways
         begun = await versioned.begin(first, "s-0")
         for name, make_headers in WRONG_IDS.items():
@@ -385,7 +385,7 @@
     """Leave only the first two targets, of one version, for longer than a stream."""
     for runner in versioned.site.runners[2:]:
         versioned.site.drop_entry(runner)
-    await pass_time(LIFE_S + VERSION_HOLD_S)
+    await pass_time(RETENTION_S + VERSION_HOLD_S)
 
 
 @params(LIST_UPDATE_S, 1.0, VERSION_HOLD_S + LIST_UPDATE_S, 4.0)
@@ -419,7 +419,7 @@
 @runs_on_paused_clock
 async def test_nothing_is_told_of_streams_while_there_is_one_version():
     async with version_site([V1, V1]) as versioned:
-        await pass_time(LIFE_S + VERSION_HOLD_S)
+        await pass_time(RETENTION_S + VERSION_HOLD_S)
         versioned.network.sent.clear()
         first, second, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
@@ -435,7 +435,7 @@
             for data in versioned.network.sent
             if is_origin_message(data)
         ]
-        assert not any(isinstance(message, ToldOrigins) for message in messages)
+        assert not any(isinstance(message, AnnouncedOrigins) for message in messages)
 
 
 @params(
