Remember which causes are suspects until the crashes change; slopes of their price

Cause: judging a part with 16 crashes takes 8 to 15 us for each other candidate beside it, up to 4 ms beside 256, and was done for each request with that part. Change: the verdict stays until a crash, a clearing or a first answer changes it; slopes in `make capacity`.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,7 +8,7 @@
 import numpy
 import trio
 
-from benchmarks import stream_origins
+from benchmarks import crash_causes, stream_origins
 from benchmarks.control import ENGINE_COUNTS, measure_fleet
 from scaleloom_core.admission import AdmissionController, AdmissionPolicy, RequestOffer
 from scaleloom_core.chat_tables import CachedChats, DisplacedChats
@@ -267,6 +267,11 @@
     "memory of a stream that nobody was told of": stream_origins.unannounced_origins,
     "memory of a ring of holders, by router": stream_origins.replica_ring,
 }
+# Tables with at most 2,048 entries.
+BOUNDED_MEMORY: dict[str, Callable[[int], object]] = {
+    "memory of a cause of crashes, with three of them": crash_causes.counted_causes,
+    "memory of an answered prompt part": crash_causes.answered_parts,
+}
 TIMES: dict[str, tuple[Callable[[int], Callable], tuple[int, ...], int]] = {
     "first placement in a slot, by pool member": (
         _place_new_chats,
@@ -306,6 +311,21 @@
         (60, 120, 240, 420),
         1,
     ),
+    "recording a crash, by cause in flight": (
+        crash_causes.record_crash,
+        (250, 500, 1000, 2000),
+        1,
+    ),
+    "remembering an answer with two shared prompt parts": (
+        crash_causes.record_answers,
+        (250, 500, 1000, 2000),
+        1,
+    ),
+    "judging a part with 16 crashes, by cause beside it": (
+        crash_causes.decide_beside,
+        (32, 64, 128, 256),
+        1,
+    ),
     "reading the versions of a changed list, by target": (
         stream_origins.read_versions,
         (1000, 2000, 4000, 8000),
@@ -319,6 +339,9 @@
     for name, build in MEMORY.items():
         sizes = (1000, 2000, 4000, 8000)
         print_slope(name, "B", {size: memory_bytes(build, size) for size in sizes})
+    for name, build in BOUNDED_MEMORY.items():
+        sizes = (250, 500, 1000, 2000)
+        print_slope(name, "B", {size: memory_bytes(build, size) for size in sizes})
     for name, (prepare, sizes, repeats) in TIMES.items():
         points = {size: time_us(prepare(size)) / repeats for size in sizes}
         print_slope(name, "us", points)
--- a/packages/scaleloom-core/scaleloom_core/crash_table.py
+++ b/packages/scaleloom-core/scaleloom_core/crash_table.py
@@ -53,6 +53,8 @@
         # With enough crashes for a suspicion, unless others explain these.
         self._candidates: OrderedDict[CauseDigest, None] = OrderedDict()
         self._candidates_by_start: dict[TargetStart, set[CauseDigest]] = {}
+        # Judging a cause may take milliseconds, and its requests may be many.
+        self._verdicts: dict[CauseDigest, bool] = {}
         # Crashes cleared by an answer may still arrive from peers or the log.
         self._cleared: OrderedDict[Crash, None] = OrderedDict()
         self._evicted: dict[CauseDigest, CrashHistory] = {}
@@ -79,7 +81,11 @@
         """
         if cause not in self._candidates:
             return False
-        return self._unexplained_count(cause) >= self._min_crashes(cause)
+        verdict = self._verdicts.get(cause)
+        if verdict is None:
+            unexplained = self._unexplained_count(cause)
+            verdict = self._verdicts[cause] = unexplained >= self._min_crashes(cause)
+        return verdict
 
     def is_nearly_suspect(self, cause: CauseDigest) -> bool:
         """Return whether one more crash may make `cause` a suspect."""
@@ -197,6 +203,7 @@
 
     def _mark_recent(self, cause: CauseDigest, history: CrashHistory) -> None:
         """Mark `cause` as the most recent one and evict entries above the limits."""
+        self._verdicts.clear()
         self._histories.move_to_end(cause)
         if history.is_suspect:
             self._candidates[cause] = None
@@ -215,6 +222,8 @@
 
     def record_answer(self, cause: CauseDigest, now_s: float) -> None:
         """Record that a target answered `cause` and kept running."""
+        if is_prompt_part(cause) and not self.answered.is_known_part(cause):
+            self._verdicts.clear()
         self.answered.record(cause, now_s)
 
     def clear(self, cause: CauseDigest) -> CrashHistory | None:
@@ -239,6 +248,7 @@
         history = self._histories.get(crash.cause)
         if history is None or history.starts.pop(crash.start, None) is None:
             return
+        self._verdicts.clear()
         self._discard_candidate(crash.cause, crash.start)
         if not history.starts:
             self._remove(crash.cause)
@@ -261,6 +271,7 @@
 
     def _remove(self, cause: CauseDigest) -> None:
         """Remove all that is known of `cause`."""
+        self._verdicts.clear()
         history = self._histories.pop(cause)
         for start in history.starts:
             self._discard_candidate(cause, start)
--- a/packages/scaleloom-core/scaleloom_core/origin_replicas.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_replicas.py
@@ -61,8 +61,8 @@
         """
         Return the other routers that are queried for the origin of `key`.
 
-        One more than it is announced to, and those before them that seem silent, since the
-        sender may have known other routers as alive.
+        One more than it is announced to, and those before them that seem silent, since
+        the sender may have known other routers as alive.
         """
         queried: list[InstanceId] = []
         alive_count = 0
--- a/packages/scaleloom-core/scaleloom_core/stream_origins.py
+++ b/packages/scaleloom-core/scaleloom_core/stream_origins.py
@@ -164,8 +164,8 @@
     """
     The streams that this router has begun and announced to nobody, by service.
 
-    They are announced when the router can no longer be sure that the service has had only
-    one version; until then nobody needs to know.
+    They are announced when the router can no longer be sure that the service has had
+    only one version; until then nobody needs to know.
 
     Parameters
     ----------
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/crash_log.py
@@ -158,8 +158,8 @@
             async with self._write_lock:
                 permissions = {tracker.send_decision(c).permission for c in causes}
                 is_due = SendPermission.TRIAL_ONLY in permissions
-                is_held = SendPermission.QUARANTINED in permissions
-                if is_held or not is_due or target in tracker.targets_on_trial():
+                is_quarantined = SendPermission.QUARANTINED in permissions
+                if is_quarantined or not is_due or target in tracker.targets_on_trial():
                     return TrialOutcome.LEFT_TO_OTHERS
                 if self._end_offset is None:
                     return TrialOutcome.UNCOUNTED
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -109,7 +109,7 @@
     stream_origins : OriginTables
         What is known of the versions that began streams.
     origin_exchange : OriginExchange or None
-        Announces streams to other routers, and queries them; None until it is connected.
+        Announces streams to other routers, and queries them; None until connected.
     outcomes : OutcomeCounts
         Outcomes of this router's requests, to be reported to peers.
     unreadable_entry_count : int
