--- a/packages/scaleloom-core/scaleloom_core/crash_table.py
+++ b/packages/scaleloom-core/scaleloom_core/crash_table.py
@@ -28,7 +28,7 @@
 from scaleloom_core.crash_reports import CrashReports, ReportSource
 from scaleloom_core.ids import CauseDigest, TargetId, TargetStart
 
-# The requests and parts of a rack of 32 full engines, at 540 bytes each.
+# The requests of a rack of 32 full engines, at about a kilobyte each.
 MAX_CAUSES = 2048
 MAX_SUSPECTS = 512
 _FREE = SendDecision(SendPermission.ALLOWED)
