Wording: complete answers

Cause: whole is private to this project. Change: complete in names, comments and one log line (in the glossary's list); the metric's label keeps its spelling.

--- a/packages/scaleloom-core/scaleloom_core/answer_observations.py
+++ b/packages/scaleloom-core/scaleloom_core/answer_observations.py
@@ -153,7 +153,7 @@
             self._report(True, now_s)
 
     def _report(self, is_failed: bool, now_s: float) -> None:
-        """Report the answer to the observer, unless it may not be whole."""
+        """Report the answer to the observer, unless it may be incomplete."""
         if not is_failed and not self.has_known_end:
             return
         self._is_reported = True
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempt_results.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempt_results.py
@@ -34,7 +34,7 @@
     such an answer ends its connection as well.
     """
 
-    WHOLE = "whole"
+    COMPLETE = "whole"
     BROKEN = "broken"
     UNKNOWN = "unknown"
 
@@ -58,4 +58,4 @@
         return AnswerEnd.BROKEN
     if head.delimiter is BodyDelimiter.CONNECTION:
         return AnswerEnd.UNKNOWN
-    return AnswerEnd.WHOLE
+    return AnswerEnd.COMPLETE
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -90,10 +90,10 @@
             state.link_pools.release(target.id, link)
     if not is_sent:
         return AttemptResult.NEVER_SENT
-    is_whole = False
+    is_complete = False
     try:
         result = await _exchange(state, context, record, link, can_retry)
-        is_whole = result not in BROKEN_RESULTS
+        is_complete = result not in BROKEN_RESULTS
     except (AnswerProtocolError, ConnectionLost):
         result = AttemptResult.BROKEN
     except trio.Cancelled:
@@ -101,7 +101,7 @@
         state.crashes.prober.record_abandoned(target, context.causes)
         raise
     finally:
-        if is_whole:
+        if is_complete:
             state.link_pools.release(target.id, link)
         else:
             state.abandoned_links.abandon(target.id, link)
@@ -140,7 +140,7 @@
     """
     Return whether a target leaves as planned.
 
-    It ends soon after a whole answer, so that one of unknown end is no sign of a crash.
+    It ends soon after a complete answer, so that an unknown end is no sign of a crash.
     """
     newest = state.view.records.get(record.listed.id)
     return newest is None or not newest.is_ready
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
@@ -151,7 +151,7 @@
             await context.probe.is_done.wait()
     elif result in NOT_RUN_RESULTS:
         cancel_trial(state, context)
-    elif context.answer_end is AnswerEnd.WHOLE:
+    elif context.answer_end is AnswerEnd.COMPLETE:
         # The target was still running at the end, so the request did not crash it.
         tracker.record_answer((context.digest,))
         if context.has_succeeded:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
@@ -72,12 +72,12 @@
     link: Link,
     end: AnswerEnd,
 ) -> None:
-    """Count how the answer on `link` ended, and log one that may not be whole."""
+    """Count how the answer on `link` ended, and log one that may be incomplete."""
     head = link.head
     state.metrics_registry.add(
         metric_definitions.ANSWERS, head.delimiter.value, end.value
     )
-    if end is AnswerEnd.WHOLE:
+    if end is AnswerEnd.COMPLETE:
         return
     fields = {
         "request": context.match.request_id,
@@ -87,4 +87,4 @@
         "end": end.value,
         "bytes": link.body_bytes,
     }
-    _logger.info("answer not known to be whole", extra=fields)
+    _logger.info("answer not known to be complete", extra=fields)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_observations.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_observations.py
@@ -39,7 +39,7 @@
     if rollout_state is not None and context.track is Track.CURRENT:
         rollout_state.record_sent(context.track, now_s)
     if context.bound is not None:
-        # The rest of a stream is not comparable with whole answers.
+        # The rest of a stream is not comparable with complete answers.
         return
     observer = rollout_state or state.rollouts.find_observer(policy.name)
     if observer is None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -122,7 +122,7 @@
         client = self.new_client()
         answer = await client.call(adapter.append_request(topic, records, None))
         client.close()
-        # The end that the store names proves that its answer is whole.
+        # The end that the store names proves that its answer is complete.
         return not isinstance(answer.bind(adapter.decode_end), Failure)
 
     async def append_if_end_is(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -139,7 +139,7 @@
     def probe_after_unknown_end(
         self, target: ListedTarget, causes: Sequence[CauseDigest]
     ) -> None:
-        """Probe `target`, whose answer is whole unless it crashed."""
+        """Probe `target`, whose answer is complete unless it crashed."""
         probe = self._find_probe(target)
         if probe.has_crashed:
             self._on_crash(target, list(causes))
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
@@ -1,4 +1,4 @@
-"""Whether an answer is whole, which a closed connection alone does not prove."""
+"""Whether an answer is complete, which a closed connection alone does not prove."""
 
 from collections.abc import Callable
 
@@ -58,11 +58,11 @@
     return True
 
 
-async def read_whole(
+async def read_complete(
     response: httpcore.Response, method: str, proves_complete: Proof = is_labelled_json
 ) -> bytes:
     """
-    Return the body of an answer, if it is known to be whole.
+    Return the body of an answer, if it is known to be complete.
 
     Parameters
     ----------
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -9,7 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from scaleloom_fleet.http.answer_ends import Proof, is_labelled_json, read_whole
+from scaleloom_fleet.http.answer_ends import Proof, is_labelled_json, read_complete
 
 IDLE_CONNECTION_TIMEOUT_S = 50.0
 NEVER_SENT_ERRORS = (
@@ -149,7 +149,7 @@
     ) -> ClientAnswer:
         """Send a request and return its complete answer."""
         async with self.stream(method, url, headers, body) as response:
-            content = await read_whole(response, method, proves_complete)
+            content = await read_complete(response, method, proves_complete)
         return ClientAnswer(response.status, decode_headers(response), content)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/events.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/events.py
@@ -13,7 +13,7 @@
 
 class EventSplitter:
     """
-    Holds back an event until it is whole.
+    Holds back an event until it is complete.
 
     Parameters
     ----------
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/relay.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/relay.py
@@ -123,13 +123,15 @@
     async def forward(self, response: httpcore.Response) -> bool:
         """Forward an answer; return False if it breaks off before its end."""
         try:
-            async with aclosing(self._whole_events(response)) as events:
+            async with aclosing(self._complete_events(response)) as events:
                 await relay_body(events, self._write)
         except TRANSPORT_ERRORS:
             return self._is_finished
         return True
 
-    async def _whole_events(self, response: httpcore.Response) -> AsyncIterator[bytes]:
+    async def _complete_events(
+        self, response: httpcore.Response
+    ) -> AsyncIterator[bytes]:
         """
         Yield the events of an answer.
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -285,7 +285,7 @@
         ----------
         has_known_end : bool
             Whether the end of the body will be known. Otherwise only the end of the
-            connection delimits it, and nothing tells the caller that it is whole.
+            connection delimits it, and nothing tells the caller that it is complete.
         """
         self._begin_answer(has_known_end)
         response = h11.Response(status_code=status, reason=reason, headers=headers)
@@ -316,7 +316,7 @@
         Parameters
         ----------
         has_known_end : bool
-            Whether `body` is known to be whole; see `send_head`.
+            Whether `body` is known to be complete; see `send_head`.
         """
         self._begin_answer(has_known_end)
         response = h11.Response(status_code=status, reason=reason, headers=headers)
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/chat_search.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/chat_search.py
@@ -10,7 +10,7 @@
 from scaleloom_core.ids import AttemptId, InstanceId, TargetId
 from scaleloom_core.placement import CandidateSearch, Offer
 from scaleloom_fleet.http import hops
-from scaleloom_fleet.http.answer_ends import read_whole
+from scaleloom_fleet.http.answer_ends import read_complete
 from scaleloom_fleet.http.asgi import HandlerResult, Reply, Request
 from scaleloom_fleet.http.clients import TRANSPORT_ERRORS
 from scaleloom_fleet.http.problems import problem_reply
@@ -202,7 +202,7 @@
 async def _relay_buffered(search: _ChatSearch, result: OfferResult) -> StepResult:
     """Read a non-streamed answer to its end and return it as the reply."""
     try:
-        body = await read_whole(result.response, COMPLETIONS_METHOD)
+        body = await read_complete(result.response, COMPLETIONS_METHOD)
     except TRANSPORT_ERRORS as error:
         detail = f"The response ended early: {type(error).__name__}."
         return _record_failure(search, ErrorKind.ANSWER_TRUNCATED, detail)
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/service_calls.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/service_calls.py
@@ -12,7 +12,7 @@
 from scaleloom_core.ids import AttemptId, ChatId, ServiceName, TargetId
 from scaleloom_core.records import Customer, Service
 from scaleloom_fleet.http import hops
-from scaleloom_fleet.http.answer_ends import read_whole
+from scaleloom_fleet.http.answer_ends import read_complete
 from scaleloom_fleet.http.asgi import Reply, Request
 from scaleloom_fleet.http.clients import TRANSPORT_ERRORS, SendState
 from scaleloom_fleet.http.problems import problem_reply
@@ -263,7 +263,7 @@
 async def _read_reply(context: CallContext, result: OfferResult) -> Reply | OfferResult:
     """Read an answer to its end and return it as the reply."""
     try:
-        body = await read_whole(result.response, context.method)
+        body = await read_complete(result.response, context.method)
     except TRANSPORT_ERRORS as error:
         detail = f"The response ended early: {type(error).__name__}."
         return OfferResult(OfferStatus.FAILED, detail=detail)
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
@@ -6,7 +6,7 @@
 
 from scaleloom_core.errors import ErrorKind, FleetError
 from scaleloom_fleet.http import hops
-from scaleloom_fleet.http.answer_ends import read_whole
+from scaleloom_fleet.http.answer_ends import read_complete
 from scaleloom_fleet.http.asgi import (
     HandlerResult,
     Reply,
@@ -193,7 +193,7 @@
         )
     content_type = headers.get("content-type", "")
     if not content_type.startswith(EVENT_STREAM_TYPE):
-        body = await read_whole(response, COMPLETIONS_METHOD)
+        body = await read_complete(response, COMPLETIONS_METHOD)
         stream.mark_ended(is_complete=True)
         return Reply(
             response.status, body, content_type, attempt_headers(state, stream.attempt)
--- a/tests/gateway/test_metrics_page.py
+++ b/tests/gateway/test_metrics_page.py
@@ -112,7 +112,7 @@
 )
 @runs_on_paused_clock
 async def test_answers_are_counted_by_delimiter_and_end(behave, path, delimiter, end):
-    message = "answer not known to be whole"
+    message = "answer not known to be complete"
     with FieldsHandler.capture("scaleloom.gateway", message) as lines:
         async with _site_with_page() as (site, port):
             for target in site.runners:
