Log targets that fall silent

A target that fell silent, a late timer of the router and a broken link left the same line, or none, when a caller was cut off. The new line says how long the target was silent, whether its answer had begun and how often the request was sent: a time far beyond the limit tells a standstill of the router itself.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -28,7 +28,7 @@
 from scaleloom_fleet.gateway.metric_definitions import PROMPT_PARTS_COPIED
 from scaleloom_fleet.gateway.quarantine import cancel_trial, may_send
 from scaleloom_fleet.gateway.request_context import RequestContext
-from scaleloom_fleet.gateway.request_metrics import record_answer_end
+from scaleloom_fleet.gateway.request_metrics import record_answer_end, record_silence
 from scaleloom_fleet.gateway.rollout_observations import (
     begin_observation,
     record_end,
@@ -105,6 +105,8 @@
             state.link_pools.release(target.id, link)
         else:
             state.abandoned_links.abandon(target.id, link)
+    if result is AttemptResult.SILENT:
+        record_silence(context, target.id, link)
     context.answer_end = end = answer_end(link.head, result)
     if end is not None:
         record_answer_end(state, context, target.id, link, end)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
@@ -88,3 +88,15 @@
         "bytes": link.body_bytes,
     }
     _logger.info("answer not known to be complete", extra=fields)
+
+
+def record_silence(context: RequestContext, target: TargetId, link: Link) -> None:
+    """Log that a target has sent nothing for as long as another may be attempted."""
+    fields = {
+        "request": context.match.request_id,
+        "target": target,
+        "silent_ms": int((trio.current_time() - link.received_s) * 1000),
+        "has_begun": context.is_answer_started,
+        "sends": context.send_count,
+    }
+    _logger.info("target silent", extra=fields)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -105,6 +105,8 @@
         Of the answer to the request under way, once it has been read.
     body_bytes : int
         How much of the body of that answer has been read.
+    received_s : float
+        When the request was sent or the last bytes after it came, on trio's clock.
     """
 
     def __init__(self, connection: socket.socket) -> None:
@@ -118,6 +120,7 @@
         self.head: AnswerHead | None = None
         self.body_bytes = 0
         self.started_s = 0.0
+        self.received_s = 0.0
         self.idle_since_s = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
@@ -130,7 +133,7 @@
         ConnectionLost
             If the connection was reset; the server may have received some bytes.
         """
-        self.started_s = trio.current_time()
+        self.started_s = self.received_s = trio.current_time()
         self._method = request.method
         self.head = None
         data = self._serialise(request)
@@ -290,6 +293,7 @@
 
     def _feed(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
+        self.received_s = trio.current_time()
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
