Keep the request at a silent target until another one has it

What callers saw: a stream that may be resumed was cut off a second after its last event, and plain repeatable requests got 502, although their target went on a moment later.

Cause: a time-out was taken for the target's end. The link was given up before another target was known to take over; the retry budget, a free slot, the version, the permission and the other target's own answer were looked for afterwards, and each of them could lose the request.

Change: a silent target keeps its request while others are attempted beside it (`hedging.py`). It is given up when another target has begun to answer, or has had the request for 0.25 s without refusing it. A stream that was taken from a silent target may go back to it. The state of one exchange moves out of the request's (`Exchange`), since two may be open. A retry is charged to the budget when it is sent. An expired timer counts only if nothing has arrived meanwhile. A 4xx of a second target behind events no longer ends the stream as if it were served.

In one of them the other target cuts an event; its behaviour now cuts before any whole event, since the check knows only the events of recorded runs, and the stream goes back to the first target.

--- a/packages/scaleloom-core/scaleloom_core/retry_windows.py
+++ b/packages/scaleloom-core/scaleloom_core/retry_windows.py
@@ -46,12 +46,15 @@
         self._current(now_s).requests += 1
         self._requests += 1
 
+    def may_acquire(self, now_s: float, router_count: int) -> bool:
+        """Return whether one retry may be sent, without counting it."""
+        return self.remaining(now_s, router_count) >= 1
+
     def try_acquire(self, now_s: float, router_count: int) -> bool:
         """Return whether one retry may be sent, and count the retry if so."""
-        bucket = self._current(now_s)
-        if self._remaining(router_count) < 1:
+        if not self.may_acquire(now_s, router_count):
             return False
-        bucket.retries += 1
+        self._current(now_s).retries += 1
         self._retries += 1
         return True
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -1,12 +1,13 @@
 """Handling of one request: attempts at targets until one answers or none is left."""
 
 import logging
+from functools import partial
 
+import msgspec
 import trio
 
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.hashing import HASH_SPAN, hash_text
-from scaleloom_core.queue_order import QueuedRequest
 from scaleloom_core.retry_after import RetryAfterQueue
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.target_signals import RAMP_UP_S
@@ -14,13 +15,25 @@
 from scaleloom_fleet.gateway.attempt_results import NOT_RUN_RESULTS, AttemptResult
 from scaleloom_fleet.gateway.error_responses import send_error
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
-from scaleloom_fleet.gateway.exchanges import NOT_RUN_STATUSES, send_to
+from scaleloom_fleet.gateway.exchange_ends import (
+    abandon_exchange,
+    end_exchange,
+    release_slot,
+)
+from scaleloom_fleet.gateway.exchange_state import Exchange
+from scaleloom_fleet.gateway.exchanges import (
+    NOT_RUN_STATUSES,
+    begin_exchange,
+    read_answer,
+)
 from scaleloom_fleet.gateway.forwarding import forward_answer
+from scaleloom_fleet.gateway.hedging import attempt_beside
 from scaleloom_fleet.gateway.matching import Match, match_request
 from scaleloom_fleet.gateway.quarantine import (
     is_retry_refused,
     record_result,
     wait_for_permission,
+    wait_for_probe,
 )
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.request_metrics import (
@@ -29,19 +42,17 @@
     record_served,
     record_unserved,
 )
+from scaleloom_fleet.gateway.slots import acquire_target, wait_until_s
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import (
     bind_resumption,
-    is_narrowed,
     is_version_absent,
     version_absent_error,
 )
 from scaleloom_fleet.gateway.target_selection import (
     backoff_until_s,
-    choose_target,
     is_evacuated,
 )
-from scaleloom_fleet.gateway.wait_queue import Waiter
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
     CallerDisconnected,
@@ -50,7 +61,6 @@
 
 ATTEMPT_LIMIT = 6
 STOPPING_RETRY_AFTER_S = 0.05
-QUEUE_SHARE_OF_OBJECTIVE = 0.22
 # A caller that retried later would have too little time left for the answer.
 RETRY_AFTER_SHARE_OF_TIME_LEFT = 0.3
 # Retry-After values are rounded to this step, which is added to them so that no
@@ -60,6 +70,11 @@
 MAX_LOGGED_PARTS = 8
 # Operators end an evacuation after some seconds at the earliest.
 EVACUATED_RETRY_AFTER_S = 3.0
+# A stream that was taken from a silent target goes back to it if no other serves it;
+# its caller leaves after a pause of some seconds.
+RETURN_INTERVAL_S = 0.25
+# Results after which a further send is not limited by the route.
+FREE_RESULTS = NOT_RUN_RESULTS | {AttemptResult.NEVER_SENT}
 _K = ErrorKind
 _STOPPING = FleetError(
     _K.NOT_READY, "The router is stopping.", retry_after_s=STOPPING_RETRY_AFTER_S
@@ -98,7 +113,7 @@
     except CallerDisconnected:
         record_disconnect(state, context)
         raise
-    if connection.is_disconnected:
+    if connection.is_disconnected and not connection.is_answer_complete:
         state.statsd.count("left")
         record_disconnect(state, context)
         raise CallerDisconnected
@@ -194,6 +209,19 @@
     return status not in NOT_RUN_STATUSES
 
 
+class Takeover(msgspec.Struct, frozen=True):
+    """
+    The end of an attempt whose silent target was given up for another one.
+
+    Parameters
+    ----------
+    error : FleetError or None
+        The error that the request ended in at the other one.
+    """
+
+    error: FleetError | None
+
+
 async def _attempt_targets(
     state: GatewayState, context: RequestContext
 ) -> FleetError | None:
@@ -202,24 +230,27 @@
         refusal = await bind_resumption(state, context)
         if refusal is not None:
             return refusal
+    error = await _attempt_in_turn(state, context)
+    while error is not None and context.may_return:
+        await trio.sleep(RETURN_INTERVAL_S)
+        error = await _attempt_in_turn(state, context)
+    return error
+
+
+async def _attempt_in_turn(
+    state: GatewayState, context: RequestContext
+) -> FleetError | None:
+    """Attempt one target after another; return the error if none answers."""
     for _ in range(ATTEMPT_LIMIT):
-        refusal = await wait_for_permission(state, context, _wait_until_s(context))
+        refusal = await wait_for_permission(state, context, wait_until_s(context))
         if refusal is not None:
             return _quarantine_error(state, context, refusal)
-        record = await _acquire_target(state, context)
+        record = await acquire_target(state, context)
         if record is None:
             return _no_answer_error(state, context)
-        can_retry = _may_retry(context, 1)
-        context.attempted.add(record.listed.id)
-        state.statsd.count("attempts")
-        outcome = metric_definitions.ABANDONED
-        try:
-            result = await send_to(state, context, record, can_retry)
-            outcome = result.value
-        finally:
-            state.metrics_registry.add(metric_definitions.ATTEMPTS, outcome)
-            _release_slot(state, context, record)
-        await record_result(state, context, result)
+        result = await _attempt(state, context, record)
+        if isinstance(result, Takeover):
+            return result.error
         if result is AttemptResult.ANSWERED:
             return _failure_error(context)
         if is_version_absent(state, context):
@@ -229,14 +260,64 @@
     return _no_answer_error(state, context)
 
 
-def _release_slot(
+async def _attempt(
     state: GatewayState, context: RequestContext, record: TargetRecord
-) -> None:
-    """Release the slot that the attempt held at its target."""
-    state.wait_queue.release(record, context.match.customer)
-    state.retry_after_scheduler.record_freed_slot(
-        context.match.service, trio.current_time()
-    )
+) -> AttemptResult | Takeover:
+    """Attempt one target with an acquired slot, and others while it is silent."""
+    context.attempted.add(record.listed.id)
+    state.statsd.count("attempts")
+    outcome = metric_definitions.ABANDONED
+    exchange = None
+    try:
+        exchange = await begin_exchange(state, context, record)
+        outcome = AttemptResult.NEVER_SENT.value
+    finally:
+        if exchange is None:
+            release_slot(state, context, record, outcome)
+    if exchange is None:
+        return AttemptResult.NEVER_SENT
+    try:
+        result = await _read_to_end(state, context, exchange)
+    except BaseException as error:
+        is_cancelled = isinstance(error, trio.Cancelled)
+        abandon_exchange(state, context, exchange, is_cancelled)
+        raise
+    if isinstance(result, Takeover):
+        return result
+    end_exchange(state, context, exchange, result)
+    await record_result(state, context, exchange, result)
+    return result
+
+
+async def _read_to_end(
+    state: GatewayState, context: RequestContext, exchange: Exchange
+) -> AttemptResult | Takeover:
+    """Pass the answer on to its end, or until another target takes over."""
+    read = partial(read_answer, state, context, exchange)
+    attempt_others = partial(_attempt_others, state, context, exchange)
+    result = await read()
+    while result is AttemptResult.SILENT:
+        hedge = await attempt_beside(state, context, exchange, read, attempt_others)
+        if hedge.is_taken_over:
+            return Takeover(hedge.error)
+        result = hedge.result
+    return result
+
+
+async def _attempt_others(
+    state: GatewayState, context: RequestContext, silent: Exchange
+) -> FleetError | None:
+    """Attempt other targets than a silent one; return the error if none answers."""
+    if any(map(state.crashes.table.is_nearly_suspect, context.causes)):
+        probe = state.crashes.prober.probe_after_break(silent.target, context.causes)
+        await wait_for_probe(state, context, probe)
+    if is_version_absent(state, context):
+        return _version_absent_error(state, context)
+    # Others that refused the request or were unreachable may accept it by now.
+    context.attempted = set(context.ran_at)
+    if not _should_continue(state, context, AttemptResult.SILENT):
+        return _no_answer_error(state, context)
+    return await _attempt_in_turn(state, context)
 
 
 def _version_absent_error(state: GatewayState, context: RequestContext) -> FleetError:
@@ -260,30 +341,18 @@
     return FleetError(_K.TARGET_FAILED, "The target answered with an error.")
 
 
-def _may_retry(context: RequestContext, more: int) -> bool:
-    """Return whether the request may be retried at another target."""
-    route = context.match.route
-    return route.is_retryable and context.send_count + more < route.attempt_limit
-
-
 def _should_continue(
     state: GatewayState, context: RequestContext, result: AttemptResult
 ) -> bool:
     """Return whether another target is to be attempted after `result`."""
-    if result is AttemptResult.NEVER_SENT:
+    if not context.is_retry:
         return True
-    is_not_run = result in NOT_RUN_RESULTS
-    if not is_not_run and not _may_retry(context, 0):
+    if result not in FREE_RESULTS and not context.may_retry:
         return False
-    if is_not_run:
-        context.send_count -= 1
-    if context.splitter is not None:
-        context.splitter.drop_partial()
-    if is_retry_refused(state, context, _wait_until_s(context)):
-        # Leaves the retry budget to requests that can still be served.
+    if is_retry_refused(state, context, wait_until_s(context)):
         return False
     window = state.retry_windows.get(context.match.service)
-    if window.try_acquire(trio.current_time(), state.router_count):
+    if window.may_acquire(trio.current_time(), state.router_count):
         return True
     record_retry_refused(state, context)
     return False
@@ -299,55 +368,3 @@
         retry_after_s=_retry_after_s(state, context),
         outcome=Outcome.NOT_RUN,
     )
-
-
-async def _acquire_target(
-    state: GatewayState, context: RequestContext
-) -> TargetRecord | None:
-    """Return a target with a slot acquired for the request, or None."""
-    match = context.match
-
-    def choose() -> TargetRecord | None:
-        return choose_target(state, context)
-
-    must_wait = state.wait_queue.must_wait(match.service)
-    if not must_wait or is_narrowed(state, context):
-        record = choose()
-        if record is not None:
-            state.wait_queue.acquire(record, match.customer)
-            return record
-    if is_evacuated(state, match.service):
-        return None
-    waiter = Waiter(
-        _queued_request(state, context),
-        _wait_until_s(context),
-        choose,
-        excludes_targets=bool(context.attempted)
-        or context.is_on_trial
-        or is_narrowed(state, context),
-    )
-    return await state.wait_queue.wait(match.service, waiter)
-
-
-def _wait_until_s(context: RequestContext) -> float:
-    """Return until when a request may wait before it is sent."""
-    match = context.match
-    max_wait_s = QUEUE_SHARE_OF_OBJECTIVE * match.route.objective_ms / 1000.0
-    return match.received_s + max_wait_s
-
-
-def _queued_request(state: GatewayState, context: RequestContext) -> QueuedRequest:
-    """Return the entry of a request in the wait queue."""
-    match = context.match
-    now_s = trio.current_time()
-    return QueuedRequest(
-        request_id=match.request_id,
-        customer=match.customer,
-        priority=match.priority,
-        route_priority=match.route.priority,
-        deadline_s=match.deadline_s,
-        is_overdue=match.is_overdue(now_s),
-        needs_prefill=not state.chooser.has_holder(
-            context.placement, match.policy, now_s
-        ),
-    )
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -61,6 +61,11 @@
         """Discard an event that its target never finished."""
         self._partial = b""
 
+    def go_back_to(self, last_id: bytes | None) -> None:
+        """Discard what came after the event `last_id`, the last that was passed on."""
+        self.drop_partial()
+        self.last_id = last_id
+
     @property
     def has_partial(self) -> bool:
         """Return whether an event is incomplete."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -7,10 +7,13 @@
 from scaleloom_fleet.gateway.attempt_results import AttemptResult
 from scaleloom_fleet.gateway.error_responses import closing_headers
 from scaleloom_fleet.gateway.event_splitter import EventBoundary, UnsplitBody
+from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.headers import answer_headers
+from scaleloom_fleet.gateway.hedging import claim_answer
 from scaleloom_fleet.gateway.metric_definitions import FIRST_BYTE_SECONDS
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.rollout_observations import record_body_part
+from scaleloom_fleet.gateway.silences import event_timeout_s, has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import record_first_event
 from scaleloom_fleet.http1.links import (
@@ -21,25 +24,25 @@
 )
 
 BUFFERED_ANSWER_LIMIT_BYTES = 1 << 20
-EVENT_TIMEOUT_S = 1.0
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
 async def forward_complete(
-    state: GatewayState, context: RequestContext, link: Link, head: AnswerHead
+    state: GatewayState, context: RequestContext, exchange: Exchange
 ) -> AttemptResult:
     """Forward an answer that is short enough to be buffered first."""
+    link = exchange.link
     parts: list[bytes] = []
     size = 0
     while (part := await link.read_data()) is not None:
         parts.append(part)
         size += len(part)
         if size > BUFFERED_ANSWER_LIMIT_BYTES:
-            return await _forward_long(state, context, link, head, b"".join(parts))
-    if context.observation is not None:
-        context.observation.record_body_complete(trio.current_time())
+            return await _forward_long(state, context, exchange, b"".join(parts))
+    if exchange.observation is not None:
+        exchange.observation.record_body_complete(trio.current_time())
     _record_first_byte(state, context)
-    await forward_answer(state, context, head, b"".join(parts))
+    await forward_answer(state, context, link.head, b"".join(parts))
     return AttemptResult.ANSWERED
 
 
@@ -80,17 +83,13 @@
 
 
 async def _forward_long(
-    state: GatewayState,
-    context: RequestContext,
-    link: Link,
-    head: AnswerHead,
-    buffered: bytes,
+    state: GatewayState, context: RequestContext, exchange: Exchange, buffered: bytes
 ) -> AttemptResult:
     """Forward a long answer as it arrives."""
     part: bytes | None = buffered
     while part is not None:
-        await _send_part(state, context, head, part, keeps_length=True)
-        part = await link.read_data()
+        await _send_part(state, context, exchange, part, keeps_length=True)
+        part = await exchange.link.read_data()
     await context.connection.send_end()
     return AttemptResult.ANSWERED
 
@@ -98,7 +97,7 @@
 async def _send_part(
     state: GatewayState,
     context: RequestContext,
-    head: AnswerHead,
+    exchange: Exchange,
     part: bytes,
     keeps_length: bool,
 ) -> None:
@@ -107,12 +106,15 @@
 
     The time this takes is attributed to the caller, even if it is cancelled.
     """
-    observation = context.observation
+    observation = exchange.observation
     started_s = trio.current_time() if observation is not None else 0.0
     try:
         if not context.is_answer_started:
-            record_first_event(state, context)
-            await _begin_answer(state, context, head, keeps_length)
+            record_first_event(state, context, exchange)
+            await _begin_answer(state, context, exchange.link.head, keeps_length)
+        exchange.has_sent_events = True
+        if context.splitter is not None:
+            context.last_event_id = context.splitter.last_id
         await context.connection.send_data(part)
     finally:
         if observation is not None:
@@ -122,46 +124,48 @@
 async def forward_stream(
     state: GatewayState,
     context: RequestContext,
-    link: Link,
-    head: AnswerHead,
-    timeout_s: float,
+    exchange: Exchange,
     record_first_data: Callable[[], None],
 ) -> AttemptResult:
     """
-    Forward the events of a stream as they arrive.
+    Forward the events of a stream as they arrive, until it ends or falls silent.
 
     Parameters
     ----------
-    timeout_s : float
-        How long the target may stay silent before another is attempted.
     record_first_data : callable
         Called once when the first data arrives.
     """
-    is_first = True
-    is_events = _is_event_stream(head)
+    link = exchange.link
+    is_events = _is_event_stream(link.head)
     events = context.splitter or (EventBoundary() if is_events else UnsplitBody())
-    can_retry = timeout_s < float("inf")
     while True:
-        with trio.move_on_after(timeout_s) as scope:
+        with trio.move_on_after(event_timeout_s(context, exchange)) as scope:
             part = await link.read_data()
         if scope.cancelled_caught:
-            return AttemptResult.SILENT
+            if has_fallen_silent(exchange):
+                return AttemptResult.SILENT
+            continue
+        if exchange.is_ended:
+            # Another target has taken over, and the cancellation is on its way.
+            await trio.sleep_forever()
         if part is None:
             break
-        record_body_part(context, len(part))
-        if is_first:
+        if link.body_bytes == len(part):
             record_first_data()
-            is_first = False
+        record_body_part(exchange, len(part))
         ready = events.feed(part)
         if not ready:
             continue
-        await _send_part(state, context, head, ready, keeps_length=not is_events)
-        timeout_s = EVENT_TIMEOUT_S if can_retry else float("inf")
+        if context.answering is not exchange:
+            await claim_answer(state, context, exchange)
+        await _send_part(state, context, exchange, ready, keeps_length=not is_events)
     if events.has_partial:
         raise AnswerProtocolError("stream ended in the middle of an event")
-    _check_unknown_end(context, head, link)
+    _check_unknown_end(context, link)
+    if context.answering is not exchange:
+        await claim_answer(state, context, exchange)
     if not context.is_answer_started:
-        await _begin_answer(state, context, head, keeps_length=False)
+        await _begin_answer(state, context, link.head, keeps_length=False)
     await context.connection.send_end()
     return AttemptResult.ANSWERED
 
@@ -178,7 +182,7 @@
     return content_type.lower().startswith(EVENT_STREAM_TYPE)
 
 
-def _check_unknown_end(context: RequestContext, head: AnswerHead, link: Link) -> None:
+def _check_unknown_end(context: RequestContext, link: Link) -> None:
     """
     Check that the end of a stream may be passed on if it is unknown.
 
@@ -187,7 +191,7 @@
     AnswerProtocolError
         If the stream has no event, or if the caller was promised to be told its end.
     """
-    if head.has_known_end:
+    if link.head.has_known_end:
         return
     if not link.body_bytes:
         raise AnswerProtocolError("connection ended before the first event")
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -51,6 +51,14 @@
     " only the end of the connection marked the end.",
     ("delimiter", "end"),
 )
+SILENCES = MetricDefinition(
+    "scaleloom_target_silences_total",
+    _COUNTER,
+    "Requests whose target fell silent, by how that ended: the target went_on, another"
+    " target was sent the request and has taken_over, the exchange failed, or the"
+    " request timed_out or was left by its caller first.",
+    ("end",),
+)
 FIRST_BYTE_SECONDS = MetricDefinition(
     "scaleloom_request_first_byte_seconds",
     _HISTOGRAM,
@@ -261,6 +269,7 @@
     REQUESTS_UNSERVED,
     ATTEMPTS,
     ANSWERS,
+    SILENCES,
     FIRST_BYTE_SECONDS,
     REQUEST_SECONDS,
     PROMPT_PARTS_COPIED,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/quarantine.py
@@ -16,8 +16,10 @@
     AttemptResult,
 )
 from scaleloom_fleet.gateway.crash_tracker import TrialOutcome
+from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.target_probes import TargetProbe
 
 # After the store failed to record a trial, the time before it is asked again and
 # before refused callers are asked to retry.
@@ -140,25 +142,34 @@
 
 
 async def record_result(
-    state: GatewayState, context: RequestContext, result: AttemptResult
+    state: GatewayState,
+    context: RequestContext,
+    exchange: Exchange,
+    result: AttemptResult,
 ) -> None:
-    """Record what the result of an attempt says about the request and its parts."""
+    """Record what the result of an exchange says about the request and its parts."""
     tracker = state.crashes
-    if result in BROKEN_RESULTS and context.probe is not None:
-        _name_parts(state, context)
-        if any(map(tracker.table.is_nearly_suspect, context.causes)):
-            # One more crash may quarantine the request, so wait for the probe.
-            await context.probe.is_done.wait()
+    if result in BROKEN_RESULTS and exchange.probe is not None:
+        await wait_for_probe(state, context, exchange.probe)
     elif result in NOT_RUN_RESULTS:
         cancel_trial(state, context)
-    elif context.answer_end is AnswerEnd.COMPLETE:
+    elif exchange.answer_end is AnswerEnd.COMPLETE:
         # The target was still running at the end, so the request did not crash it.
         tracker.record_answer((context.digest,))
-        if context.has_succeeded:
+        if exchange.has_succeeded:
             # A failure may come before the target has begun to write on the prompt.
             tracker.record_answer(context.part_digests)
 
 
+async def wait_for_probe(
+    state: GatewayState, context: RequestContext, probe: TargetProbe
+) -> None:
+    """Wait for `probe` if one more crash may quarantine the request."""
+    _name_parts(state, context)
+    if any(map(state.crashes.table.is_nearly_suspect, context.causes)):
+        await probe.is_done.wait()
+
+
 def _name_parts(state: GatewayState, context: RequestContext) -> None:
     """Remember the ids of the prompt's parts for operators."""
     names = zip(context.part_digests, context.match.prompt_parts)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -2,23 +2,23 @@
 
 import msgspec
 
-from scaleloom_core.answer_observations import AnswerObservation
 from scaleloom_core.cause_digests import part_digest, request_digest
 from scaleloom_core.ids import CauseDigest, TargetId
 from scaleloom_core.placement_key import PlacementKey
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.stream_origins import StreamBound
-from scaleloom_core.target_entries import ListedTarget
-from scaleloom_fleet.gateway.attempt_results import AnswerEnd
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
+from scaleloom_fleet.gateway.exchange_state import Exchange
+from scaleloom_fleet.gateway.hedges import Hedge
 from scaleloom_fleet.gateway.matching import Match
-from scaleloom_fleet.gateway.target_probes import TargetProbe
 from scaleloom_fleet.http1.callers import CallerConnection, CallerRequest
 from scaleloom_fleet.http1.links import AnswerHead
 
 # Bounds what one request adds to the counts of crashes.
 MAX_PARTS = 32
+# Bounds how often a stream goes back and forth between targets that fall silent.
+MAX_SENDS = 6
 
 
 class RequestContext(msgspec.Struct):
@@ -29,29 +29,30 @@
     ----------
     placement : PlacementKey
         The key that places the request, on the track that it is sent to.
+    splitter : EventSplitter or None
+        Splits the answer, if the stream may be resumed.
+    last_event_id : bytes or None
+        The id of the last event that was passed on.
     attempted : set of TargetId
         The targets that the request was sent to.
     send_count : int
         How often the request was sent to a target that may have run it.
+    ran_at : set of TargetId
+        The targets that may have run the request.
+    left_silent : set of TargetId
+        Those of them that were given up only because they were silent.
+    is_retry : bool
+        Whether the request has been sent, so that the next send is a retry.
+    answering : Exchange or None
+        The exchange whose answer is passed on.
+    hedges : list of Hedge
+        The attempts beside silent targets that are under way, in order of their begin.
     rollout_state : RolloutState or None
         That of the service's roll-out when the target was chosen.
-    observation : AnswerObservation or None
-        Of the exchange under way, if the service is rolled out.
     failure : tuple of AnswerHead and bytes, or None
         A target's own failure, forwarded if no other target succeeds.
-    has_new_holder : bool
-        Whether the last answer was the first to show that its target caches the shared
-        prompt part.
-    answer_end : AnswerEnd or None
-        What is known of the end of the last answer that began.
-    probe : TargetProbe or None
-        Of the target whose exchange broke last.
-    sent_to : ListedTarget or None
-        The entry of the target that the request was last sent to, as it was then.
     bound : StreamBound or None
         The targets that the stream may go on at; None if it has not begun.
-    has_succeeded : bool
-        Whether the last answer was a success.
     is_on_trial : bool
         Whether the request is suspected of crashing targets and sent as a trial.
     trials : dict of CauseDigest to int
@@ -63,24 +64,46 @@
     match: Match
     placement: PlacementKey
     splitter: EventSplitter | None = None
+    last_event_id: bytes | None = None
     attempted: set[TargetId] = msgspec.field(default_factory=set)
     send_count: int = 0
-    may_have_run: bool = False
+    ran_at: set[TargetId] = msgspec.field(default_factory=set)
+    left_silent: set[TargetId] = msgspec.field(default_factory=set)
+    is_retry: bool = False
+    answering: Exchange | None = None
+    hedges: list[Hedge] = msgspec.field(default_factory=list)
     is_answer_started: bool = False
     rollout_state: RolloutState | None = None
-    observation: AnswerObservation | None = None
     failure: tuple[AnswerHead, bytes] | None = None
-    has_new_holder: bool = False
-    answer_end: AnswerEnd | None = None
-    probe: TargetProbe | None = None
-    sent_to: ListedTarget | None = None
     bound: StreamBound | None = None
-    has_succeeded: bool = False
     is_on_trial: bool = False
     trials: dict[CauseDigest, int] = msgspec.field(default_factory=dict)
     _digest: CauseDigest | None = None
     _part_digests: tuple[CauseDigest, ...] | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a target may have run the request."""
+        return self.send_count > 0
+
+    @property
+    def may_retry(self) -> bool:
+        """Return whether the request may be sent again, though it may have run."""
+        if not self.match.route.is_retryable:
+            return False
+        return self.may_use_new_target or self.may_return
+
+    @property
+    def may_use_new_target(self) -> bool:
+        """Return whether the route allows one more target for the request."""
+        return len(self.ran_at) < self.match.route.attempt_limit
+
+    @property
+    def may_return(self) -> bool:
+        """Return whether a begun stream may go back to a target that was silent."""
+        has_left = self.is_answer_started and bool(self.left_silent)
+        return has_left and self.send_count < MAX_SENDS
+
     @property
     def digest(self) -> CauseDigest:
         """Return the digest that all retries of the request share."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
@@ -8,10 +8,13 @@
 from scaleloom_core.ids import TargetId
 from scaleloom_fleet.gateway import metric_definitions
 from scaleloom_fleet.gateway.attempt_results import AnswerEnd
+from scaleloom_fleet.gateway.exchange_state import Exchange
+from scaleloom_fleet.gateway.hedges import Hedge
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1.links import Link
 
+MS_PER_S = 1000.0
 _logger = logging.getLogger("scaleloom.gateway")
 
 
@@ -90,13 +93,30 @@
     _logger.info("answer not known to be complete", extra=fields)
 
 
-def record_silence(context: RequestContext, target: TargetId, link: Link) -> None:
+def record_silence(context: RequestContext, exchange: Exchange) -> None:
     """Log that a target has sent nothing for as long as another may be attempted."""
+    silent_s = trio.current_time() - exchange.link.received_s
     fields = {
         "request": context.match.request_id,
-        "target": target,
-        "silent_ms": int((trio.current_time() - link.received_s) * 1000),
+        "target": exchange.target.id,
+        "silent_ms": int(silent_s * MS_PER_S),
         "has_begun": context.is_answer_started,
         "sends": context.send_count,
     }
     _logger.info("target silent", extra=fields)
+
+
+def record_silence_end(
+    state: GatewayState, context: RequestContext, hedge: Hedge
+) -> None:
+    """Count and log how the silence of a target ended for the request."""
+    end = hedge.silence_end
+    state.metrics_registry.add(metric_definitions.SILENCES, end.value)
+    fields = {
+        "request": context.match.request_id,
+        "target": hedge.silent.target.id,
+        "silent_ms": int((trio.current_time() - hedge.silent_since_s) * MS_PER_S),
+        "end": end.value,
+        "sends": context.send_count,
+    }
+    _logger.info("silence ended", extra=fields)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_observations.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_observations.py
@@ -6,8 +6,8 @@
 from scaleloom_core.fleet_load import target_key
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.routing import RequestKind, route_key
-from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway.attempt_results import NOT_RUN_RESULTS, AttemptResult
+from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
 
@@ -18,18 +18,9 @@
 
 
 def begin_observation(
-    state: GatewayState, context: RequestContext, record: TargetRecord, is_warm: bool
+    state: GatewayState, context: RequestContext, exchange: Exchange
 ) -> None:
-    """
-    Start the observation of a request that is being sent.
-
-    Parameters
-    ----------
-    record : TargetRecord
-        The target to which the request is sent.
-    is_warm : bool
-        Whether the target already has the request's prompt in its cache.
-    """
+    """Start the observation of a request that is being sent."""
     rollout_state, route, policy = (
         context.rollout_state,
         context.match.route,
@@ -44,40 +35,40 @@
     observer = rollout_state or state.rollouts.find_observer(policy.name)
     if observer is None:
         return
-    context.observation = AnswerObservation(
+    exchange.observation = AnswerObservation(
         observer=observer,
         track=context.track,
         route=route_key(route.name),
-        target=target_key(record.listed.id),
+        target=target_key(exchange.target.id),
         sent_s=now_s,
         timeout_s=route.objective_ms / 1000.0,
         is_stream=route.kind is RequestKind.STREAM,
-        is_warm=is_warm,
-        is_cold=record.is_cold(policy.cold_start_s, now_s),
+        is_warm=exchange.is_warm,
+        is_cold=exchange.record.is_cold(policy.cold_start_s, now_s),
         counts_failures=rollout_state is not None and not rollout_state.stage.is_final,
     )
 
 
-def record_body_part(context: RequestContext, size: int) -> None:
+def record_body_part(exchange: Exchange, size: int) -> None:
     """Record a part of the response body; end the observation once it is over."""
-    observation = context.observation
+    observation = exchange.observation
     if observation is None:
         return
     observation.record_part(size, trio.current_time())
     if observation.is_complete:
-        context.observation = None
+        exchange.observation = None
 
 
-def record_end(context: RequestContext, result: AttemptResult) -> None:
+def record_end(exchange: Exchange, result: AttemptResult) -> None:
     """Record how the exchange ended, unless the target did not run the request."""
-    observation, context.observation = context.observation, None
+    observation, exchange.observation = exchange.observation, None
     if observation is not None and result not in UNOBSERVED_RESULTS:
         observation.record_end(result in FAILED_RESULTS, trio.current_time())
 
 
-def record_timeout(context: RequestContext) -> None:
+def record_timeout(context: RequestContext, exchange: Exchange) -> None:
     """Record a missed deadline, unless the caller disconnected or time is left."""
-    observation, context.observation = context.observation, None
+    observation, exchange.observation = exchange.observation, None
     now_s = trio.current_time()
     if observation is None or context.connection.is_disconnected:
         return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
@@ -13,6 +13,7 @@
     stream_key,
 )
 from scaleloom_fleet.gateway import metric_definitions
+from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
 
@@ -92,7 +93,9 @@
     )
 
 
-def record_first_event(state: GatewayState, context: RequestContext) -> None:
+def record_first_event(
+    state: GatewayState, context: RequestContext, exchange: Exchange
+) -> None:
     """
     Bind a resumable stream to the version whose first event is about to be sent.
 
@@ -103,10 +106,10 @@
         return
     now_s = trio.current_time()
     if context.bound is None:
-        newest = state.view.records.get(context.sent_to.id)
+        newest = state.view.records.get(exchange.target.id)
         only = tables.only_version(match.service, now_s)
         listed = None if newest is None else newest.listed
-        context.bound = bound_of_begun(context.sent_to, listed, only)
+        context.bound = bound_of_begun(exchange.target, listed, only)
     if not context.bound.version:
         return
     begun_by = match.begun_by or match.request_id
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_selection.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_selection.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from scaleloom_core.ids import ServiceName
+from scaleloom_core.ids import ServiceName, TargetId
 from scaleloom_core.placement_key import PlacementKey
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.rollouts.state import RolloutState
@@ -27,7 +27,7 @@
     now_s = trio.current_time()
     if context.bound is not None:
         context.rollout_state = None
-        return _choose_on_track(state, context, Track.CURRENT, now_s)
+        return _choose_for_stream(state, context, now_s)
     context.rollout_state = rollout = state.rollouts.find_state(context.match.service)
     if rollout is None:
         return _choose_on_track(state, context, Track.CURRENT, now_s)
@@ -38,6 +38,24 @@
     return None
 
 
+def _choose_for_stream(
+    state: GatewayState, context: RequestContext, now_s: float
+) -> TargetRecord | None:
+    """
+    Return a target that goes on with a stream, or None.
+
+    If there is no other, this is one that was given up because it was silent.
+    """
+    chosen = None
+    if context.may_use_new_target:
+        chosen = _choose_on_track(state, context, Track.CURRENT, now_s)
+    if chosen is None and context.may_return:
+        ready = state.view.ready_targets(context.match.service)
+        excluded = {record.listed.id for record in ready} - context.left_silent
+        chosen = _choose_on_track(state, context, Track.CURRENT, now_s, excluded)
+    return chosen
+
+
 def _eligible_tracks(
     state: GatewayState, context: RequestContext, rollout: RolloutState, now_s: float
 ) -> Iterator[Track]:
@@ -77,27 +95,36 @@
 
 
 def _choose_on_track(
-    state: GatewayState, context: RequestContext, track: Track, now_s: float
+    state: GatewayState,
+    context: RequestContext,
+    track: Track,
+    now_s: float,
+    excluded: set[TargetId] | None = None,
 ) -> TargetRecord | None:
-    """Return a target on `track` with a free slot for the request, or None."""
+    """
+    Return a target on `track` with a free slot for the request, or None.
+
+    Parameters
+    ----------
+    excluded : set of TargetId or None
+        Targets that are not chosen; None stands for those already attempted.
+    """
     match, chooser, rollout = context.match, state.chooser, context.rollout_state
+    if excluded is None:
+        excluded = context.attempted
     key = match.placement
     if track is Track.CANDIDATE:
         key = PlacementKey(key.service, key.shared_part, track)
     if track is Track.CANDIDATE and _takes_sample_only(rollout, now_s):
         staged = state.staged.select(state.view, rollout, now_s)
-        chosen = chooser.choose_among(
-            staged, key, match.policy, context.attempted, now_s
-        )
+        chosen = chooser.choose_among(staged, key, match.policy, excluded, now_s)
     elif context.is_on_trial:
-        excluded = context.attempted | state.crashes.targets_on_trial()
+        on_trial = state.crashes.targets_on_trial()
         chosen = chooser.choose_for_trial(
-            key, match.policy, excluded, now_s, context.digest, context.bound
+            key, match.policy, excluded | on_trial, now_s, context.digest, context.bound
         )
     else:
-        chosen = chooser.choose(
-            key, match.policy, context.attempted, now_s, context.bound
-        )
+        chosen = chooser.choose(key, match.policy, excluded, now_s, context.bound)
     if chosen is None:
         return None
     context.placement = key
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -102,7 +102,8 @@
     connection : socket
         Connected and non-blocking.
     head : AnswerHead or None
-        Of the answer to the request under way, once it has been read.
+        Of the answer to the request under way, or of a surplus answer before it, once
+        it has been read.
     body_bytes : int
         How much of the body of that answer has been read.
     received_s : float
@@ -114,7 +115,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._unsent = b""
+        self._unsent = memoryview(b"")
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -138,7 +139,7 @@
         self.head = None
         data = self._serialise(request)
         sent = sockets.send_nowait(self._connection, data)
-        self._unsent = data[sent:]
+        self._unsent = memoryview(data)[sent:]
 
     def _serialise(self, request: OutgoingRequest) -> bytes:
         """Return `request` in its wire format."""
@@ -170,13 +171,17 @@
         """
         Send the part of the request that `start` did not send.
 
-        A lost connection is not reported here: reading the answer reports it.
+        A lost connection is not reported here: reading the answer reports it. A call
+        that was cancelled may be repeated.
         """
         try:
-            await sockets.send_all(self._connection, self._unsent)
+            await sockets.send_all(self._connection, self._unsent, self._record_sent)
         except ConnectionLost:
             return
-        self._unsent = b""
+
+    def _record_sent(self, size: int) -> None:
+        """Record that the kernel has accepted `size` more bytes of the request."""
+        self._unsent = self._unsent[size:]
 
     async def read_head(self) -> AnswerHead:
         """
@@ -256,7 +261,7 @@
         """
         Skip an answer that belongs to an earlier request on this connection.
 
-        The answer to `request` is read next.
+        The answer to `request` is read next. A call that was cancelled may be repeated.
 
         Raises
         ------
@@ -272,6 +277,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._serialise(request)
+        self.head = None
         # h11 takes empty data for the end of the connection.
         if surplus:
             self._feed(surplus)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -30,7 +30,14 @@
 
 def _retry_always() -> None:
     """Retry every request at another target, also one that may have run."""
-    attempts._may_retry = lambda context, more: True
+    RequestContext.may_retry = RequestContext.may_use_new_target = property(
+        lambda self: True
+    )
+
+
+def _give_up_silent_targets() -> None:
+    """Give a silent target up before another one has the request."""
+    attempts._read_to_end = exchanges.read_answer
 
 
 def _claim_not_run_always() -> None:
@@ -42,8 +49,9 @@
 def _accept_any_answer() -> None:
     """Accept any answer on the link, also one to another request."""
 
-    async def read_any_head(link, outgoing, context, id_name):
-        return await links.read_while_sending(link)
+    async def read_any_head(gateway_state, context, exchange):
+        head = exchange.link.head or await links.read_while_sending(exchange.link)
+        return answer_signals.record_signals(gateway_state, exchange.target.id, head)
 
     exchanges._read_matching_head = read_any_head
 
@@ -73,7 +81,7 @@
         return None
 
     attempts.bind_resumption = bind_nothing
-    forwarding.record_first_event = lambda state, context: None
+    forwarding.record_first_event = lambda state, context, exchange: None
 
 
 def _apply_older_configs() -> None:
@@ -133,7 +141,7 @@
 
 def _remove_retry_budget() -> None:
     """Remove the retry budget."""
-    RetryWindow.try_acquire = lambda self, now_s, router_count: True
+    RetryWindow.may_acquire = lambda self, now_s, router_count: True
 
 
 def _find_every_version_good() -> None:
@@ -193,6 +201,7 @@
 
 MECHANISMS: dict[str, Callable[[], None]] = {
     "one-send": _retry_always,
+    "attempts-beside": _give_up_silent_targets,
     "proof-of-not-run": _claim_not_run_always,
     "own-answer": _accept_any_answer,
     "whole-answer": _accept_broken_answers,
--- a/tests/gateway/test_silent_takeovers.py
+++ b/tests/gateway/test_silent_takeovers.py
@@ -109,6 +109,14 @@
     return answer
 
 
+async def _cut_event(target, request) -> bool:
+    """Begin an event and close the connection inside it."""
+    target.runs[stub_targets.request_id(request)] += 1
+    begun = stub_targets.stream_head(target, request) + b"20\r\nid: 3\ndata: pie"
+    await request.stream.send_all(begun)
+    return False
+
+
 # What the only other target does with a stream that is to go on there.
 OTHER_TARGETS = {
     "not_run": stub_targets.reject_not_run,
@@ -119,7 +127,7 @@
     "not_found": _answer_with(404),
     "closed": stub_targets.close_unanswered,
     "garbage": stub_targets.send_garbage,
-    "cut_event": stub_targets.cut_body,
+    "cut_event": _cut_event,
 }
 
 
