Answer requests that are in flight at the end of a stop

What callers saw: a request that was read before the notice time ended, and whose deadline was after the grace period, ended with a closed connection, with neither an answer nor a refusal. Cause: at the end of the grace period all tasks were cancelled, so that the handler of the request, which answers at a deadline, did not run. Change: before that, the scope of each request in flight is cancelled as by its deadline. The caller gets 504, or 503 if nothing was sent; a begun stream is reset as before. Half of the margin of 0.3 s is for these answers.

Evidence: test_requests_in_flight_at_the_end_of_the_grace_period_are_answered failed before for all three kinds of route (no status); it passes, with the other tests of stopping.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -47,6 +47,9 @@
 
 IDLE_CHECK_INTERVAL_S = 0.1
 STOP_MARGIN_S = 0.3
+# Part of the margin; the rest is for the end of the process.
+LAST_ANSWERS_S = 0.15
+LAST_ANSWERS_CHECK_S = 0.01
 _logger = logging.getLogger("scaleloom.gateway")
 
 
@@ -179,7 +182,8 @@
     Drain the process.
 
     Readiness is withdrawn first. After the notice time idle connections are closed,
-    and requests that could outlast the grace period are refused.
+    and requests that could outlast the grace period are refused. Those that are still
+    in flight at its end are answered as at their deadlines.
     """
     state.is_stopping = True
     _logger.info("stopping", extra={"connections": len(state.connections)})
@@ -188,7 +192,17 @@
     with trio.move_on_at(stopped_s):
         await trio.sleep(stop.notice_s)
         state.shutdown_deadline_s = stopped_s
-        while state.connections:
-            for connection in list(state.connections):
-                connection.close_when_idle()
-            await trio.sleep(IDLE_CHECK_INTERVAL_S)
+        await _close_connections(state, IDLE_CHECK_INTERVAL_S)
+    state.shutdown_deadline_s = stopped_s
+    for connection in list(state.connections):
+        connection.end_request()
+    with trio.move_on_after(LAST_ANSWERS_S):
+        await _close_connections(state, LAST_ANSWERS_CHECK_S)
+
+
+async def _close_connections(state: GatewayState, interval_s: float) -> None:
+    """Close connections as they become idle, until none is left."""
+    while state.connections:
+        for connection in list(state.connections):
+            connection.close_when_idle()
+        await trio.sleep(interval_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -358,6 +358,11 @@
         if self._is_disconnected:
             scope.cancel()
 
+    def end_request(self) -> None:
+        """Cancel the request that is served, if any, as its deadline would."""
+        if self._request_scope is not None:
+            self._request_scope.cancel()
+
     def finish(self) -> bool:
         """
         Prepare the connection for the next request.
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 import trio.testing
+from nose2.tools import params
 
 from scaleloom_fleet.conf.gateway_schema import GatewayStopSection
 from scaleloom_fleet.gateway.accepting import serve_connection
@@ -203,3 +204,30 @@
             await ask("/safe/1", "short", b"100")
             released.set()
     assert [answer.status for answer in answers] == [503, 200, 200]
+
+
+@params("/once/1", "/safe/1", "/stream-once/1")
+@runs_on_paused_clock
+async def test_requests_in_flight_at_the_end_of_the_grace_period_are_answered(path):
+    # They ended with a closed connection, with neither an answer nor a refusal.
+    stop = GatewayStopSection(notice_s=0.1, grace_s=1.0)
+    async with running_site(stop=stop) as site:
+        (gateway,) = site.gateways
+        for target in site.runners:
+            target.behaviour = stub_targets.stay_silent
+        answers: list[Answer] = []
+
+        async def ask() -> None:
+            answers.append(await site.ask(path))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+
+            async def has_arrived() -> bool:
+                return any(target.received for target in site.runners)
+
+            await eventually(has_arrived)
+            gateway.stop.set()
+            with trio.fail_after(stop.grace_s):
+                await gateway.stopped.wait()
+    assert [(a.status, a.is_complete) for a in answers] == [(504, True)]
