Read requests that arrived while the router stood still

What callers saw: after a pause of the router's process that outlasted the idle time-out, a connection with a complete request in its socket was closed, with a reset as the bytes were unread; a request whose rest had arrived got 408. Cause: the time-outs of first byte, head and body wait for an event that the reading task sets. After a pause the expired deadline and the readable socket come to notice in the same step, and in half of the cases the waiting task runs first. Change: at an expired deadline what has already arrived is received before the wait is given up; what has not arrived is still too late.

Evidence: test_a_request_that_arrives_in_a_standstill_is_not_too_late failed before at all four cuts (closed at the first, 408 at the others); it passes, as does its counterpart for bytes that have not arrived.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -148,6 +148,20 @@
         self._input_changed = trio.Event()
         await self._input_changed.wait()
 
+    async def _wait_for_input_until(self, deadline_s: float) -> bool:
+        """
+        Wait for input or a request to close; return False if none came in time.
+
+        After a pause of the process, the deadline and bytes that arrived before it come
+        to notice at once, and the task that reads may run after this one.
+        """
+        known_bytes = len(self._inbox)
+        with trio.move_on_at(deadline_s):
+            await self._wait_for_input()
+            return True
+        self._inbox += sockets.receive_nowait(self._connection)
+        return len(self._inbox) > known_bytes
+
     async def read_request(self, limits: CallerLimits) -> CallerRequest:
         """
         Return the next request, with its whole body.
@@ -177,35 +191,31 @@
         if self._protocol.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(self._protocol.send(interim))
-        with trio.move_on_after(limits.body_timeout_s):
-            body = await self._read_body(limits.body_bytes)
-            return CallerRequest(
-                head.method, head.target, headers, values, body, received_s
-            )
-        raise RequestRejected(408)
+        body = await self._read_body(limits)
+        return CallerRequest(
+            head.method, head.target, headers, values, body, received_s
+        )
 
     async def _wait_for_first_byte(self, timeout_s: float) -> None:
         """Wait for the first byte of a request."""
-        with trio.move_on_after(timeout_s):
-            while not self._inbox:
-                if self._is_closing and sockets.is_open_and_empty(self._connection):
-                    raise CallerDisconnected
-                await self._wait_for_input()
-        if not self._inbox:
-            raise CallerDisconnected
+        deadline_s = trio.current_time() + timeout_s
+        while not self._inbox:
+            if self._is_closing and sockets.is_open_and_empty(self._connection):
+                raise CallerDisconnected
+            if not await self._wait_for_input_until(deadline_s):
+                raise CallerDisconnected
 
     async def _wait_for_head(self, limits: CallerLimits) -> None:
         """Wait until the request's head is complete, and check its line ends."""
-        with trio.move_on_after(limits.header_timeout_s):
-            while (end := self._inbox.find(HEAD_TERMINATOR)) < 0:
-                if len(self._inbox) > limits.header_bytes:
-                    raise RequestRejected(431)
-                await self._wait_for_input()
-            if end > limits.header_bytes:
+        deadline_s = trio.current_time() + limits.header_timeout_s
+        while (end := self._inbox.find(HEAD_TERMINATOR)) < 0:
+            if len(self._inbox) > limits.header_bytes:
                 raise RequestRejected(431)
-            _check_line_ends(bytes(self._inbox[: end + len(HEAD_TERMINATOR)]))
-            return
-        raise RequestRejected(408)
+            if not await self._wait_for_input_until(deadline_s):
+                raise RequestRejected(408)
+        if end > limits.header_bytes:
+            raise RequestRejected(431)
+        _check_line_ends(bytes(self._inbox[: end + len(HEAD_TERMINATOR)]))
 
     def _next_event(self) -> object:
         """Return the parser's next event, feeding it the input buffer."""
@@ -220,18 +230,20 @@
             raise RequestRejected(error.error_status_hint) from error
         return event
 
-    async def _read_body(self, limit_bytes: int) -> bytes:
+    async def _read_body(self, limits: CallerLimits) -> bytes:
         """Return the request's whole body."""
+        deadline_s = trio.current_time() + limits.body_timeout_s
         parts: list[bytes] = []
         size = 0
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
-                await self._wait_for_input()
+                if not await self._wait_for_input_until(deadline_s):
+                    raise RequestRejected(408)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > limit_bytes:
+                if size > limits.body_bytes:
                     raise RequestRejected(413)
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
--- a/tests/http1/test_callers.py
+++ b/tests/http1/test_callers.py
@@ -14,7 +14,7 @@
     CallerLimits,
     RequestRejected,
 )
-from tests.fixtures.fleets import runs_in_trio
+from tests.fixtures.fleets import runs_in_trio, runs_on_paused_clock
 
 LIMITS = CallerLimits(
     header_bytes=1024,
@@ -180,3 +180,49 @@
     finally:
         theirs.close()
     assert received.endswith(b"a part")
+
+
+# The task that reads and the one that waits run in a random order.
+STANDSTILLS = 12
+
+
+async def _read_over_standstill(before: bytes, during: bytes):
+    """Return what reading yields if `during` arrives while all tasks stand still."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    caller = CallerConnection(ours)
+    results = []
+
+    async def read() -> None:
+        try:
+            results.append(await caller.read_request(LIMITS))
+        except (CallerDisconnected, RequestRejected) as error:
+            results.append(error)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.read_forever)
+        async with trio.open_nursery() as reading:
+            theirs.sendall(before)
+            reading.start_soon(read)
+            await trio.testing.wait_all_tasks_blocked()
+            theirs.sendall(during)
+            trio.lowlevel.current_clock().jump(2 * LIMITS.idle_timeout_s)
+        nursery.cancel_scope.cancel()
+    caller.close()
+    theirs.close()
+    return results[0]
+
+
+@params(0, 4, len(HEAD) + 5, len(VALID_REQUEST) - 3)
+@runs_on_paused_clock
+async def test_a_request_that_arrives_in_a_standstill_is_not_too_late(cut):
+    for _ in range(STANDSTILLS):
+        request = await _read_over_standstill(VALID_REQUEST[:cut], VALID_REQUEST[cut:])
+        assert not isinstance(request, Exception), request
+        assert request.body == b"abcde"
+
+
+@params((b"", CallerDisconnected), (HEAD, RequestRejected))
+@runs_on_paused_clock
+async def test_a_standstill_does_not_excuse_what_has_not_arrived(before, error):
+    assert isinstance(await _read_over_standstill(before, b""), error)
