Do not take a target that accepts nothing for a second as crashed

What callers saw: requests were refused as quarantined, and begun streams reset, after a running target had stood still: its backlog was full or a packet was lost, so that the probe's one connection timed out after 0.25 s. Cause: the probe took a time-out for a crash, and blamed all requests in flight there. Change: only a refused or failed connection proves a crash at once; one that times out is tried again, and the target counts as crashed if none succeeds within 1.25 s. A target that answers nothing any more is counted 1.0 s later than before. Abandoned requests count back from the begin of the probe, so that its length loses none of them.

Evidence: test_a_target_that_is_silent_for_a_second_has_not_crashed failed before for 0.3 and 1.0 s; the modules on crashes pass (48 tests).

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -21,6 +21,8 @@
 # A target that was found running may crash at any time after, so it is probed again.
 # Each probe takes one of its connections, and a crashed target is away for seconds.
 MIN_PROBE_INTERVAL_S = 0.05
+# A running target may accept nothing for about a second.
+UNREACHABLE_AFTER_S = 1.25
 QUEUE_LIMIT = 256
 # A target may run a request for a while after the router has abandoned it.
 ABANDONED_RETENTION_S = 1.0
@@ -195,7 +197,7 @@
             self.crash_count += 1
             fields = {"target": probe.target.id, "requests": probe.request_count}
             _logger.info("target crashed", extra=fields)
-            abandoned = self._abandoned_causes(probe.target.start)
+            abandoned = self._abandoned_causes(probe)
             self._on_crash(probe.target, probe.broken + probe.answered + abandoned)
         elif is_running:
             self._on_running(probe.answered)
@@ -203,9 +205,9 @@
         probe.answered.clear()
         probe.is_done.set()
 
-    def _abandoned_causes(self, start: TargetStart) -> list[CauseDigest]:
+    def _abandoned_causes(self, probe: TargetProbe) -> list[CauseDigest]:
         """Return the causes in requests that a target may have run when it crashed."""
-        since_s = trio.current_time() - ABANDONED_RETENTION_S
+        start, since_s = probe.target.start, probe.begins_s - ABANDONED_RETENTION_S
         return [
             cause
             for request in self._abandoned
@@ -214,15 +216,27 @@
         ]
 
     async def _is_running(self, target: ListedTarget) -> bool | None:
-        """Return whether `target` accepts connections, or None if it is not known."""
+        """
+        Return whether `target` accepts connections, or None if it is not known.
+
+        A refused connection proves that it does not. One that times out does not, so
+        it is tried again until `UNREACHABLE_AFTER_S`.
+        """
         settings = self._settings
         silence_ms = int(settings.silence_s * 1000)
         address = Address(target.host, target.port)
-        try:
-            link = await open_link(address, settings.connect_timeout_s, silence_ms)
-        except OutOfDescriptors:
-            _logger.warning("no file descriptor left to probe a target")
-            return None
+        give_up_s = trio.current_time() + UNREACHABLE_AFTER_S
+        while True:
+            try:
+                with trio.move_on_after(settings.connect_timeout_s) as scope:
+                    link = await open_link(address, float("inf"), silence_ms)
+            except OutOfDescriptors:
+                _logger.warning("no file descriptor left to probe a target")
+                return None
+            if not scope.cancelled_caught:
+                break
+            if trio.current_time() >= give_up_s:
+                return False
         if link is not None:
             link.close()
         return link is not None
