Let callers read an answer that ends their connection early

What callers saw: a caller that was still sending when it was answered (too long a body, a refusal at a limit of the router, a further request behind the last one) got a reset in place of the answer. Cause: the connection was closed with bytes unread or still to come, at which the kernel sends a reset and drops what it has not delivered. Change: if the caller may have sent more than was read, the router ends its own side, discards what comes for at most 0.5 s, and closes then.

Evidence: three new tests in test_malformed_requests (four cases) failed before, with no status or a broken answer. Not covered: a caller that still sends after 0.5 s.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -77,6 +77,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.read_forever)
             await _serve_requests(state, caller)
+            await caller.discard_rest()
             nursery.cancel_scope.cancel()
     finally:
         state.connections.discard(caller)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -17,8 +17,7 @@
 
 # A new connection most likely reaches another router with free capacity.
 REFUSED_RETRY_AFTER_S = 0.1
-# A request under way has arrived by then. Closing the connection before it is read
-# would reset the connection, and the caller would not see the answer.
+# A request under way has arrived by then.
 READ_TIMEOUT_S = 0.5
 # Refusals use most of the spare descriptors; further callers wait to be accepted,
 # for some milliseconds if their requests arrive at once.
@@ -102,6 +101,7 @@
             nursery.start_soon(caller.read_forever)
             await _read_request(state, caller)
             await refuse(state, caller, limit)
+            await caller.discard_rest()
             nursery.cancel_scope.cancel()
     finally:
         state.refusals_in_progress -= 1
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -15,6 +15,9 @@
 CHUNK_MARGIN_BYTES = 65536
 # An answer to HEAD has no body, whatever its Content-Length.
 HEAD_METHOD = b"HEAD"
+# A caller that was answered early has noticed it by then, unless its link is slow.
+DISCARD_LIMIT_S = 0.5
+_WHOLE_REQUEST_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 VERSION_WITHOUT_CHUNKS = b"1.0"
 CHUNKS_SINCE_VERSION = b"1.1"
 
@@ -101,6 +104,7 @@
         self._is_closed = False
         self._request_scope: trio.CancelScope | None = None
         self._is_closing = False
+        self._is_discarding = False
         self._answer_may_have_body = True
         self.is_idle = True
         self.is_answer_started = False
@@ -113,6 +117,8 @@
                 data = await sockets.receive(self._connection)
                 if not data:
                     break
+                if self._is_discarding:
+                    continue
                 self._inbox += data
                 self._notify_reader()
                 while len(self._inbox) > self._inbox_limit_bytes:
@@ -408,6 +414,31 @@
         self._is_closing = True
         self._input_changed.set()
 
+    async def discard_rest(self) -> None:
+        """
+        Discard what the caller still sends after its last answer, for a limited time.
+
+        A close with unread bytes would reset the connection, and the caller might lose
+        the answer.
+        """
+        if not self.is_answer_complete or not self._may_have_unread():
+            return
+        sockets.end_sending(self._connection)
+        self._is_discarding = True
+        self._inbox.clear()
+        self._inbox_has_room.set()
+        with trio.move_on_after(DISCARD_LIMIT_S):
+            while not self._is_disconnected:
+                await self._wait_for_input()
+
+    def _may_have_unread(self) -> bool:
+        """Return whether the caller may have sent more than was read."""
+        is_whole = self._protocol.their_state in _WHOLE_REQUEST_STATES
+        surplus, _ = self._protocol.trailing_data
+        if not is_whole or surplus or self._inbox:
+            return True
+        return not sockets.is_open_and_empty(self._connection)
+
     def close(self) -> None:
         """Close the connection normally."""
         if not self._is_closed:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -222,6 +222,14 @@
         return True
 
 
+def end_sending(connection: socket.socket) -> None:
+    """Tell the peer that nothing more will be sent; bytes can still be received."""
+    try:
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        return
+
+
 def close(connection: socket.socket) -> None:
     """Close the connection normally."""
     trio.lowlevel.notify_closing(connection)
--- a/tests/gateway/test_malformed_requests.py
+++ b/tests/gateway/test_malformed_requests.py
@@ -8,11 +8,13 @@
 from scaleloom_core.process_limits import Resource
 from scaleloom_fleet.conf.gateway_schema import GatewayObserveSection
 from scaleloom_fleet.gateway import accepting
+from scaleloom_fleet.gateway.overload_refusals import READ_TIMEOUT_S
 from scaleloom_standins.ports import free_port
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
     FIRST_GATEWAY_HOST,
     Site,
+    ask_on,
     ask_raw,
     request_bytes,
     running_site,
@@ -85,3 +87,45 @@
         data = request_bytes("/none/1", method="HEAD") + b"x\r\n\r\n"
         await ask_raw(site.gateways[0].front_port, data, "HEAD")
         assert await _still_serves(site)
+
+
+# More than the kernel buffers for a peer that reads nothing.
+ENDLESS_BODY = b"x" * 16_000_000
+
+
+@params("/once/1", "/none/1")
+@runs_on_paused_clock
+async def test_a_caller_that_is_still_sending_gets_its_rejection(path):
+    # The router closed under the body, and the caller saw only a reset.
+    async with running_site() as site:
+        answer = await site.ask(path, method="POST", body=ENDLESS_BODY)
+    assert (answer.status, answer.is_complete) == (413, True)
+
+
+@runs_on_paused_clock
+async def test_a_caller_that_sends_slowly_at_a_limit_gets_its_refusal():
+    data = request_bytes("/once/1", method="POST", body=b"x" * 60_000)
+    async with running_site() as site:
+        with mock.patch.object(
+            accepting, "exceeded_by_caller", return_value=Resource.MEMORY
+        ):
+            port = site.gateways[0].front_port
+            async with await trio.open_tcp_stream(FIRST_GATEWAY_HOST, port) as stream:
+                await stream.send_all(data[:1000])
+                await trio.sleep(READ_TIMEOUT_S + 0.1)
+                await stream.send_all(data[1000:30_000])
+                await trio.sleep(0.1)
+                answer = await ask_on(stream, data[30_000:], "POST")
+        assert (answer.status, answer.is_complete) == (503, True)
+        assert await _still_serves(site)
+
+
+@runs_on_paused_clock
+async def test_an_answer_survives_a_pipelined_request_behind_the_last_one():
+    closing = request_bytes("/safe/1", "r-1", Connection="close")
+    async with running_site() as site:
+        port = site.gateways[0].front_port
+        pipelined = closing + request_bytes("/safe/1", "r-2", body=ENDLESS_BODY)
+        answer = await ask_raw(port, pipelined)
+        assert (answer.status, answer.is_complete) == (200, True)
+        assert await _still_serves(site)
