Read a request by the limits in force when it begins

What callers saw: on a connection that had rested over a change of the configuration which raised a limit, the next request got 413 or 431 although the new configuration allowed it, and callers don't retry these; an idle connection was closed by the former idle time-out. Cause: the limits were taken when the connection began to rest. Change: they are looked up at the first byte of the request, and again when the idle time-out expires.

Evidence: test_a_proper_request_behind_a_change_of_the_limits_is_not_rejected failed before with 413 in place of 200; it passes, as does the unit test, which also spans a raised idle time-out.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -88,7 +88,7 @@
     """Serve the requests of one connection one after another."""
     try:
         while True:
-            request = await caller.read_request(state.caller_limits())
+            request = await caller.read_request(state.caller_limits)
             limit = exceeded_by_request(state)
             if limit is not None:
                 await refuse(state, caller, limit)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -112,7 +112,7 @@
     """Wait until a request has arrived or none is expected any more."""
     try:
         with trio.move_on_after(READ_TIMEOUT_S):
-            await caller.read_request(state.caller_limits())
+            await caller.read_request(state.caller_limits)
     except (CallerDisconnected, RequestRejected):
         return
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/page_server.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/page_server.py
@@ -96,7 +96,7 @@
     """Respond to requests until the client disconnects or sends an invalid one."""
     try:
         while True:
-            request = await caller.read_request(_LIMITS)
+            request = await caller.read_request(lambda: _LIMITS)
             page = await _get_page(request, handler)
             headers = [(b"Content-Length", str(len(page.body)).encode())]
             if page.content_type is not None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -168,10 +168,17 @@
         self._inbox += sockets.receive_nowait(self._connection)
         return len(self._inbox) > known_bytes
 
-    async def read_request(self, limits: CallerLimits) -> CallerRequest:
+    async def read_request(
+        self, find_limits: Callable[[], CallerLimits]
+    ) -> CallerRequest:
         """
         Return the next request, with its whole body.
 
+        Parameters
+        ----------
+        find_limits : callable
+            Returns the limits in force, which may change while the connection is idle.
+
         Raises
         ------
         CallerDisconnected
@@ -179,11 +186,12 @@
         RequestRejected
             If the request is malformed, too large or too slow.
         """
-        self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
-        await self._wait_for_first_byte(limits.idle_timeout_s)
+        await self._wait_for_first_byte(find_limits)
+        limits = find_limits()
+        self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
         self.is_idle = False
         received_s = trio.current_time()
         await self._wait_for_head(limits)
@@ -202,13 +210,17 @@
             head.method, head.target, headers, values, body, received_s
         )
 
-    async def _wait_for_first_byte(self, timeout_s: float) -> None:
+    async def _wait_for_first_byte(
+        self, find_limits: Callable[[], CallerLimits]
+    ) -> None:
         """Wait for the first byte of a request."""
-        deadline_s = trio.current_time() + timeout_s
+        idle_since_s = trio.current_time()
         while not self._inbox:
             if self._is_closing and sockets.is_open_and_empty(self._connection):
                 raise CallerDisconnected
-            if not await self._wait_for_input_until(deadline_s):
+            timeout_s = find_limits().idle_timeout_s
+            has_input = await self._wait_for_input_until(idle_since_s + timeout_s)
+            if not has_input and find_limits().idle_timeout_s <= timeout_s:
                 raise CallerDisconnected
 
     async def _wait_for_head(self, limits: CallerLimits) -> None:
--- a/tests/gateway/test_malformed_requests.py
+++ b/tests/gateway/test_malformed_requests.py
@@ -12,11 +12,15 @@
 from scaleloom_standins.ports import free_port
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
+    CONFIG_TOPIC,
     FIRST_GATEWAY_HOST,
     Site,
     ask_on,
     ask_raw,
+    config,
+    eventually,
     request_bytes,
+    route,
     running_site,
 )
 
@@ -129,3 +133,23 @@
         answer = await ask_raw(port, pipelined)
         assert (answer.status, answer.is_complete) == (200, True)
         assert await _still_serves(site)
+
+
+@runs_on_paused_clock
+async def test_a_proper_request_behind_a_change_of_the_limits_is_not_rejected():
+    # Connections that rested kept the limits of the configuration before.
+    raised = config(2, route("added", "safe"))
+    raised["limits"]["max-body-bytes"] = 200_000
+    async with running_site() as site:
+        port = site.gateways[0].front_port
+        async with await trio.open_tcp_stream(FIRST_GATEWAY_HOST, port) as stream:
+            first = await ask_on(stream, request_bytes("/safe/1", "r-1"), "GET")
+            site.store.put(CONFIG_TOPIC, "config", raised)
+
+            async def is_in_force() -> bool:
+                return (await site.ask("/added/1", "r-2")).status == 200
+
+            await eventually(is_in_force)
+            data = request_bytes("/once/1", "r-3", method="POST", body=b"x" * 150_000)
+            second = await ask_on(stream, data, "POST")
+    assert (first.status, second.status) == (200, 200)
--- a/tests/http1/test_callers.py
+++ b/tests/http1/test_callers.py
@@ -6,6 +6,7 @@
 import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from nose2.tools import params
 
 from scaleloom_fleet.http1.callers import (
@@ -41,7 +42,7 @@
             if is_disconnected:
                 theirs.shutdown(socket.SHUT_WR)
             try:
-                return await caller.read_request(LIMITS)
+                return await caller.read_request(lambda: LIMITS)
             except (CallerDisconnected, RequestRejected) as error:
                 return error
             finally:
@@ -118,7 +119,7 @@
         template = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%d"
         theirs.sendall(b"".join(template % (number, number) for number in range(3)))
         for number in range(3):
-            request = await caller.read_request(LIMITS)
+            request = await caller.read_request(lambda: LIMITS)
             assert (request.target, request.body) == (b"/%d" % number, b"%d" % number)
             await caller.send_answer(200, b"", [(b"Content-Length", b"0")], b"")
             assert caller.finish()
@@ -195,7 +196,7 @@
 
     async def read() -> None:
         try:
-            results.append(await caller.read_request(LIMITS))
+            results.append(await caller.read_request(lambda: LIMITS))
         except (CallerDisconnected, RequestRejected) as error:
             results.append(error)
 
@@ -226,3 +227,28 @@
 @runs_on_paused_clock
 async def test_a_standstill_does_not_excuse_what_has_not_arrived(before, error):
     assert isinstance(await _read_over_standstill(before, b""), error)
+
+
+@runs_on_paused_clock
+async def test_limits_that_change_while_a_connection_rests_apply_to_its_next_request():
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    caller = CallerConnection(ours)
+    in_force = [LIMITS]
+    body = b"x" * (2 * LIMITS.body_bytes)
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def change_and_send() -> None:
+        await trio.sleep(LIMITS.idle_timeout_s / 2)
+        in_force[0] = replace(LIMITS, body_bytes=len(body), idle_timeout_s=9.0)
+        await trio.sleep(5.0)
+        theirs.sendall(head + body)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.read_forever)
+        nursery.start_soon(change_and_send)
+        request = await caller.read_request(lambda: in_force[0])
+        nursery.cancel_scope.cancel()
+    caller.close()
+    theirs.close()
+    assert request.body == body
