Take a link as lost only if new ones to its target work

What callers saw: answers were broken off, and requests that run once ended with 502, after a machine's packets had been lost for a moment. Cause: TCP_USER_TIMEOUT of 0.8 s, which also replaces the kernel's count of keep-alive probes: a request sent into a silence of 1.3 s ended its link after 1.25 s, and within a quiet answer one lost probe ended the link 2.05 s after the last byte, although the machine had been back for over a second.

Change: the limit is 2.5 s, as a last resort. A link in use from which nothing has come for 1 s and that leaves a probe unanswered is probed every 0.25 s; if its target accepts a new connection and a further probe stays unanswered, the kernel is told to drop the link. So links that are silent for good while new ones work are still found.

A request sent over a link that is already silent ends its link after about 3 s in place of 1.25 s; requests that may be retried go elsewhere before, at the time-out of the head.

--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -85,7 +85,7 @@
     silence_s: Annotated[
         PositiveSeconds,
         Meta(description="Longest time for sent bytes to be acknowledged, in seconds."),
-    ] = 0.8
+    ] = 2.5
     once_idle_limit_s: Annotated[
         Seconds,
         Meta(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/link_pools.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/link_pools.py
@@ -25,12 +25,24 @@
 
     def __init__(self, settings: TargetsSection) -> None:
         self._idle: dict[TargetId, list[Link]] = {}
+        self._in_use: dict[Link, ListedTarget] = {}
         self.configure(settings)
 
     def configure(self, settings: TargetsSection) -> None:
         """Apply changed settings."""
         self._settings = settings
 
+    @property
+    def unacked_timeout_ms(self) -> int:
+        """Return how long sent bytes may stay unacknowledged, in milliseconds."""
+        return int(self._settings.silence_s * 1000)
+
+    def links_in_use(self) -> dict[Link, ListedTarget]:
+        """Return the links that were acquired and neither released nor closed."""
+        in_use = {k: v for k, v in self._in_use.items() if not k.is_closed}
+        self._in_use = in_use
+        return in_use
+
     async def acquire(self, target: ListedTarget, is_retryable: bool) -> Link | None:
         """
         Return an idle or new link to `target`, or None if it cannot be reached.
@@ -47,6 +59,13 @@
         OutOfDescriptors
             If no file descriptor is available even after closing the idle links.
         """
+        link = self._pop_idle(target, is_retryable) or await self.open_new(target)
+        if link is not None:
+            self._in_use[link] = target
+        return link
+
+    def _pop_idle(self, target: ListedTarget, is_retryable: bool) -> Link | None:
+        """Return an idle link to `target` that is still open, or None."""
         links = self._idle.get(target.id)
         now_s = trio.current_time()
         while links:
@@ -54,14 +73,27 @@
             if self._is_fresh(link, now_s, is_retryable) and link.is_open_and_empty():
                 return link
             link.close()
-        settings = self._settings
-        silence_ms = int(settings.silence_s * 1000)
+        return None
+
+    async def open_new(self, target: ListedTarget) -> Link | None:
+        """
+        Return a new link to `target`, or None if it cannot be reached.
+
+        Raises
+        ------
+        OutOfDescriptors
+            If no file descriptor is available even after closing the idle links.
+        """
+        timeout_s, silence_ms = (
+            self._settings.connect_timeout_s,
+            self.unacked_timeout_ms,
+        )
         address = Address(target.host, target.port)
         try:
-            return await open_link(address, settings.connect_timeout_s, silence_ms)
+            return await open_link(address, timeout_s, silence_ms)
         except OutOfDescriptors:
             self.close()
-        return await open_link(address, settings.connect_timeout_s, silence_ms)
+        return await open_link(address, timeout_s, silence_ms)
 
     def _is_fresh(self, link: Link, now_s: float, is_retryable: bool) -> bool:
         """Return whether `link` was used recently enough to be still open."""
@@ -72,6 +104,7 @@
 
     def release(self, target: TargetId, link: Link) -> None:
         """Add `link` to the idle links if it can be reused, else close it."""
+        self._in_use.pop(link, None)
         if not link.finish():
             link.close()
             return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -34,6 +34,7 @@
 from scaleloom_fleet.gateway.rollout_decider import RolloutDecider
 from scaleloom_fleet.gateway.rollout_records import set_gauges
 from scaleloom_fleet.gateway.settings_reload import reload_on_sighup
+from scaleloom_fleet.gateway.silent_links import watch_links
 from scaleloom_fleet.gateway.start_time import record_start_time
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
@@ -107,6 +108,7 @@
             state.crashes.prober.probe_forever,
             state.abandoned_links.drain_forever,
             state.link_pools.sweep_forever,
+            partial(watch_links, state.link_pools),
             state.wait_queue.dispatch_forever,
             partial(watch_lateness, state),
         ):
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -118,6 +118,7 @@
         self.head: AnswerHead | None = None
         self.body_bytes = 0
         self.started_s = 0.0
+        self.last_input_s = 0.0
         self.idle_since_s = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
@@ -130,7 +131,7 @@
         ConnectionLost
             If the connection was reset; the server may have received some bytes.
         """
-        self.started_s = trio.current_time()
+        self.started_s = self.last_input_s = trio.current_time()
         self._method = request.method
         self.head = None
         data = self._serialise(request)
@@ -286,6 +287,7 @@
                 data = await sockets.receive(self._connection)
             except ConnectionLost as error:
                 raise AnswerProtocolError(str(error)) from error
+            self.last_input_s = trio.current_time()
             self._feed(data)
 
     def _feed(self, data: bytes) -> None:
@@ -325,6 +327,26 @@
         """Return whether the idle connection is open and has no unread bytes."""
         return not self._is_closed and sockets.is_open_and_empty(self._connection)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether this side has closed the connection."""
+        return self._is_closed
+
+    def probe_silence(self, unacked_timeout_ms: int) -> int:
+        """
+        Return how many keep-alive probes are unanswered, and send another if any is.
+
+        Parameters
+        ----------
+        unacked_timeout_ms : int
+            For how long probes may stay unanswered before the kernel drops the link.
+        """
+        unanswered = sockets.unanswered_probes(self._connection)
+        if unanswered:
+            sockets.limit_silence(self._connection, unacked_timeout_ms)
+            sockets.send_probe(self._connection)
+        return unanswered
+
     def close(self) -> None:
         """Close the connection."""
         if not self._is_closed:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -14,6 +14,9 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
+# The beginning of the kernel's struct tcp_info, and the place of its count of probes.
+TCP_INFO_BYTES = 8
+TCP_INFO_PROBES = 3
 # Without a free descriptor a waiting connection stays readable, and accepting in a
 # loop would take a whole processor.
 ACCEPT_RETRY_S = 0.02
@@ -201,6 +204,33 @@
         await trio.lowlevel.wait_writable(connection)
 
 
+def unanswered_probes(connection: socket.socket) -> int:
+    """Return how many keep-alive probes were sent since the peer last answered."""
+    if sys.platform != "linux":
+        return 0
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    return info[TCP_INFO_PROBES]
+
+
+def send_probe(connection: socket.socket) -> None:
+    """
+    Send a keep-alive probe now if nothing has come for `KEEP_ALIVE_IDLE_S`.
+
+    At that moment the kernel also drops the connection if probes are unanswered and
+    the limit on silence has passed.
+    """
+    # Setting the idle time restarts the timer, which is due at once.
+    option = (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    connection.setsockopt(*option)
+
+
+def limit_silence(connection: socket.socket, unacked_timeout_ms: int) -> None:
+    """Set for how long sent bytes and probes may stay unacknowledged."""
+    if sys.platform == "linux":
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_timeout_ms)
+        connection.setsockopt(*option)
+
+
 def is_open_and_empty(connection: socket.socket) -> bool:
     """Return whether an idle connection is open and has no unread bytes."""
     try:
