--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -15,6 +15,9 @@
 CHUNK_MARGIN_BYTES = 65536
 # An answer to HEAD has no body, whatever its Content-Length.
 HEAD_METHOD = b"HEAD"
+# A caller that was answered early has noticed it by then, unless its link is slow.
+DISCARD_LIMIT_S = 0.5
+_WHOLE_REQUEST_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 VERSION_WITHOUT_CHUNKS = b"1.0"
 CHUNKS_SINCE_VERSION = b"1.1"
 
@@ -101,6 +104,7 @@
         self._is_closed = False
         self._request_scope: trio.CancelScope | None = None
         self._is_closing = False
+        self._is_discarding = False
         self._answer_may_have_body = True
         self.is_idle = True
         self.is_answer_started = False
@@ -113,6 +117,8 @@
                 data = await sockets.receive(self._connection)
                 if not data:
                     break
+                if self._is_discarding:
+                    continue
                 self._inbox += data
                 self._notify_reader()
                 while len(self._inbox) > self._inbox_limit_bytes:
@@ -125,6 +131,15 @@
         if self._request_scope is not None:
             self._request_scope.cancel()
 
+    def receive_arrived(self, limit_bytes: int) -> bool:
+        """Receive what has already arrived, up to a limit; return whether any has."""
+        while len(self._inbox) < limit_bytes:
+            data = sockets.receive_nowait(self._connection)
+            if not data:
+                break
+            self._inbox += data
+        return bool(self._inbox)
+
     @property
     def has_unread(self) -> bool:
         """Return whether received bytes have not been parsed yet."""
@@ -148,10 +163,31 @@
         self._input_changed = trio.Event()
         await self._input_changed.wait()
 
-    async def read_request(self, limits: CallerLimits) -> CallerRequest:
+    async def _wait_for_input_until(self, deadline_s: float) -> bool:
+        """
+        Wait for input or a request to close; return False if none came in time.
+
+        After a pause of the process, the deadline and bytes that arrived before it come
+        to notice at once, and the task that reads may run after this one.
+        """
+        known_bytes = len(self._inbox)
+        with trio.move_on_at(deadline_s):
+            await self._wait_for_input()
+            return True
+        self._inbox += sockets.receive_nowait(self._connection)
+        return len(self._inbox) > known_bytes
+
+    async def read_request(
+        self, find_limits: Callable[[], CallerLimits]
+    ) -> CallerRequest:
         """
         Return the next request, with its whole body.
 
+        Parameters
+        ----------
+        find_limits : callable
+            Returns the limits in force, which may change while the connection is idle.
+
         Raises
         ------
         CallerDisconnected
@@ -159,11 +195,12 @@
         RequestRejected
             If the request is malformed, too large or too slow.
         """
-        self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
-        await self._wait_for_first_byte(limits.idle_timeout_s)
+        await self._wait_for_first_byte(find_limits)
+        limits = find_limits()
+        self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
         self.is_idle = False
         received_s = trio.current_time()
         await self._wait_for_head(limits)
@@ -177,35 +214,35 @@
         if self._protocol.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(self._protocol.send(interim))
-        with trio.move_on_after(limits.body_timeout_s):
-            body = await self._read_body(limits.body_bytes)
-            return CallerRequest(
-                head.method, head.target, headers, values, body, received_s
-            )
-        raise RequestRejected(408)
-
-    async def _wait_for_first_byte(self, timeout_s: float) -> None:
+        body = await self._read_body(limits)
+        return CallerRequest(
+            head.method, head.target, headers, values, body, received_s
+        )
+
+    async def _wait_for_first_byte(
+        self, find_limits: Callable[[], CallerLimits]
+    ) -> None:
         """Wait for the first byte of a request."""
-        with trio.move_on_after(timeout_s):
-            while not self._inbox:
-                if self._is_closing and sockets.is_open_and_empty(self._connection):
-                    raise CallerDisconnected
-                await self._wait_for_input()
-        if not self._inbox:
-            raise CallerDisconnected
+        idle_since_s = trio.current_time()
+        while not self._inbox:
+            if self._is_closing and sockets.is_open_and_empty(self._connection):
+                raise CallerDisconnected
+            timeout_s = find_limits().idle_timeout_s
+            has_input = await self._wait_for_input_until(idle_since_s + timeout_s)
+            if not has_input and find_limits().idle_timeout_s <= timeout_s:
+                raise CallerDisconnected
 
     async def _wait_for_head(self, limits: CallerLimits) -> None:
         """Wait until the request's head is complete, and check its line ends."""
-        with trio.move_on_after(limits.header_timeout_s):
-            while (end := self._inbox.find(HEAD_TERMINATOR)) < 0:
-                if len(self._inbox) > limits.header_bytes:
-                    raise RequestRejected(431)
-                await self._wait_for_input()
-            if end > limits.header_bytes:
+        deadline_s = trio.current_time() + limits.header_timeout_s
+        while (end := self._inbox.find(HEAD_TERMINATOR)) < 0:
+            if len(self._inbox) > limits.header_bytes:
                 raise RequestRejected(431)
-            _check_line_ends(bytes(self._inbox[: end + len(HEAD_TERMINATOR)]))
-            return
-        raise RequestRejected(408)
+            if not await self._wait_for_input_until(deadline_s):
+                raise RequestRejected(408)
+        if end > limits.header_bytes:
+            raise RequestRejected(431)
+        _check_line_ends(bytes(self._inbox[: end + len(HEAD_TERMINATOR)]))
 
     def _next_event(self) -> object:
         """Return the parser's next event, feeding it the input buffer."""
@@ -220,18 +257,20 @@
             raise RequestRejected(error.error_status_hint) from error
         return event
 
-    async def _read_body(self, limit_bytes: int) -> bytes:
+    async def _read_body(self, limits: CallerLimits) -> bytes:
         """Return the request's whole body."""
+        deadline_s = trio.current_time() + limits.body_timeout_s
         parts: list[bytes] = []
         size = 0
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
-                await self._wait_for_input()
+                if not await self._wait_for_input_until(deadline_s):
+                    raise RequestRejected(408)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > limit_bytes:
+                if size > limits.body_bytes:
                     raise RequestRejected(413)
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
@@ -358,6 +397,11 @@
         if self._is_disconnected:
             scope.cancel()
 
+    def end_request(self) -> None:
+        """Cancel the request that is served, if any, as its deadline would."""
+        if self._request_scope is not None:
+            self._request_scope.cancel()
+
     def finish(self) -> bool:
         """
         Prepare the connection for the next request.
@@ -391,6 +435,31 @@
         self._is_closing = True
         self._input_changed.set()
 
+    async def discard_rest(self) -> None:
+        """
+        Discard what the caller still sends after its last answer, for a limited time.
+
+        A close with unread bytes would reset the connection, and the caller might lose
+        the answer.
+        """
+        if not self.is_answer_complete or not self._may_have_unread():
+            return
+        sockets.end_sending(self._connection)
+        self._is_discarding = True
+        self._inbox.clear()
+        self._inbox_has_room.set()
+        with trio.move_on_after(DISCARD_LIMIT_S):
+            while not self._is_disconnected:
+                await self._wait_for_input()
+
+    def _may_have_unread(self) -> bool:
+        """Return whether the caller may have sent more than was read."""
+        is_whole = self._protocol.their_state in _WHOLE_REQUEST_STATES
+        surplus, _ = self._protocol.trailing_data
+        if not is_whole or surplus or self._inbox:
+            return True
+        return not sockets.is_open_and_empty(self._connection)
+
     def close(self) -> None:
         """Close the connection normally."""
         if not self._is_closed:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -335,6 +335,26 @@
         """Return whether the idle connection is open and has no unread bytes."""
         return not self._is_closed and sockets.is_open_and_empty(self._connection)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether this side has closed the connection."""
+        return self._is_closed
+
+    def probe_silence(self, unacked_timeout_ms: int) -> int:
+        """
+        Return how many keep-alive probes are unanswered, and send another if any is.
+
+        Parameters
+        ----------
+        unacked_timeout_ms : int
+            For how long probes may stay unanswered before the kernel drops the link.
+        """
+        unanswered = sockets.unanswered_probes(self._connection)
+        if unanswered:
+            sockets.limit_silence(self._connection, unacked_timeout_ms)
+            sockets.send_probe(self._connection)
+        return unanswered
+
     def close(self) -> None:
         """Close the connection."""
         if not self._is_closed:
