--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -4,7 +4,8 @@
 
 from scaleloom_fleet.conf.gateway_schema import FleetBoundsSection
 from tests.fixtures.fleets import runs_on_paused_clock
-from tests.fixtures.silences import EVENT_PAUSE_S, Point
+from tests.fixtures.gateways import ENGINE
+from tests.fixtures.silences import BEGINS_S, EVENT_PAUSE_S, Point
 from tests.fixtures.silent_sites import still_site
 
 REQUESTS = 12
@@ -69,3 +70,16 @@
         sent = [run.request_id for run in still.runs]
     assert not faults, faults
     assert len(sent) == len(set(sent))
+
+
+@params(*((targets, point) for targets in (1, 2, 4) for point in Point))
+@runs_on_paused_clock
+async def test_streams_of_engines_fail_as_all_are_silent(targets, point):
+    async with still_site(targets, point, is_engine=True) as still:
+        begins_s = EVENT_PAUSE_S / 2 if point is Point.BEFORE_HEAD else BEGINS_S
+        play = still.silent_for(SILENCE_S, begins_s)
+        # None waits for a slot before it is sent, and none is free afterwards.
+        count = ENGINE["slots"] * targets
+        ids = await still.ask_all("stream", count, play, Prompt_Prefix="aa:100,bb:900")
+        faults = still.faults("stream", ids)
+    assert not faults, faults
