Tests of silences: a second target that breaks off, and a router that stands still

Change: a second target that breaks off before its first whole event must not cost the events of the first; behind an event of the second, the first run may not go on, and the answer must not look complete. An answer that lies in the router's buffers when all its timers have run out is passed on. A second target that breaks off inside its second event was asked for a complete answer before, which the rule on the order of events does not allow.

--- a/tests/gateway/test_silent_deadlines.py
+++ b/tests/gateway/test_silent_deadlines.py
@@ -1,11 +1,26 @@
-"""Tests of silences that last long or come again, up to a request's deadline."""
+"""Tests of silences that last long or come again, also of the router itself."""
 
 import trio
 from nose2.tools import params
 
 from tests.fixtures.fleets import runs_on_paused_clock
-from tests.fixtures.silences import BEGINS_S, EVENT_PAUSE_S, Point
-from tests.fixtures.silent_sites import ATTEMPTS, DEADLINE_MS, still_site
+from tests.fixtures.silences import (
+    BEGINS_S,
+    EVENT_COUNT,
+    EVENT_PAUSE_S,
+    Point,
+    Run,
+    run_event,
+)
+from tests.fixtures.silent_sites import ATTEMPTS, DEADLINE_MS, StillSite, still_site
+from tests.fixtures.stub_server import ReceivedRequest, raw_answer
+from tests.fixtures.stub_targets import (
+    Behaviour,
+    StubTarget,
+    chunk,
+    first_event,
+    stream_head,
+)
 
 REQUESTS = 12
 SILENCE_S = 1.3
@@ -72,3 +87,53 @@
             await still.ask(path, "r-1", stream)
         faults = still.faults(path, ["r-0", "r-1"])
     assert not faults, faults
+
+
+def _send_as_router_stands_still(still: StillSite, at: int) -> Behaviour:
+    """
+    Return the behaviour of targets whose router stands still after a piece.
+
+    Parameters
+    ----------
+    at : int
+        The piece, from 0, that lies in the router's buffers as its timers run out.
+    """
+
+    async def answer(target: StubTarget, request: ReceivedRequest) -> bool:
+        run = still.begin_run(target, request)
+        for number, piece in enumerate(_pieces(target, request, run)):
+            await trio.sleep(EVENT_PAUSE_S)
+            if number == at:
+                # No other task runs between the two.
+                request.stream.socket._sock.send(piece)
+                trio.lowlevel.current_clock().jump(SILENCE_S)
+            else:
+                await request.stream.send_all(piece)
+        run.completed_s = trio.current_time()
+        return True
+
+    return answer
+
+
+def _pieces(target: StubTarget, request: ReceivedRequest, run: Run) -> list[bytes]:
+    """Return the pieces of an answer, of which the first holds the head."""
+    if not request.target.startswith("/stream"):
+        body = b"body of %s" % run.request_id.encode()
+        whole = raw_answer(200, target.seal(request), body)
+        return [whole[:-4], whole[-4:]]
+    numbers = range(first_event(request), EVENT_COUNT + 1)
+    events = [chunk(run_event(number, run.label)) for number in numbers]
+    return [stream_head(target, request), *events, b"0\r\n\r\n"]
+
+
+@params(*((path, at) for path in ATTEMPTS for at in (0, 1)), ("stream", 2))
+@runs_on_paused_clock
+async def test_a_request_is_lost_as_its_router_stands_still(path, at):
+    async with still_site(2) as still:
+        for target in still.site.runners:
+            target.behaviour = _send_as_router_stands_still(still, at)
+        ids = await still.ask_all(path, 1, trio.lowlevel.checkpoint)
+        faults = still.faults(path, ids)
+        run_count = len(still.runs)
+    assert not faults, faults
+    assert run_count == 1
--- a/tests/gateway/test_silent_takeovers.py
+++ b/tests/gateway/test_silent_takeovers.py
@@ -14,7 +14,9 @@
     EVENT_COUNT,
     EVENT_PAUSE_S,
     Point,
+    events_in,
     numbers_in,
+    run_event,
 )
 from tests.fixtures.silent_sites import ATTEMPTS, GONE_S, TWICE_S, StillSite, still_site
 
@@ -37,13 +39,14 @@
             still.silence.begin([still.first_target("r-0")])
 
         ids = await still.ask_all("stream", 1, play)
-        first, second = still.runs_of("r-0")
+        runs = still.runs_of("r-0")
         faults = still.faults("stream", ids)
         times_s = still.event_times_s["r-0"]
     assert not faults, faults
+    first, second = runs
     pauses_s = [after - before for before, after in zip(times_s, times_s[1:])]
     assert max(pauses_s) <= LOOKS_ELSEWHERE_S + EVENT_PAUSE_S + MARGIN_S
-    assert first.closed_s - second.arrived_s <= TWICE_S
+    assert first.ended_s - second.arrived_s <= TWICE_S
 
 
 async def _end(still: StillSite) -> None:
@@ -112,7 +115,19 @@
     return answer
 
 
-# What the only other target does with a stream that is to go on there.
+def _break_off_after(data: bytes) -> stub_targets.Behaviour:
+    """Return the behaviour of a target that breaks off a stream behind `data`."""
+
+    async def answer(target, request) -> bool:
+        target.runs[stub_targets.request_id(request)] += 1
+        await request.stream.send_all(stub_targets.stream_head(target, request) + data)
+        return False
+
+    return answer
+
+
+# What the only other target does with a stream that is to go on there; no event of it
+# is complete.
 OTHER_TARGETS = {
     "not_run": stub_targets.reject_not_run,
     "misdirected": _misdirect,
@@ -122,7 +137,8 @@
     "not_found": _answer_with(404),
     "closed": stub_targets.close_unanswered,
     "garbage": stub_targets.send_garbage,
-    "cut_event": stub_targets.cut_body,
+    "cut_behind_head": _break_off_after(b""),
+    "cut_event": _break_off_after(stub_targets.chunk(b"id: 3\ndata: pie")),
 }
 
 
@@ -169,14 +185,33 @@
 
             await still.ask_all("stream", 1, play, http=http)
             answer = still.answers["r-0"]
-    # The other target's run went one event further before it broke off.
-    last = 3 if name == "cut_event" else 2
     assert answer.status == 200
-    assert answer.body.count(b"data: ") == last
+    assert numbers_in(answer.body) == [1, 2]
     assert not answer.is_complete
     assert messages.count("request not served") == 1
 
 
+@runs_on_paused_clock
+async def test_a_stream_looks_complete_after_both_targets_have_sent_events():
+    async with still_site(2) as still:
+
+        async def play() -> None:
+            await trio.sleep(BEGINS_S)
+            first = still.first_target("r-0")
+            (other,) = still.others(first)
+            data = stub_targets.chunk(run_event(3, "another"))
+            other.behaviour = _break_off_after(data)
+            await still.silence.last(SILENCE_S, [first])
+
+        await still.ask_all("stream", 1, play)
+        answer = still.answers["r-0"]
+    # The first run may not go on behind an event of the second.
+    events = events_in(answer.body)
+    assert [number for number, _ in events] == [1, 2, 3]
+    assert events[-1][1] == "another"
+    assert not answer.is_complete
+
+
 @params("stream", "stream-four")
 @runs_on_paused_clock
 async def test_a_stream_is_lost_as_the_second_target_falls_silent_too(path):
