Tests of long requests that a silent target does not read

Cause: the kernel ends a connection to a target after silence_s (0.8 s) not only if sent bytes stay unacknowledged, but also if the target acknowledges all and takes no more, as one does that stands still before a body longer than its kernel's buffer (about 128 KB here). So also a request that must not be repeated gets a 502 although its target goes on after 1.3 s.

Change: tests on the real clock, since the kernel's timers act, of targets that accept and read nothing for 1.3 s.

--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -29,7 +29,8 @@
 _SUMMARY = re.compile(
     r"^(Ran \d+ tests? in .*|OK.*|FAILED \(.*\)|-{60,})\n", re.MULTILINE
 )
-# These modules start processes on the real clock, which a busy machine delays.
+# These modules run on the real clock, most of them with processes, which a busy machine
+# delays.
 # They run after all others, two at a time.
 REAL_CLOCK = (
     "tests.cli.test_main",
@@ -38,6 +39,7 @@
     "tests.fleet.test_signals",
     "tests.gateway.test_operations",
     "tests.gateway.test_process_limits",
+    "tests.gateway.test_unread_bodies",
     "tests.test_drawn_rollouts",
     "tests.test_proofs",
     "tests.test_soak",
@@ -52,6 +54,9 @@
     "tests.gateway.test_rollout_whole",
     "tests.gateway.test_crashing_requests",
     "tests.gateway.test_rollout_reports",
+    "tests.gateway.test_silent_targets",
+    "tests.gateway.test_silent_takeovers",
+    "tests.gateway.test_silence_aftermath",
 )
 
 
