Close gaps between two exchanges of one request

What callers saw, each with a test that failed before: a plain request ended without an answer if the silent target answered in the moment in which its time beside another one was up; a stream was cut at its deadline if the second target sent no head, since its wait had no limit although the first could be gone back to; a stream that went back to a full target was cut at once.

Cause: a claim did not look at whether the own time was up; the way back counted only once the first target had been given up; a refusal there made the request forget where it had run. Change: a claim waits for its cancellation if the time is up and has no limit afterwards; a target beside which others are attempted counts as a way back; a refusal restores what was known before. An attempt that ends without an answer counts as failed, never as served. What a cancellation of two tasks at once leaves behind is recorded as that of one.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -119,6 +119,8 @@
         raise CallerDisconnected
     if scope.cancelled_caught:
         error = _timeout_error(context)
+    if error is None and not connection.is_answer_complete:
+        error = _no_answer_error(state, context)
     state.statsd.timing("request", trio.current_time() - match.received_s)
     if error is None:
         state.statsd.count("served")
@@ -279,8 +281,7 @@
     try:
         result = await _read_to_end(state, context, exchange)
     except BaseException as error:
-        is_cancelled = isinstance(error, trio.Cancelled)
-        abandon_exchange(state, context, exchange, is_cancelled)
+        abandon_exchange(state, context, exchange, _is_cancellation(error))
         raise
     if isinstance(result, Takeover):
         return result
@@ -289,6 +290,13 @@
     return result
 
 
+def _is_cancellation(error: BaseException) -> bool:
+    """Return whether `error` is nothing but a cancellation, maybe of several tasks."""
+    if isinstance(error, BaseExceptionGroup):
+        return error.split(trio.Cancelled)[1] is None
+    return isinstance(error, trio.Cancelled)
+
+
 async def _read_to_end(
     state: GatewayState, context: RequestContext, exchange: Exchange
 ) -> AttemptResult | Takeover:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
@@ -30,6 +30,8 @@
         Of the answer, if the service is rolled out.
     signals : AnswerSignals or None
         What the head of the answer says of the target, once it has been read.
+    is_return : bool
+        Whether the request goes back to a target that was given up as it was silent.
     has_claimed : bool
         Whether its answer is passed on, or was until the target fell silent.
     has_sent_events : bool
@@ -56,6 +58,7 @@
     sent_s: float
     observation: AnswerObservation | None = None
     signals: AnswerSignals | None = None
+    is_return: bool = False
     has_claimed: bool = False
     has_sent_events: bool = False
     has_new_holder: bool = False
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -184,6 +184,7 @@
         record, target, link, outgoing, context.placement, is_warm, sent_s=now_s
     )
     context.send_count += 1
+    exchange.is_return = target.id in context.left_silent
     context.ran_at.add(target.id)
     context.left_silent.discard(target.id)
     context.is_retry = True
@@ -211,8 +212,7 @@
             return AttemptResult.SILENT
     head, signals = exchange.link.head, exchange.signals
     if signals.is_not_run:
-        context.send_count -= 1
-        context.ran_at.discard(exchange.target.id)
+        _record_not_run(context, exchange)
         await _skip_body(exchange.link)
         return _not_run_result(signals)
     if exchange.observation is not None:
@@ -227,6 +227,15 @@
     return None
 
 
+def _record_not_run(context: RequestContext, exchange: Exchange) -> None:
+    """Record that the target has not run the request this time."""
+    context.send_count -= 1
+    if exchange.is_return:
+        context.left_silent.add(exchange.target.id)
+    else:
+        context.ran_at.discard(exchange.target.id)
+
+
 def _not_run_result(signals: AnswerSignals) -> AttemptResult:
     """Return the result of an exchange whose target has not run the request."""
     if signals.is_misdirected:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedging.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedging.py
@@ -10,7 +10,7 @@
 from scaleloom_fleet.gateway.attempt_results import AttemptResult
 from scaleloom_fleet.gateway.exchange_ends import end_exchange
 from scaleloom_fleet.gateway.exchange_state import Exchange
-from scaleloom_fleet.gateway.hedges import Hedge
+from scaleloom_fleet.gateway.hedges import UNLIMITED_S, Hedge
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.request_metrics import record_silence, record_silence_end
 from scaleloom_fleet.gateway.state import GatewayState
@@ -114,12 +114,14 @@
     """Pass on the answer of `exchange` from now on, and give up all others."""
     if context.match.route.kind is RequestKind.STREAM:
         await _wait_for_others(context, exchange)
+    await _stop_if_given_up(context, exchange)
     await stop_if_answered(context)
     context.answering = exchange
     exchange.has_claimed = True
     for hedge in context.hedges:
         if hedge.silent is exchange:
             hedge.has_gone_on = True
+            hedge.silent_scope.deadline = UNLIMITED_S
             record_silence_end(state, context, hedge)
             hedge.others_scope.cancel()
             return
@@ -138,6 +140,14 @@
             await hedge.is_kept.wait()
 
 
+async def _stop_if_given_up(context: RequestContext, exchange: Exchange) -> None:
+    """Wait for the cancellation if the exchange is given up, as its time is up."""
+    if any(
+        h.silent is exchange and h.silent_scope.cancel_called for h in context.hedges
+    ):
+        await trio.sleep_forever()
+
+
 async def stop_if_answered(context: RequestContext) -> None:
     """Wait for the cancellation if another exchange's answer is passed on."""
     if context.answering is not None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -101,8 +101,10 @@
     @property
     def may_return(self) -> bool:
         """Return whether a begun stream may go back to a target that was silent."""
-        has_left = self.is_answer_started and bool(self.left_silent)
-        return has_left and self.send_count < MAX_SENDS
+        if not self.is_answer_started or self.send_count >= MAX_SENDS:
+            return False
+        # A target beside which others are attempted may be given up at any time.
+        return bool(self.left_silent or self.hedges)
 
     @property
     def digest(self) -> CauseDigest:
