Wait at a stop for refusals in progress

What callers saw: a caller whose request was being read in order to refuse it, when the router stopped, got a reset in place of the refusal. Cause: such callers are not among the connections that a stop waits for.

Evidence: test_a_stop_waits_for_a_refusal_in_progress failed before (no status).

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -203,8 +203,8 @@
 
 
 async def _close_connections(state: GatewayState, interval_s: float) -> None:
-    """Close connections as they become idle, until none is left."""
-    while state.connections:
+    """Close connections as they become idle, until none is left or being refused."""
+    while state.connections or state.refusals_in_progress:
         for connection in list(state.connections):
             connection.close_when_idle()
         await trio.sleep(interval_s)
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -1,13 +1,16 @@
 """Tests of a graceful stop: no request that was read is lost."""
 
 import socket
+from unittest import mock
 
 import msgspec
 import trio
 import trio.testing
 from nose2.tools import params
 
+from scaleloom_core.process_limits import Resource
 from scaleloom_fleet.conf.gateway_schema import GatewayStopSection
+from scaleloom_fleet.gateway import accepting
 from scaleloom_fleet.gateway.accepting import serve_connection
 from scaleloom_fleet.gateway.documents import (
     apply_config_document,
@@ -231,3 +234,27 @@
             with trio.fail_after(stop.grace_s):
                 await gateway.stopped.wait()
     assert [(a.status, a.is_complete) for a in answers] == [(504, True)]
+
+
+@runs_on_paused_clock
+async def test_a_stop_waits_for_a_refusal_in_progress():
+    # The process ended while it still read the request that it was about to refuse.
+    stop = GatewayStopSection(notice_s=0.1, grace_s=3.0)
+    data = request_bytes("/once/1")
+    async with running_site(stop=stop) as site:
+        (gateway,) = site.gateways
+        exceeded = mock.Mock(return_value=Resource.MEMORY)
+        with mock.patch.object(accepting, "exceeded_by_caller", exceeded):
+            port = gateway.front_port
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                await stream.send_all(data[:-4])
+
+                async def is_accepted() -> bool:
+                    return exceeded.called
+
+                await eventually(is_accepted)
+                gateway.stop.set()
+                await trio.sleep(0.3)
+                answer = await ask_on(stream, data[-4:], "GET")
+        await gateway.stopped.wait()
+    assert (answer.status, answer.is_complete) == (503, True)
