Spread the resumes of a broken stream over a moment

What callers saw: on the own path, a stream ended as broken off although its engine refused connections for a moment only. Cause: the three resumes of the sidecar, and those of the router, came within some milliseconds, so that a short refusal counted as the end. Change: the second and third resumes wait 0.2 and 0.4 s. An engine that is gone is reported that much later.

Evidence: test_a_stream_goes_on_behind_an_engine_that_refuses_for_a_moment failed before (broken off after the first events).

--- a/packages/scaleloom-fleet/scaleloom_fleet/router/streams.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/streams.py
@@ -21,6 +21,8 @@
 STREAM_TYPE = "text/event-stream"
 REQUEST_HEADER = "x-request-id"
 MAX_RESUMES = 3
+# Before the second and later resumes, growing: the first one is made at once.
+RESUME_PAUSE_S = 0.2
 CANCEL_TIMEOUT_S = 1.0
 HTTP_OK = 200
 
@@ -45,6 +47,7 @@
         is_complete = await relay.forward(response)
         resumes = 0
         while not is_complete and resumes < MAX_RESUMES:
+            await trio.sleep(resumes * RESUME_PAUSE_S)
             resumes += 1
             state.metrics.count("resumes")
             is_complete = await _resume(state, target, attempt, relay)
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
@@ -44,6 +44,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 HTTP_OK = 200
 MAX_RESUMES = 3
+# Before the second and later resumes, growing: the first one is made at once.
+RESUME_PAUSE_S = 0.2
 
 
 async def handle_completion(state: SidecarState, request: Request) -> HandlerResult:
@@ -228,6 +230,7 @@
     """
     resumes = 0
     while not is_complete and resumes < MAX_RESUMES:
+        await trio.sleep(resumes * RESUME_PAUSE_S)
         resumes += 1
         state.metrics.count("engine_resumes")
         is_complete = await _resume_at_engine(state, stream, relay)
--- a/tests/fleet/test_unframed_streams.py
+++ b/tests/fleet/test_unframed_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams that end without saying so, passed on by a sidecar and a router."""
 
 import msgspec
+import trio
 from nose2.tools import params
 
 from scaleloom_fleet.http.events import MAX_EVENT_BYTES, EventSplitter
@@ -115,3 +116,19 @@
             assert not passed_on or passed_on.endswith((b"\n\n", b"\r\n\r\n"))
             assert splitter.is_finished is (passed_on == stream)
         assert passed_on == stream and not splitter.has_partial
+
+
+@runs_on_paused_clock
+async def test_a_stream_goes_on_behind_an_engine_that_refuses_for_a_moment():
+    # All resumes came within some milliseconds, and the stream ended as broken.
+    cut = BETWEEN_EVENTS
+    async with own_path("engine", _unframed(WHOLE[:cut]), b"") as path:
+
+        async def answer_again() -> None:
+            await trio.sleep(0.3)
+            path.target.answers.append(_chunked(WHOLE[cut:]))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(answer_again)
+            answer = await path.ask_chat()
+    assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
