Tests of silent targets whose queue of connections is full

Cause: the probe after a break takes a target that accepts no connection in time for a crashed one. One that stands still while more callers connect than its kernel queues neither accepts nor refuses, and goes on a second later.

--- a/tests/gateway/test_silence_aftermath.py
+++ b/tests/gateway/test_silence_aftermath.py
@@ -14,6 +14,7 @@
 from scaleloom_core.target_records import MIN_FAILURE_SAMPLES
 from scaleloom_fleet.conf.gateway_schema import FleetBoundsSection
 from tests.fixtures.fleets import runs_on_paused_clock
+from tests.fixtures.full_queues import full_queue
 from tests.fixtures.gateways import CONFIG_TOPIC, CUSTOMER, HOST, eventually
 from tests.fixtures.logs import ListHandler
 from tests.fixtures.rollouts import site_on_trial
@@ -166,3 +167,24 @@
         arrivals = [run for run in still.runs if run.target_id == silent.id]
     assert not faults, faults
     assert len(arrivals) - 1 <= MIN_FAILURE_SAMPLES + 1 + ejections
+
+
+@params("stream", "stream-once", "safe")
+@runs_on_paused_clock
+async def test_a_silent_target_with_a_full_queue_is_taken_for_crashed(path):
+    point = Point.BEFORE_HEAD if path == "safe" else Point.BETWEEN
+    with ListHandler.capture("scaleloom") as messages:
+        async with still_site(1, point) as still:
+            (target,) = still.site.runners
+
+            async def play() -> None:
+                await trio.sleep(EVENT_PAUSE_S / 2)
+                async with full_queue(target.port):
+                    await still.silence.last(SILENCE_S, [target])
+
+            ids = await still.ask_all(path, REQUESTS, play)
+            faults = still.faults(path, ids)
+            crash_count = still.state.crashes.prober.crash_count
+    assert not faults, faults
+    assert crash_count == 0
+    assert "target crashed" not in messages
