Keep the limit of a silent target while another one has its request

A given-up target that ended lifted the limit also of a later silent one beside which a third had the request, so that two could run it for longer than 0.4 s behind a late timer. It now concerns only those that waited for it. Found by reading; the tests of takeovers pass as before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedges.py
@@ -90,6 +90,8 @@
 def keep_silent_targets(hedges: Sequence[Hedge], exchange: Exchange) -> None:
     """Keep the silent targets that `exchange`, which ends, did not take over from."""
     for hedge in hedges:
-        if hedge.silent is not exchange and not hedge.is_taken_over:
+        if hedge.silent is exchange:
+            return
+        if not hedge.is_taken_over:
             hedge.silent_scope.deadline = UNLIMITED_S
             hedge.is_kept.set()
