Plain wording in the comments of roll-outs and the own path

Comments and docstrings of scaleloom_core/rollouts, gateway/rollout_* and of the own path's router, http and sidecar packages use the usual terms: complete for whole, confirmed for settled, stores or retains for keeps and holds. No statement changes.

--- a/packages/scaleloom-core/scaleloom_core/rollouts/__init__.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/__init__.py
@@ -1,7 +1,7 @@
 """
 Roll-outs: moving a service's traffic to targets of another software version.
 
-`orders` holds what operators ask for, `stages` the stages of a roll-out,
+`orders` defines what operators request, `stages` the stages of a roll-out,
 `versions` which targets take part, and `exposure` how many requests a version
 on trial may get. `answer_counts` counts answers, `timing_baselines` decides
 which were slow, and `evidence` assesses the candidate with `sequential_test`,
--- a/packages/scaleloom-core/scaleloom_core/rollouts/answer_counts.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/answer_counts.py
@@ -7,7 +7,7 @@
 
 RouteKey = int
 TargetKey = int
-# More answers than any roll-out gives, yet sums of such counts fit into a message.
+# Above the number of answers in any roll-out; sums of such counts fit into a message.
 MAX_COUNT = 2**32
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
@@ -76,7 +76,7 @@
 
 class AnswerTallies(msgspec.Struct, array_like=True, frozen=True):
     """
-    Answers that one router or group has seen, by route.
+    Answers that one router or group has observed, by route.
 
     Parameters
     ----------
@@ -179,6 +179,6 @@
         self._counts.add(answers)
 
     def pop_all(self) -> AnswerTallies:
-        """Return the answers added since the last call, and forget them."""
+        """Return the answers added since the last call, and remove them."""
         counts, self._counts = self._counts, AnswerCounts()
         return AnswerTallies(counts.current, counts.candidate)
--- a/packages/scaleloom-core/scaleloom_core/rollouts/baseline_shares.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/baseline_shares.py
@@ -13,7 +13,7 @@
 
 Answers = dict[RouteKey, Tally]
 
-# Before any answer is known, one failure in fifty is assumed to be normal.
+# Prior share of bad answers: one failure in fifty is assumed to be normal.
 PRIOR_SHARE = 0.02
 # Weight of the prior; a route gets about as many answers in a window.
 PRIOR_ANSWERS = 8.0
@@ -29,7 +29,7 @@
     """
     The share of bad answers of the current version over about ten seconds.
 
-    The share keeps its last value while there are no new answers: once all
+    The share retains its last value while there are no new answers: once all
     traffic goes to the candidate, it is compared with that value.
     """
 
--- a/packages/scaleloom-core/scaleloom_core/rollouts/cumulative_sums.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/cumulative_sums.py
@@ -7,7 +7,7 @@
 
 from scaleloom_core.rollouts.answer_counts import TargetKey
 
-# One target in eight may be faulty or gone without a fault of the version.
+# One target in eight may be faulty or absent without a fault of the version.
 TARGETS_PER_OUTLIER = 8
 
 
--- a/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
@@ -25,7 +25,7 @@
     "UnsentAnswers",
 ]
 
-# A second is settled once the following one has ended, since the current version's
+# A second is confirmed once the following one has ended, since the current version's
 # answers of that second count as well: peers report up to half a second late.
 SETTLED_AFTER_S = 2
 # Maximum age of an assessment; bad answers of the candidate update it at once.
@@ -66,7 +66,7 @@
     The known answers of both versions over time, and their assessment.
 
     Answers are counted by the second in which they became known. Older seconds
-    are settled. The most recent ones are tested again on each assessment, since
+    are confirmed. The most recent ones are tested again on each assessment, since
     more answers of the current version in these seconds may still be reported.
     """
 
@@ -92,7 +92,7 @@
         self._is_urgent |= any(tally.bad for tally in answers.candidate_tallies())
 
     def assess(self, now_s: float) -> Assessment:
-        """Return what the answers so far show about the candidate."""
+        """Return what the answers counted so far show about the candidate."""
         self._settle(now_s)
         is_outdated = now_s - self._latest_s >= REFRESH_INTERVAL_S
         if (
@@ -108,17 +108,17 @@
 
     def is_doubtful(self, now_s: float) -> bool:
         """
-        Return whether answers speak against a candidate that is not found good.
+        Return whether there is evidence against a candidate that is not found good.
 
         Answers of targets that may be outliers count as well: with three targets, the
-        one left out as an outlier holds most of the evidence against a bad version.
+        one excluded as an outlier has most of the evidence against a bad version.
         """
         if self.assess(now_s) is Assessment.GOOD or self._latest is None:
             return False
         return self._latest.exceeds_doubt_threshold(frozenset())
 
     def _settle(self, now_s: float) -> int:
-        """Settle the seconds that have been over for long; return the present one."""
+        """Confirm the seconds that ended long enough ago; return the current one."""
         second = int(now_s)
         if self._settled_to is None:
             self._settled_to = second - 1
@@ -135,7 +135,7 @@
         return second
 
     def _updated_test(self) -> SequentialTest:
-        """Return the settled test, updated with the most recent seconds."""
+        """Return the confirmed test, updated with the most recent seconds."""
         test = self._settled.copy()
         for recent in sorted(self._seconds):
             if recent > self._settled_to:
@@ -190,7 +190,7 @@
 
     def restore(self, totals: AnswerTallies, now_s: float) -> None:
         """
-        Add the totals of the decision log, unless answers were seen already.
+        Add the totals of the decision log, unless answers were already recorded.
 
         The totals count as one completed second, so that a change within it is
         detected less precisely than by the router that wrote it.
--- a/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/exposure.py
@@ -8,10 +8,10 @@
 # version during the last twentieth of the time, while requests at replaced targets
 # finish.
 TRIAL_FRACTION = 0.5
-# A version that looks good gets only probes until the switch. With `TRIAL_FRACTION`
+# A version found good receives only probes until the switch. With `TRIAL_FRACTION`
 # here, good versions were decided 0.2 s after the deadline (12 random roll-outs).
 PROBE_FRACTION = 0.25
-# A switched router goes on a little longer, since switching back would send
+# A switched router continues slightly longer, since switching back would send
 # requests to targets that are about to be stopped.
 SWITCHED_USABLE_FRACTION = 0.95
 # Allows for a rise of the request rate since the last interval.
@@ -42,7 +42,7 @@
     One router's part of the exposure bound.
 
     If each router sends the version no more than the share of its own requests,
-    the bound holds for all routers together, whichever of them start, fail or
+    the bound is met by all routers together, whichever of them start, fail or
     are cut off, without any messages. Unused exposure remains available later.
 
     Parameters
@@ -54,7 +54,7 @@
         The room, in requests, that suffices to send one more, above 0 and at
         most 1. Uniformly distributed over the routers, it leaves the expected
         sum unchanged and lets some routers begin before each has room for a
-        whole request: 31 routers with 75 requests a second begin after 0.1 s
+        complete request: 31 routers with 75 requests a second begin after 0.1 s
         instead of 4 s (computed).
     last_request_s : float
         When the service had its last request here; at first, when counting
--- a/packages/scaleloom-core/scaleloom_core/rollouts/orders.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/orders.py
@@ -39,7 +39,7 @@
 
 class RolloutOrders(msgspec.Struct, array_like=True, frozen=True):
     """
-    The newest order of each service, as far as the operators' topic was read.
+    The newest order of each service in the part of the operators' topic that was read.
 
     Parameters
     ----------
--- a/packages/scaleloom-core/scaleloom_core/rollouts/sequential_test.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/sequential_test.py
@@ -16,7 +16,7 @@
 # Log likelihood ratios. The error rates are in docs/design/rollout-verdict.md.
 BAD_THRESHOLD = 8.0
 # The sum without outliers must reach the first threshold, or the lower one if it
-# makes up at least this share of the whole sum.
+# makes up at least this share of the total sum.
 TRIMMED_BAD_THRESHOLD = 6.0
 LOW_TRIMMED_BAD_THRESHOLD = 4.5
 LOW_TRIMMED_MIN_SHARE = 0.4
@@ -46,7 +46,7 @@
     Parameters
     ----------
     shares : BaselineBadShares
-        The share of bad answers of the current version in the settled seconds.
+        The share of bad answers of the current version in the confirmed seconds.
     second : int
         The second of the latest answers.
     last_answers : dict of TargetKey to int
@@ -121,7 +121,7 @@
         )
 
     def _exceeds_bad_threshold(self, sums: CumulativeSums) -> bool:
-        """Return whether these sums show a bad version, with outliers left out."""
+        """Return whether these sums show a bad version, with outliers excluded."""
         if sums.cusum < BAD_THRESHOLD:
             return False
         if len(self.last_answers) < 2:
@@ -134,7 +134,7 @@
         return trimmed >= TRIMMED_BAD_THRESHOLD or is_shared
 
     def _has_too_much_excess(self) -> bool:
-        """Return whether there are too many bad answers from whichever targets."""
+        """Return whether the bad answers of all targets together are too many."""
         excess = self._excess
         return (
             excess.cusum >= MAX_EXCESS and excess.trimmed_cusum(1) >= MIN_TRIMMED_EXCESS
@@ -158,11 +158,11 @@
         return all(self._is_good_on(route, outliers) for route in routes)
 
     def is_doubtful(self) -> bool:
-        """Return whether targets other than outliers speak against the candidate."""
+        """Return whether targets other than outliers give evidence against it."""
         return self.exceeds_doubt_threshold(self._overall.outliers(DOUBT_THRESHOLD))
 
     def exceeds_doubt_threshold(self, excluded: frozenset[TargetKey]) -> bool:
-        """Return whether targets other than `excluded` speak against the candidate."""
+        """Return whether targets other than `excluded` give evidence against it."""
         return any(
             sums.cusum_excluding(excluded) >= DOUBT_THRESHOLD
             for sums in (self._overall, *self._routes.values())
--- a/packages/scaleloom-core/scaleloom_core/rollouts/state.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/state.py
@@ -28,9 +28,9 @@
 # A router that has known the orders for less than this when a new order arrives
 # gets no slack, since it may have used its slack before a restart.
 MIN_TOPIC_KNOWN_S = 1.0
-# Of several targets one faulty target is left out as an outlier; of two it can't be.
+# Of several targets one faulty one is excluded as an outlier; of two it cannot be.
 MIN_STAGED = 3
-# Turns in a trial, each with other staged targets, so that more targets are tried.
+# Periods of a trial, each with other staged targets, so that more targets are tried.
 ROTATIONS = 5
 # A roll-out without a decision is extended by this part of its duration, then rolled
 # back.
@@ -39,13 +39,13 @@
 # were reserved for later.
 DOUBT_FRACTION = 0.5
 # The full traffic is observed until shortly before the deadline, since a version that
-# is bad under load only shows it then. The final record takes two store calls.
+# is bad under load only shows it then. The final record needs two store calls.
 DONE_LEAD_S = 0.25
 # A router without requests for the service switches this long before the deadline,
-# so that the decider hears of it in time, also through the relay of a group.
+# so that the decider is notified in time, also through the relay of a group.
 IDLE_LEAD_S = 1.0
-# A version that takes over after the deadline is observed for this long: there is no
-# hurry then, and a fault under load takes some answers to show.
+# A version that takes over after the deadline is observed for this long, since a fault
+# under load is detected only after several answers.
 LATE_OBSERVATION_S = 1.0
 # Slots of the candidate's targets per slot of the current ones: the candidate's
 # targets must be able to take the full traffic at once.
--- a/packages/scaleloom-core/scaleloom_core/rollouts/timing_baselines.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/timing_baselines.py
@@ -46,7 +46,7 @@
 
 class AnswerTimings(msgspec.Struct, frozen=True):
     """
-    Times of one answer; None where a time says nothing about the version.
+    Times of one answer; None where a time does not depend on the version.
 
     Parameters
     ----------
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_controller.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_controller.py
@@ -34,7 +34,7 @@
 
 class RolloutController:
     """
-    Keeps the state of each roll-out, and passes version rules to the targets.
+    Stores the state of each roll-out, and applies its version rules to the targets.
 
     Parameters
     ----------
@@ -111,7 +111,7 @@
             self._add_order(order, routers, saw_order_given, now_s)
 
     def _has_known_orders(self, now_s: float) -> bool:
-        """Return whether this router has known the operators' topic for a while."""
+        """Return whether this router read the operators' topic some time ago."""
         if self.orders.position == UNKNOWN_POSITION:
             self._first_orders_s = now_s
         known_since_s = now_s if self._first_orders_s is None else self._first_orders_s
@@ -195,7 +195,7 @@
     def apply_decision(
         self, rollout: Rollout, decision: Decision, now_s: float
     ) -> None:
-        """Apply what the decision log holds for the service."""
+        """Apply the record of the decision log for the service."""
         rollout_state = rollout.state
         if decision.snapshot.position != rollout_state.order.position:
             return
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decider.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decider.py
@@ -22,7 +22,7 @@
 # Maximum age of the evidence from which a successor continues. One call of each kind
 # a second is little compared with the users' lowest limit of 400 writing calls.
 REWRITE_INTERVAL_S = 1.0
-# Within this time routers that have not drained hear of the end, and stop sending to
+# Within this time routers that have not drained learn of the end, and stop sending to
 # targets that the platform stops as soon as it reads the status.
 DONE_ANNOUNCEMENT_S = 0.15
 _decoder = msgspec.msgpack.Decoder(Decision)
@@ -64,8 +64,8 @@
         """
         Decide, or read the decision log, or do nothing, depending on the rank.
 
-        Until the ranks have settled the log is only read. After a power loss of
-        the whole fleet it may show that the roll-out is done.
+        Until the ranks are stable the log is only read. After a power loss of
+        all routers it may show that the roll-out is done.
         """
         unpublished = [r for r in self._rollouts() if not self._is_end_published(r)]
         if unpublished and may_decide and self._state.rank == 0:
@@ -92,7 +92,7 @@
         )
 
     async def _follow(self) -> None:
-        """Read the decision log periodically, in case no decider is heard."""
+        """Read the decision log periodically, in case no decider sends reports."""
         now_s = trio.current_time()
         if now_s - self._last_read_s < REWRITE_INTERVAL_S:
             return
@@ -102,7 +102,7 @@
         self._log.invalidate()
 
     async def _decide(self, unpublished: list[Rollout]) -> None:
-        """Process each of `unpublished` on the basis of the whole log."""
+        """Process each of `unpublished` on the basis of the complete log."""
         if not self._log.is_current and self._access.is_reachable:
             await self._log.refresh()
         if self._log.is_current:
@@ -114,7 +114,7 @@
                 self._advance(rollout)
 
     def _apply_log(self) -> None:
-        """Apply what the decision log holds for each service."""
+        """Apply the record of the decision log for each service."""
         now_s = trio.current_time()
         for rollout in self._rollouts():
             decision = self._find_decision(rollout)
@@ -134,7 +134,7 @@
             return None
 
     async def _process(self, rollout: Rollout) -> None:
-        """Take one roll-out a step further, and write its state."""
+        """Advance one roll-out by a step, and write its state."""
         rollout_state = rollout.state
         decision = self._find_decision(rollout)
         if (
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_records.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_records.py
@@ -51,9 +51,9 @@
 
     def rule(self) -> VersionRule:
         """
-        Return which versions take part, as far as is known.
+        Return which versions take part, according to what this router knows.
 
-        The only listed version goes on serving as the current one. Otherwise an
+        The only listed version continues to serve as the current one. Otherwise an
         order for it would leave the service without targets until the end of the
         roll-out is written.
         """
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
@@ -8,17 +8,17 @@
 NO_BODY_METHOD = "HEAD"
 NO_BODY_STATUSES = frozenset({204, 304})
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-# Other types, such as application/x-ndjson, hold several values in a row.
+# Other types, such as application/x-ndjson, contain several values in a row.
 SINGLE_VALUE_TYPES = frozenset({b"application/json", b"application/problem+json"})
-# Cut anywhere, a value that begins with one of these can no longer be decoded. A
-# number can.
+# A truncated value that begins with one of these cannot be decoded, unlike a
+# truncated number.
 _CLOSED_VALUE_STARTS = (b"{", b"[", b'"')
 
 Proof = Callable[[httpcore.Response, bytes], bool]
 
 
 class AnswerEndUnknown(httpcore.RemoteProtocolError):
-    """Raised if an answer ended with its connection and nothing proves it whole."""
+    """Raised if an answer ended with its connection and may be truncated."""
 
 
 def is_end_known(response: httpcore.Response, method: str) -> bool:
@@ -29,7 +29,7 @@
 
 
 def is_labelled_json(response: httpcore.Response, body: bytes) -> bool:
-    """Return whether an answer declares JSON, and `body` is a whole JSON value."""
+    """Return whether an answer declares JSON, and `body` is a complete JSON value."""
     for name, value in response.headers:
         if name.lower() == b"content-type":
             media_type = value.partition(b";")[0].strip().lower()
@@ -38,7 +38,7 @@
 
 
 def is_json(response: httpcore.Response, body: bytes) -> bool:
-    """Return whether `body`, which must be JSON, is a whole value."""
+    """Return whether `body`, which must be JSON, is a complete value."""
     return _is_closed_json(body)
 
 
@@ -48,7 +48,7 @@
 
 
 def _is_closed_json(body: bytes) -> bool:
-    """Return whether `body` is a JSON value that a cut would have made invalid."""
+    """Return whether `body` is a JSON value that truncation would make invalid."""
     if not body.lstrip().startswith(_CLOSED_VALUE_STARTS):
         return False
     try:
@@ -69,8 +69,8 @@
     method : str
         The method of the request.
     proves_complete : callable
-        Returns whether the content proves the body of an answer whole whose end is
-        unknown.
+        Returns whether the content proves that a body is complete if neither a length
+        nor chunks mark its end.
 
     Raises
     ------
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/asgi.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/asgi.py
@@ -36,7 +36,7 @@
         self, limit_bytes: int, timeout_s: float
     ) -> Result[bytes, FleetError]:
         """
-        Return the whole body, or the reason to refuse the request.
+        Return the complete body, or the reason to refuse the request.
 
         Parameters
         ----------
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -1,4 +1,4 @@
-"""An HTTP client whose errors tell whether a request may have been sent."""
+"""An HTTP client whose errors show whether a request may have been sent."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -101,7 +101,7 @@
         Raises
         ------
         httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
-            `get_send_state` tells for each whether the request may have been sent.
+            `get_send_state` returns for each whether the request may have been sent.
         """
         async with self._pool.stream(
             method,
@@ -127,8 +127,8 @@
         Parameters
         ----------
         proves_complete : callable
-            Returns whether the content proves an answer whole that has neither a
-            length nor chunks.
+            Returns whether the content proves that an answer is complete if it has
+            neither a length nor chunks.
         """
         deadline_s = float("inf") if timeout_s is None else timeout_s
         try:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/events.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/events.py
@@ -1,4 +1,4 @@
-"""Splitting of a streamed answer into whole events, and its last event."""
+"""Splitting of a streamed answer into complete events, and its last event."""
 
 import re
 
@@ -13,12 +13,12 @@
 
 class EventSplitter:
     """
-    Holds back an event until it is complete.
+    Buffers an event until it is complete.
 
     Parameters
     ----------
     is_finished : bool
-        Whether the event came that ends a completion; nothing follows it.
+        Whether the last event of a completion was received; nothing follows it.
     """
 
     def __init__(self) -> None:
@@ -27,7 +27,7 @@
 
     def feed(self, data: bytes) -> bytes:
         """
-        Return the events that `data` makes whole.
+        Return the events that `data` completes.
 
         Raises
         ------
@@ -48,7 +48,7 @@
 
     @property
     def has_partial(self) -> bool:
-        """Return whether an event has begun that is not whole."""
+        """Return whether an incomplete event is buffered."""
         return bool(self._partial)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/relay.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/relay.py
@@ -12,7 +12,7 @@
 from scaleloom_fleet.http.events import EventSplitter
 
 BUFFER_LIMIT_BYTES = 1 << 20
-# Streams are asked for by POST and resumed by GET; both have bodies.
+# Streams are requested by POST and resumed by GET; both have bodies.
 STREAM_METHOD = "GET"
 
 
@@ -105,7 +105,7 @@
 
 class StreamRelay:
     """
-    Forwards the whole events of an answer that may arrive over several connections.
+    Forwards the complete events of an answer that may use several connections.
 
     Parameters
     ----------
@@ -138,8 +138,8 @@
         Raises
         ------
         httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException
-            If the answer breaks off, also by a clean end inside an event, or by one
-            that neither a length or chunks nor its last event proves.
+            If the answer breaks off. That includes an orderly close inside an event,
+            and one without a length, chunks or a last event.
         """
         splitter = EventSplitter()
         async for part in response.aiter_stream():
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/log_feed.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/log_feed.py
@@ -76,14 +76,14 @@
             self._wake = trio.Event()
 
     def read_now(self) -> None:
-        """Wake the reader; call when the log is known to hold newer records."""
+        """Wake the reader; call when the log is known to contain newer records."""
         self._wake.set()
 
     async def run_snapshots(self, retention_s: float) -> None:
         """
         Append a snapshot whenever one is due, until cancelled.
 
-        A random delay before a second check keeps several routers from appending
+        A random delay before a second check prevents several routers from appending
         a snapshot at the same time.
         """
         interval_s = retention_s / SNAPSHOTS_PER_RETENTION
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/service_calls.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/service_calls.py
@@ -314,7 +314,7 @@
     Returns
     -------
     Reply or None
-        The answer, or None; `search` then holds the reason.
+        The answer, or None; `search` then contains the reason.
     """
     search.refusal = None
     owner = state.config.fold.slot_owners(context.service.name).get(
--- a/packages/scaleloom-fleet/scaleloom_fleet/router/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/router/state.py
@@ -27,7 +27,7 @@
 
 @dataclass
 class RouterState:
-    """State of one router; it holds no state of individual chats."""
+    """State of one router; it includes no state of individual chats."""
 
     settings: RouterSettings
     config: ConfigStore
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/cache_events.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/cache_events.py
@@ -6,7 +6,7 @@
 from scaleloom_fleet.sidecar.state import SidecarState
 from scaleloom_fleet.utils.clock import now_s
 
-# After a gap in the events, chats last served longer ago than this are forgotten:
+# After a gap in the events, chats last served longer ago than this are removed:
 # the missed events may have evicted them.
 GAP_RETENTION_S = 60.0
 NO_SEQUENCE = -1
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/completions.py
@@ -97,7 +97,7 @@
 async def _read_stream(
     state: SidecarState, request: Request, stream: OpenStream, forward
 ) -> HandlerResult:
-    """Run `forward` as the stream's only reader, then release or keep the stream."""
+    """Run `forward` as the stream's only reader, then release or retain the stream."""
     reader_number = stream.take_over()
     try:
         return await state.disconnect_watch.serve(request, forward)
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/handover.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/handover.py
@@ -188,7 +188,7 @@
 async def receive_hand_over(
     state: SidecarState, request: HandOverRequest
 ) -> HandOverReply:
-    """Keep a predecessor's slots until the log names this sidecar as their owner."""
+    """Store a predecessor's slots until the log names this sidecar as their owner."""
     if state.owner is None or request.service != state.owner.service:
         reason = f"This sidecar does not serve {request.service!r}."
         return HandOverReply(is_held=False, reason=reason)
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/key_slot_claims.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/key_slot_claims.py
@@ -63,7 +63,7 @@
 
 
 def _is_alive(state: SidecarState, peer: TargetId) -> bool:
-    """Return whether `peer` is alive and so keeps its slots."""
+    """Return whether `peer` is alive and so retains its slots."""
     member_state = state.membership.get_state(InstanceId(peer), now_s())
     if member_state is MemberState.GONE:
         return False
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/load_sampling.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/load_sampling.py
@@ -96,7 +96,7 @@
 def _send_sample_requests(
     state: SidecarState, peers: list[TargetId], limit: int
 ) -> None:
-    """Ask at most `limit` of `peers`, chosen at random, for their load."""
+    """Query at most `limit` of `peers`, chosen at random, for their load."""
     for peer in random.sample(peers, min(len(peers), limit)):
         member = state.membership.find(InstanceId(peer))
         if member is None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/router_sync.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/router_sync.py
@@ -43,7 +43,7 @@
 
 
 def choose_router(state: SidecarState) -> Member | None:
-    """Return the router to ask, preferably one in the same data centre."""
+    """Return the router to query, preferably one in the same data centre."""
     usable = state.membership.usable_members(Role.ROUTER, now_s())
     own_data_centre = state.settings.instance.data_centre
     same_data_centre = [
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/service_calls.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/service_calls.py
@@ -33,7 +33,7 @@
 
 
 async def handle_call(state: SidecarState, request: Request) -> Reply | None:
-    """Answer a call to the plain service behind this sidecar."""
+    """Answer a call to the plain service of this sidecar."""
     hop_result = read_authentic_hop(state, request.headers)
     hop = hop_result.value_or(None)
     if hop is None:
