Usual names in the evidence of roll-outs and the own path

SETTLED_AFTER_S is CONFIRMED_AFTER_S, keeps_connections reuses_connections, is_told_by_head is_status_sufficient, keeps_weights retains_weights, asked_again retried, untold unannounced, and an event that is whole is complete. settled_token and is_settled are fields on the wire and stay. No statement changes.

Measured: the syntax trees are equal but for the names; 665 tests of core, stand-ins, proofs and the own path's streams, answers and stops pass.

--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -53,10 +53,10 @@
 
 def unannounced_origins(size: int) -> UnannouncedOrigins:
     """Return `size` streams that nobody was told of."""
-    untold = UnannouncedOrigins(RETENTION_S, size)
+    unannounced = UnannouncedOrigins(RETENTION_S, size)
     for key in _keys(size):
-        untold.add(SERVICE, key, VERSIONS[0], 0.0)
-    return untold
+        unannounced.add(SERVICE, key, VERSIONS[0], 0.0)
+    return unannounced
 
 
 def replica_ring(size: int) -> ReplicaRing:
@@ -75,13 +75,13 @@
     ids = [f"{number:016x}" for number in range(size)]
 
     def work() -> None:
-        origins, untold = StreamOrigins(RETENTION_S, 4 * size), UnannouncedOrigins(
+        origins, unannounced = StreamOrigins(RETENTION_S, 4 * size), UnannouncedOrigins(
             RETENTION_S, size
         )
         for request_id in ids:
             key = stream_key(SERVICE, None, request_id)
             origins.add(key, VERSIONS[0], 0.0)
-            untold.add(SERVICE, key, VERSIONS[0], 0.0)
+            unannounced.add(SERVICE, key, VERSIONS[0], 0.0)
 
     return work
 
--- a/packages/scaleloom-core/scaleloom_core/origin_tables.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_tables.py
@@ -23,7 +23,7 @@
     ----------
     origins : StreamOrigins
         Records of this router's streams and of those that others announced.
-    untold : UnannouncedOrigins
+    unannounced : UnannouncedOrigins
         This router's streams that were announced to nobody.
     versions : VersionHistory
         Which services have had only one version.
@@ -32,13 +32,13 @@
     """
 
     origins: StreamOrigins = msgspec.field(default_factory=StreamOrigins)
-    untold: UnannouncedOrigins = msgspec.field(default_factory=UnannouncedOrigins)
+    unannounced: UnannouncedOrigins = msgspec.field(default_factory=UnannouncedOrigins)
     versions: VersionHistory = msgspec.field(default_factory=VersionHistory)
     retention_s: float = MIN_RETENTION_S
 
     def set_retention(self, retention_s: float) -> None:
         """Remember streams for `retention_s` from now on."""
-        self.retention_s = self.origins.retention_s = self.untold.retention_s = (
+        self.retention_s = self.origins.retention_s = self.unannounced.retention_s = (
             retention_s
         )
 
@@ -64,7 +64,7 @@
             return False
         key = stream_key(service, customer, request_id)
         self.origins.add(key, version, now_s)
-        self.untold.add(service, key, version, now_s)
+        self.unannounced.add(service, key, version, now_s)
         return self.must_announce(service, now_s)
 
     def must_announce(self, service: ServiceName, now_s: float) -> bool:
@@ -85,7 +85,7 @@
     def pop_unannounced(self, limit: int, now_s: float) -> list[UnannouncedOrigin]:
         """Return and remove up to `limit` streams that must be announced to others."""
         popped: list[UnannouncedOrigin] = []
-        for service in self.untold.services:
+        for service in self.unannounced.services:
             if self.must_announce(service, now_s):
-                popped += self.untold.pop(service, limit - len(popped), now_s)
+                popped += self.unannounced.pop(service, limit - len(popped), now_s)
         return popped
--- a/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
+++ b/packages/scaleloom-core/scaleloom_core/rollouts/evidence.py
@@ -27,7 +27,7 @@
 
 # A second is confirmed once the following one has ended, since the current version's
 # answers of that second count as well: peers report up to half a second late.
-SETTLED_AFTER_S = 2
+CONFIRMED_AFTER_S = 2
 # Maximum age of an assessment; bad answers of the candidate update it at once.
 REFRESH_INTERVAL_S = 0.25
 # Share of the current version's answers; on rarer routes a short trial shows nothing.
@@ -72,8 +72,8 @@
 
     _totals: AnswerCounts = msgspec.field(default_factory=AnswerCounts)
     _seconds: dict[int, AnswerCounts] = msgspec.field(default_factory=dict)
-    _settled: SequentialTest = msgspec.field(default_factory=SequentialTest)
-    _settled_to: int | None = None
+    _confirmed: SequentialTest = msgspec.field(default_factory=SequentialTest)
+    _confirmed_to: int | None = None
     _latest: SequentialTest | None = None
     _latest_s: float = 0.0
     _is_changed: bool = False
@@ -82,7 +82,7 @@
 
     def record(self, answers: AnswerTallies, now_s: float) -> None:
         """Record answers seen by this router or reported by a peer."""
-        second = self._settle(now_s)
+        second = self._confirm_seconds(now_s)
         counts = self._seconds.get(second)
         if counts is None:
             counts = self._seconds[second] = self._totals.empty_copy()
@@ -93,7 +93,7 @@
 
     def assess(self, now_s: float) -> Assessment:
         """Return what the answers counted so far show about the candidate."""
-        self._settle(now_s)
+        self._confirm_seconds(now_s)
         is_outdated = now_s - self._latest_s >= REFRESH_INTERVAL_S
         if (
             self._is_urgent
@@ -117,28 +117,28 @@
             return False
         return self._latest.exceeds_doubt_threshold(frozenset())
 
-    def _settle(self, now_s: float) -> int:
+    def _confirm_seconds(self, now_s: float) -> int:
         """Confirm the seconds that ended long enough ago; return the current one."""
         second = int(now_s)
-        if self._settled_to is None:
-            self._settled_to = second - 1
-        if second - SETTLED_AFTER_S <= self._settled_to:
+        if self._confirmed_to is None:
+            self._confirmed_to = second - 1
+        if second - CONFIRMED_AFTER_S <= self._confirmed_to:
             return second
         for completed in sorted(self._seconds):
-            if self._settled_to < completed <= second - SETTLED_AFTER_S:
-                self._add_second(self._settled, completed)
-                self._settled.record_current(self._seconds[completed].current)
+            if self._confirmed_to < completed <= second - CONFIRMED_AFTER_S:
+                self._add_second(self._confirmed, completed)
+                self._confirmed.record_current(self._seconds[completed].current)
                 self._is_changed = True
-        self._settled_to = second - SETTLED_AFTER_S
-        for old in [old for old in self._seconds if old < self._settled_to]:
+        self._confirmed_to = second - CONFIRMED_AFTER_S
+        for old in [old for old in self._seconds if old < self._confirmed_to]:
             del self._seconds[old]
         return second
 
     def _updated_test(self) -> SequentialTest:
         """Return the confirmed test, updated with the most recent seconds."""
-        test = self._settled.copy()
+        test = self._confirmed.copy()
         for recent in sorted(self._seconds):
-            if recent > self._settled_to:
+            if recent > self._confirmed_to:
                 self._add_second(test, recent)
         return test
 
@@ -198,8 +198,8 @@
         if self._totals.current or self._totals.candidate:
             return
         self._totals.add(totals)
-        completed = int(now_s) - SETTLED_AFTER_S - 1
+        completed = int(now_s) - CONFIRMED_AFTER_S - 1
         restored = self._totals.snapshot()
-        self._settled.add(restored.candidate, [restored.current], completed)
-        self._settled.record_current(restored.current)
+        self._confirmed.add(restored.candidate, [restored.current], completed)
+        self._confirmed.record_current(restored.current)
         self._latest = None
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/answer_ends.py
@@ -42,7 +42,7 @@
     return _is_closed_json(body)
 
 
-def is_told_by_head(response: httpcore.Response, body: bytes) -> bool:
+def is_status_sufficient(response: httpcore.Response, body: bytes) -> bool:
     """Return True, for calls whose outcome is the status alone."""
     return True
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -60,7 +60,7 @@
         Maximum time to open a connection or to wait for a pooled one, in seconds.
     read_timeout_s : float
         Maximum pause while a request is sent or an answer is read, in seconds.
-    keeps_connections : bool
+    reuses_connections : bool
         If False, every request opens a new connection. The outcome of a request on an
         idle connection that the server has just closed would be unknown.
     """
@@ -69,11 +69,11 @@
         self,
         connect_timeout_s: float = 1.0,
         read_timeout_s: float = 60.0,
-        keeps_connections: bool = True,
+        reuses_connections: bool = True,
     ) -> None:
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=None,
-            max_keepalive_connections=None if keeps_connections else 0,
+            max_keepalive_connections=None if reuses_connections else 0,
             keepalive_expiry=IDLE_CONNECTION_TIMEOUT_S,
         )
         self._timeouts = {
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/events.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/events.py
@@ -39,12 +39,12 @@
         end = 0
         for boundary in _EVENT_END.finditer(buffered, searched):
             end = boundary.end()
-        whole, self._partial = buffered[:end], buffered[end:]
+        complete, self._partial = buffered[:end], buffered[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise httpcore.RemoteProtocolError("an event of the stream is too long")
-        if whole:
-            self.is_finished = _last_line(whole) in _LAST_EVENTS
-        return whole
+        if complete:
+            self.is_finished = _last_line(complete) in _LAST_EVENTS
+        return complete
 
     @property
     def has_partial(self) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/platform/engine.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/platform/engine.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.records import Assignment
-from scaleloom_fleet.http.answer_ends import is_told_by_head
+from scaleloom_fleet.http.answer_ends import is_status_sufficient
 from scaleloom_fleet.http.clients import HttpClient
 from scaleloom_fleet.platform.json_documents import HTTP_OK, fetch_json
 from scaleloom_fleet.utils.addresses import Address
@@ -87,7 +87,7 @@
         body = msgspec.json.encode(order)
         url = address.url("/orders")
         outcome = await client.request(
-            "POST", url, headers, body, ORDER_TIMEOUT_S, is_told_by_head
+            "POST", url, headers, body, ORDER_TIMEOUT_S, is_status_sufficient
         )
         response = outcome.value_or(None)
         if response is None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/load_orders.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/load_orders.py
@@ -80,16 +80,16 @@
 async def _order_load(state: SidecarState, assignment: Assignment, token: int) -> None:
     """Order the engine to load, and drain the engine first if the weights change."""
     previous = state.loaded_assignment
-    keeps_weights = (
+    retains_weights = (
         previous is not None
         and previous.model == assignment.model
         and previous.version == assignment.version
     )
-    if not keeps_weights:
+    if not retains_weights:
         state.loaded_assignment = None
         await _wait_idle(state)
     model = state.config.fold.find_model(assignment.model)
-    weight_bytes = model.weight_bytes if model and not keeps_weights else 0
+    weight_bytes = model.weight_bytes if model and not retains_weights else 0
     order_result = await state.engine.order_load(
         LoadOrder(assignment, weight_bytes), token
     )
--- a/packages/scaleloom-fleet/scaleloom_fleet/sidecar/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/sidecar/process.py
@@ -85,7 +85,7 @@
         ),
         client=HttpClient(connect_timeout_s, read_timeout_s),
         unpooled_client=HttpClient(
-            connect_timeout_s, read_timeout_s, keeps_connections=False
+            connect_timeout_s, read_timeout_s, reuses_connections=False
         ),
         log=open_http_log(
             parse_address(platform.log_address), platform_client, platform.timeout_s
--- a/packages/scaleloom-standins/scaleloom_standins/demo.py
+++ b/packages/scaleloom-standins/scaleloom_standins/demo.py
@@ -260,7 +260,7 @@
         )
     report.print_line(
         f"  turns {tally.turns}, served {tally.served}, asked again "
-        f"{tally.asked_again}, shed {tally.shed}, lost {tally.lost}"
+        f"{tally.retried}, shed {tally.shed}, lost {tally.lost}"
     )
     report.print_line("\nPromises under the stop and the kill:")
     report.check(tally.lost == 0, "no request was lost")
--- a/packages/scaleloom-standins/scaleloom_standins/traffic.py
+++ b/packages/scaleloom-standins/scaleloom_standins/traffic.py
@@ -31,7 +31,7 @@
     foreign: int = 0
     truncated: int = 0
     lost: int = 0
-    asked_again: int = 0
+    retried: int = 0
     first_token_s: list[float] = field(default_factory=list)
 
 
@@ -101,7 +101,7 @@
             if text is not None:
                 self.tally.served += 1
                 return text
-            self.tally.asked_again += 1
+            self.tally.retried += 1
             await trio.sleep(RETRY_DELAY_S)
         self.tally.lost += 1
         return None
--- a/proofs/process_answers.py
+++ b/proofs/process_answers.py
@@ -100,7 +100,7 @@
         fault,
         tally.turns,
         tuple(checker.violations),
-        f"{tally.served} of {tally.turns} served, {tally.asked_again} asked again",
+        f"{tally.served} of {tally.turns} served, {tally.retried} asked again",
     )
 
 
@@ -126,7 +126,7 @@
         requests,
         tuple(checker.violations),
         f"{ratio:.3f} attempts a request; {client.tally.served} of "
-        f"{client.tally.turns} served, {client.tally.asked_again} asked again",
+        f"{client.tally.turns} served, {client.tally.retried} asked again",
     )
 
 
--- a/proofs/process_draining.py
+++ b/proofs/process_draining.py
@@ -112,7 +112,7 @@
 def _summarize(client: Caller) -> str:
     """Return the turns served and retried as text."""
     tally = client.tally
-    return f"{tally.served} of {tally.turns} turns, asked again {tally.asked_again}"
+    return f"{tally.served} of {tally.turns} turns, asked again {tally.retried}"
 
 
 async def _stop_sidecar(fleet: LocalFleet) -> None:
@@ -153,7 +153,7 @@
             await trio.sleep(1.0)
         cached_share = await _cached_token_share(fleet)
     _check_tally(checker, client.tally, fault)
-    interrupted = client.tally.asked_again - client.tally.shed
+    interrupted = client.tally.retried - client.tally.shed
     checker.check(interrupted == 0, f"{fault}: {interrupted} requests interrupted")
     availability = f"{_summarize(client)}; prompt tokens cached {cached_share:.1%}"
     return ProofResult(
--- a/tests/core/test_rollout_evidence.py
+++ b/tests/core/test_rollout_evidence.py
@@ -262,7 +262,7 @@
     evidence_so_far = Evidence()
     for second in range(200):
         evidence_so_far.record(_at_current(1), float(second))
-    assert len(evidence_so_far._seconds) <= evidence.SETTLED_AFTER_S + 1
+    assert len(evidence_so_far._seconds) <= evidence.CONFIRMED_AFTER_S + 1
 
 
 def test_the_summary_names_the_worst_route():
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -139,31 +139,31 @@
 
 
 def test_untold_streams_are_told_once_and_the_newest_first():
-    untold = UnannouncedOrigins(RETENTION_S)
+    unannounced = UnannouncedOrigins(RETENTION_S)
     for number in range(5):
-        untold.add(SERVICE, StreamKey(number), V1, float(number))
-    assert untold.services == [SERVICE]
+        unannounced.add(SERVICE, StreamKey(number), V1, float(number))
+    assert unannounced.services == [SERVICE]
     told = [
-        [origin.key for origin in untold.pop(SERVICE, 3, 5.0)],
-        [origin.key for origin in untold.pop(SERVICE, 3, 5.0)],
-        [origin.key for origin in untold.pop(SERVICE, 3, 5.0)],
+        [origin.key for origin in unannounced.pop(SERVICE, 3, 5.0)],
+        [origin.key for origin in unannounced.pop(SERVICE, 3, 5.0)],
+        [origin.key for origin in unannounced.pop(SERVICE, 3, 5.0)],
     ]
     assert told == [[4, 3, 2], [1, 0], []]
-    assert untold.services == []
+    assert unannounced.services == []
 
 
 @given(DISTANCES_S, st.floats(0.0, 3.0 * RETENTION_S), st.integers(1, 10))
 def test_untold_streams_are_bounded_in_age_and_number(
     distances_s, later_s, max_origins
 ):
-    untold = UnannouncedOrigins(RETENTION_S, max_origins)
+    unannounced = UnannouncedOrigins(RETENTION_S, max_origins)
     begun_s, now_s = [], 0.0
     for number, distance_s in enumerate(distances_s):
         now_s += distance_s
-        untold.add(SERVICE, StreamKey(number), V1, now_s)
+        unannounced.add(SERVICE, StreamKey(number), V1, now_s)
         begun_s.append(now_s)
     now_s += later_s
-    told = [origin.begun_s for origin in untold.pop(SERVICE, len(begun_s), now_s)]
+    told = [origin.begun_s for origin in unannounced.pop(SERVICE, len(begun_s), now_s)]
     current = [at_s for at_s in begun_s if now_s - at_s < RETENTION_S]
     assert told == current[::-1][:max_origins]
 
--- a/tests/fleet/test_stopping.py
+++ b/tests/fleet/test_stopping.py
@@ -17,4 +17,4 @@
                 fleet.terminate("e1")
                 assert await fleet.wait_stopped("e1") == 0
     assert caller.tally.served > 0
-    assert (caller.tally.lost, caller.tally.asked_again) == (0, 0)
+    assert (caller.tally.lost, caller.tally.retried) == (0, 0)
