--- a/tests/core/test_catching_up.py
+++ b/tests/core/test_catching_up.py
@@ -30,14 +30,14 @@
     (SAME_LIST_LATER, True, 1.0, False),
     (OWN, True, 1.0, False),
 )
-def test_when_a_peer_is_asked(versions, is_store_unavailable, waited_s, is_asked):
+def test_when_a_peer_is_queried(versions, is_store_unavailable, waited_s, is_queried):
     catch_up = CatchUp(GRACE_S)
     catch_up.record_peer(PEER, versions, 7.0)
-    asked = catch_up.peers_to_query(OWN, is_store_unavailable, 7.0 + waited_s)
-    assert asked == ([PEER] if is_asked else [])
+    queried = catch_up.peers_to_query(OWN, is_store_unavailable, 7.0 + waited_s)
+    assert queried == ([PEER] if is_queried else [])
 
 
-def test_no_peer_is_asked_if_the_store_keeps_up_with_frequent_changes():
+def test_no_peer_is_queried_if_the_store_reports_frequent_changes_in_time():
     catch_up = CatchUp(GRACE_S)
     for version in range(5, 60):
         now_s = version * 0.06
@@ -47,7 +47,7 @@
         assert catch_up.peers_to_query(own, False, now_s) == []
 
 
-def test_without_a_configuration_all_peers_that_have_one_are_asked_at_once():
+def test_without_a_configuration_all_peers_that_have_one_are_queried_at_once():
     catch_up = CatchUp(GRACE_S)
     catch_up.record_peer(PEER, OWN, 0.0)
     catch_up.record_peer(OTHER, OWN, 0.0)
--- a/tests/core/test_cause_digests.py
+++ b/tests/core/test_cause_digests.py
@@ -33,7 +33,7 @@
     )
 
 
-def test_digests_tell_prompt_parts_from_requests():
+def test_digests_distinguish_prompt_parts_from_requests():
     parts = [part_digest(f"{number:x}") for number in range(64)]
     requests = [request_digest(*FIRST[:4], b"%d" % number) for number in range(64)]
     assert all(map(is_prompt_part, parts))
--- a/tests/core/test_cold_targets.py
+++ b/tests/core/test_cold_targets.py
@@ -60,7 +60,7 @@
 
 
 @params(1, 5, 23, 68, 190)
-def test_a_fleet_under_load_keeps_the_rate_limit_of_a_cold_target(routers):
+def test_a_fleet_under_load_respects_the_rate_limit_of_a_cold_target(routers):
     sent = _sent_in_seconds(_schedules(routers), 60)
     assert max(sent) <= MAX_SENT_PER_SECOND
     mean = sum(sent) / len(sent)
@@ -91,7 +91,7 @@
 
 
 def _roster_with_peers(routers: int) -> FleetRoster:
-    """Return a roster, started at 0 s, that heard `routers` others at 1 s."""
+    """Return a roster, started at 0 s, with reports of `routers` others at 1 s."""
     roster = FleetRoster(InstanceId("10.0.0.1:1"), HERE, 0.0)
     for number in range(routers):
         member = FleetMember(InstanceId(f"10.0.1.{number}:1"), number, False)
@@ -160,7 +160,7 @@
     digest = view.digest
     view.apply_list([_with_cold(0, 3000)], 2, now_s=20.0)
     assert _cold_ids(view, 22.9) == {"i-0"}
-    assert view.digest != digest, "peers would not ask for the change"
+    assert view.digest != digest, "peers would not request the change"
 
 
 def test_targets_count_as_cold_after_an_evacuation():
@@ -181,7 +181,7 @@
     assert _cold_ids(view, readmitted_s + COLD_START_S) == set()
 
 
-def test_the_chooser_keeps_the_rate_limit_of_an_idle_cold_target():
+def test_the_chooser_respects_the_rate_limit_of_an_idle_cold_target():
     view = target_view(2)
     chooser = target_chooser(view)
     chooser.cold_schedule = ColdSendSchedule("10.0.0.1:1", router_count=1)
--- a/tests/core/test_crash_table.py
+++ b/tests/core/test_crash_table.py
@@ -232,7 +232,7 @@
 
 
 @given(st.lists(CRASHES), st.randoms(use_true_random=False))
-def test_ends_count_alike_in_any_order_and_however_often_they_are_told(crashes, random):
+def test_ends_count_the_same_in_any_order_and_however_often_reported(crashes, random):
     once, often = CrashTable(), CrashTable()
     for crash in set(crashes):
         once.record_crash(crash, ReportSource.LOCAL, 0.0)
@@ -274,13 +274,13 @@
     assert _permission(table, BAD_PART) is SendPermission.TRIAL_ONLY
 
 
-def test_a_prompt_part_explains_crashes_under_what_was_in_flight_beside_it():
+def test_a_prompt_part_explains_crashes_under_what_was_in_flight_with_it():
     # Two requests were in flight at two crashing targets each, and a sound part at
-    # three: all of them beside the part that crashed five.
+    # three: all of them together with the part that crashed five.
     table = CrashTable()
     for start in range(MIN_PART_CRASHES):
-        beside = (BAD, OTHER) if start < MIN_REQUEST_CRASHES else ()
-        _crash_under(table, (*beside, 10 + start, BAD_PART, SOUND_PART), start)
+        concurrent = (BAD, OTHER) if start < MIN_REQUEST_CRASHES else ()
+        _crash_under(table, (*concurrent, 10 + start, BAD_PART, SOUND_PART), start)
     assert _permission(table, SOUND_PART) is SendPermission.TRIAL_ONLY
     for start in range(MIN_PART_CRASHES, MIN_PART_CRASHES + 2):
         _crash_under(table, (10 + start, BAD_PART), start)
--- a/tests/core/test_errors.py
+++ b/tests/core/test_errors.py
@@ -33,9 +33,9 @@
 
 def test_not_run_is_stated_only_with_a_proof():
     for kind, response in ERROR_RESPONSES.items():
-        says_not_run = response.outcome is Outcome.NOT_RUN
+        states_not_run = response.outcome is Outcome.NOT_RUN
         has_proof = not response.proof.startswith("Nothing is proved")
-        assert says_not_run == has_proof, kind
+        assert states_not_run == has_proof, kind
 
 
 def test_the_reference_page_has_every_row():
--- a/tests/core/test_fleet_roster.py
+++ b/tests/core/test_fleet_roster.py
@@ -206,7 +206,7 @@
     assert alone.roster.rank(alone.member.precedence, 0.0) == 0
 
 
-def test_a_router_without_the_store_is_ranked_behind_all_others():
+def test_a_router_without_the_store_is_ranked_after_all_others():
     healthy = [precedence(InstanceId(f"r-{n}"), False, False) for n in range(50)]
     low_bandwidth = [precedence(InstanceId(f"r-{n}"), True, False) for n in range(50)]
     without_store = [precedence(InstanceId(f"r-{n}"), False, True) for n in range(50)]
@@ -348,9 +348,9 @@
 def test_a_duplicate_report_is_counted_once():
     load = FleetLoad()
     key = target_key(TARGET)
-    for held in (4, 1, 3):
-        load.update_peer(InstanceId("peer"), {key: held}, 0.0)
-        load.update_group(InstanceId("group"), {key: 2 * held}, 5, 0.0)
+    for in_flight in (4, 1, 3):
+        load.update_peer(InstanceId("peer"), {key: in_flight}, 0.0)
+        load.update_group(InstanceId("group"), {key: 2 * in_flight}, 5, 0.0)
     assert load.in_flight(TARGET) == 9
     assert load.group_report() == {key: 3}
     load.remove_silent(60.0)
--- a/tests/core/test_list_history.py
+++ b/tests/core/test_list_history.py
@@ -35,8 +35,10 @@
         if digest < len(states) - 4:
             assert change is None
             continue
-        kept = {t: listed for t, listed in state.items() if t not in change.removed}
-        assert {**kept, **{t: newest[t] for t in change.changed}} == newest
+        remaining = {
+            t: listed for t, listed in state.items() if t not in change.removed
+        }
+        assert {**remaining, **{t: newest[t] for t in change.changed}} == newest
         assert not change.changed & change.removed
 
 
--- a/tests/core/test_owner.py
+++ b/tests/core/test_owner.py
@@ -22,8 +22,8 @@
 
 def _owner(is_first: bool = True, now_s: float = 0.0) -> KeyOwner:
     owner = KeyOwner("tags", Claimant("s1", "i1"), LEASE, POLICY)
-    held = SlotOwner("s1", "i1", epoch=1, is_first=is_first)
-    slots = {slot: held for slot in range(KEY_SLOT_COUNT)}
+    slot_owner = SlotOwner("s1", "i1", epoch=1, is_first=is_first)
+    slots = {slot: slot_owner for slot in range(KEY_SLOT_COUNT)}
     owner.apply_owners(slots, now_s, WALL_S + now_s)
     owner.extend_lease(now_s)
     return owner
@@ -107,8 +107,8 @@
     owner, key = _owner(), _key(WALL_S)
     _begin(owner, key)
     full = FleetError(ErrorKind.OVERLOADED, "full")
-    kept = owner.refuse_run(key, full, WALL_S + 1.0, 1.0, WALL_S + 1.0)
-    assert kept.known_outcome is Outcome.NOT_RUN
+    refused = owner.refuse_run(key, full, WALL_S + 1.0, 1.0, WALL_S + 1.0)
+    assert refused.known_outcome is Outcome.NOT_RUN
     late = _begin(owner, key, now_s=2.5, sent_s=0.9)
     assert _kind(late) is ErrorKind.ATTEMPT_STALE
     again = _begin(owner, key, now_s=4.5, sent_s=4.5)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -33,11 +33,11 @@
 
 
 def test_members_of_the_same_region_come_first():
-    far = [
+    remote = [
         PoolMember(TargetId(f"far-{number}"), is_same_region=False)
         for number in range(9)
     ]
-    table = PlacementTable([*far, MEMBERS[0], MEMBERS[1]])
+    table = PlacementTable([*remote, MEMBERS[0], MEMBERS[1]])
     for chat in CHATS[:100]:
         assert set(table.candidates(chat)[:2]) == {"engine-0", "engine-1"}
 
--- a/tests/core/test_prefix_holders.py
+++ b/tests/core/test_prefix_holders.py
@@ -119,10 +119,10 @@
     assert new_home != home
     assert chooser.cache_source(placement_key(), new_home, 0.0).id == home
     view.apply_list(listed, 3, 9.0)
-    gone_s = 9.0 + DEPARTED_SOURCE_S
+    expired_s = 9.0 + DEPARTED_SOURCE_S
     chooser.record_cached(placement_key(), home, 9.0)
-    assert chooser.cache_source(placement_key(), new_home, gone_s - 0.1).id == home
-    assert chooser.cache_source(placement_key(), new_home, gone_s).id != home
+    assert chooser.cache_source(placement_key(), new_home, expired_s - 0.1).id == home
+    assert chooser.cache_source(placement_key(), new_home, expired_s).id != home
 
 
 def test_an_unlisted_target_remains_a_source_for_a_while():
--- a/tests/core/test_queue_order.py
+++ b/tests/core/test_queue_order.py
@@ -52,7 +52,7 @@
     )
 
 
-def test_a_surging_customer_is_behind_the_others():
+def test_a_surging_customer_is_queued_after_the_others():
     surging = _CustomerLoad(in_flight=9)
     assert _rank(_CustomerLoad(), needs_prefill=True) < _rank(surging)
     assert _rank(surging) < _rank(_CustomerLoad(), is_overdue=True)
--- a/tests/core/test_retry_windows.py
+++ b/tests/core/test_retry_windows.py
@@ -29,7 +29,7 @@
     st.lists(st.tuples(st.floats(0.0, 0.4), st.booleans()), min_size=1, max_size=400)
 )
 @settings(max_examples=60, deadline=None)
-def test_no_window_holds_more_repeats_than_it_may(steps):
+def test_no_window_contains_more_retries_than_allowed(steps):
     window = RetryWindow(RATIO, EXTRA, WINDOW_S)
     now_s, requests, retries = 0.0, [], []
     for pause_s, is_retry in steps:
--- a/tests/core/test_rollout_evidence.py
+++ b/tests/core/test_rollout_evidence.py
@@ -34,23 +34,23 @@
 
 
 def _at_candidate(targets, answered, bad=0, route=ROUTE):
-    """Return this many answers of each of the candidate's targets."""
+    """Return answers of the candidate, `answered` for each of its targets."""
     tally = Tally(answered, bad)
     return AnswerTallies(candidate={route: {target: tally for target in targets}})
 
 
 def _evidence_from(*seen, at_s=10.0):
     """Return evidence with all of `seen` recorded at the same time."""
-    evidence_so_far = Evidence()
+    collected = Evidence()
     for answers_seen in seen:
-        evidence_so_far.record(answers_seen, at_s)
-    return evidence_so_far
+        collected.record(answers_seen, at_s)
+    return collected
 
 
 def test_without_answers_the_assessment_is_undecided():
-    evidence_so_far = Evidence()
-    assert evidence_so_far.assess(5.0) is UNDECIDED
-    summary = evidence_so_far.summary(5.0)
+    collected = Evidence()
+    assert collected.assess(5.0) is UNDECIDED
+    summary = collected.summary(5.0)
     assert (summary.candidate, summary.targets, summary.worst_route) == (
         Tally(),
         0,
@@ -59,171 +59,167 @@
 
 
 def test_a_version_with_good_answers_is_good():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 6))
-    assert evidence_so_far.assess(10.0) is GOOD
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 6))
+    assert collected.assess(10.0) is GOOD
 
 
-def test_few_good_answers_leave_it_undecided():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 2))
-    assert evidence_so_far.assess(10.0) is UNDECIDED
+def test_few_good_answers_do_not_decide():
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 2))
+    assert collected.assess(10.0) is UNDECIDED
 
 
 def test_a_version_with_bad_answers_of_all_targets_is_bad():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 3, 3))
-    assert evidence_so_far.assess(10.0) is BAD
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 3, 3))
+    assert collected.assess(10.0) is BAD
 
 
 def test_a_fault_of_both_versions_does_not_count_against_the_candidate():
-    evidence_so_far = _evidence_from(
-        _at_current(100, 95), _at_candidate(range(3), 20, 19)
-    )
-    assert evidence_so_far.assess(10.0) is not BAD
+    collected = _evidence_from(_at_current(100, 95), _at_candidate(range(3), 20, 19))
+    assert collected.assess(10.0) is not BAD
 
 
 def test_bad_answers_of_the_current_version_half_a_second_later_count_as_well():
-    evidence_so_far = _evidence_from(_at_current(100), at_s=9.2)
-    evidence_so_far.record(_at_candidate(range(3), 4, 2), 9.9)
-    evidence_so_far.record(_at_current(60, 30), 10.3)
-    evidence_so_far.record(_at_candidate(range(3), 4, 2), 10.4)
-    assert evidence_so_far.assess(10.4) is not BAD
-    assert evidence_so_far.assess(20.0) is not BAD
+    collected = _evidence_from(_at_current(100), at_s=9.2)
+    collected.record(_at_candidate(range(3), 4, 2), 9.9)
+    collected.record(_at_current(60, 30), 10.3)
+    collected.record(_at_candidate(range(3), 4, 2), 10.4)
+    assert collected.assess(10.4) is not BAD
+    assert collected.assess(20.0) is not BAD
 
 
 def test_an_old_fault_of_the_current_version_does_not_excuse_the_candidate():
-    evidence_so_far = _evidence_from(_at_current(400, 400), at_s=10.0)
+    collected = _evidence_from(_at_current(400, 400), at_s=10.0)
     for second in range(11, 40):
-        evidence_so_far.record(_at_current(20), float(second))
-    evidence_so_far.record(_at_candidate(range(3), 4, 4), 40.0)
-    assert evidence_so_far.assess(40.0) is BAD
+        collected.record(_at_current(20), float(second))
+    collected.record(_at_candidate(range(3), 4, 4), 40.0)
+    assert collected.assess(40.0) is BAD
 
 
 def test_one_faulty_target_does_not_make_a_version_bad():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate([1, 2], 8))
-    evidence_so_far.record(_at_candidate([3], 24, 24), 10.1)
-    assert evidence_so_far.assess(11.0) is GOOD
+    collected = _evidence_from(_at_current(100), _at_candidate([1, 2], 8))
+    collected.record(_at_candidate([3], 24, 24), 10.1)
+    assert collected.assess(11.0) is GOOD
 
 
-def test_uneven_bad_answers_of_all_targets_leave_the_version_in_doubt():
-    # Without doubt no further requests were sent, and a version that failed a quarter
-    # of its answers was found bad only after the deadline.
-    evidence_so_far = _evidence_from(_at_current(700))
+def test_a_version_with_uneven_bad_answers_of_all_targets_is_doubtful():
+    # If the version is not doubtful, it gets no further requests. One that failed a
+    # quarter of its answers was found bad only after the deadline.
+    collected = _evidence_from(_at_current(700))
     for target, bad in ((1, 7), (2, 3), (3, 2)):
-        evidence_so_far.record(_at_candidate([target], 17, bad), 10.1)
-    assert evidence_so_far.assess(10.1) is UNDECIDED
-    assert evidence_so_far.is_doubtful(10.1)
+        collected.record(_at_candidate([target], 17, bad), 10.1)
+    assert collected.assess(10.1) is UNDECIDED
+    assert collected.is_doubtful(10.1)
 
 
 def test_a_good_version_with_a_faulty_target_is_not_in_doubt():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate([1, 2], 8))
-    evidence_so_far.record(_at_candidate([3], 24, 24), 10.1)
-    assert not evidence_so_far.is_doubtful(11.0)
+    collected = _evidence_from(_at_current(100), _at_candidate([1, 2], 8))
+    collected.record(_at_candidate([3], 24, 24), 10.1)
+    assert not collected.is_doubtful(11.0)
 
 
 def test_two_faulty_targets_of_eight_do_not_make_a_version_bad():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(6), 8))
-    evidence_so_far.record(_at_candidate([6, 7], 10, 9), 10.1)
-    assert evidence_so_far.assess(11.0) is not BAD
+    collected = _evidence_from(_at_current(100), _at_candidate(range(6), 8))
+    collected.record(_at_candidate([6, 7], 10, 9), 10.1)
+    assert collected.assess(11.0) is not BAD
 
 
 def test_a_version_with_one_target_may_be_found_bad():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate([1], 5, 5))
-    assert evidence_so_far.assess(10.0) is not BAD
-    evidence_so_far.record(_at_candidate([1], 5, 5), 10.1)
-    assert evidence_so_far.assess(10.1) is BAD
+    collected = _evidence_from(_at_current(100), _at_candidate([1], 5, 5))
+    assert collected.assess(10.0) is not BAD
+    collected.record(_at_candidate([1], 5, 5), 10.1)
+    assert collected.assess(10.1) is BAD
 
 
 def test_many_bad_answers_of_a_few_targets_end_a_trial():
-    evidence_so_far = _evidence_from(_at_current(200))
+    collected = _evidence_from(_at_current(200))
     for second in range(10, 40):
-        evidence_so_far.record(_at_current(50), float(second))
-        evidence_so_far.record(_at_candidate(range(14), 2), float(second))
-        evidence_so_far.record(_at_candidate([14, 15, 16], 1, 1), float(second))
-    found = evidence_so_far.assess(40.0)
-    seen = evidence_so_far.summary(40.0)
+        collected.record(_at_current(50), float(second))
+        collected.record(_at_candidate(range(14), 2), float(second))
+        collected.record(_at_candidate([14, 15, 16], 1, 1), float(second))
+    found = collected.assess(40.0)
+    seen = collected.summary(40.0)
     assert found is BAD
     assert seen.candidate.bad >= sequential_test.MAX_EXCESS
 
 
-def test_a_route_without_answers_leaves_it_undecided():
-    evidence_so_far = _evidence_from(
+def test_a_version_with_a_route_without_answers_is_undecided():
+    collected = _evidence_from(
         _at_current(90), _at_current(10, route=OTHER), _at_candidate(range(3), 9)
     )
-    assert evidence_so_far.assess(10.0) is UNDECIDED
-    evidence_so_far.record(_at_candidate([1], 1, route=OTHER), 10.1)
-    assert evidence_so_far.assess(11.0) is GOOD
+    assert collected.assess(10.0) is UNDECIDED
+    collected.record(_at_candidate([1], 1, route=OTHER), 10.1)
+    assert collected.assess(11.0) is GOOD
 
 
-def test_a_route_with_bad_answers_leaves_it_undecided():
-    evidence_so_far = _evidence_from(
+def test_a_version_with_a_route_with_bad_answers_is_undecided():
+    collected = _evidence_from(
         _at_current(90), _at_current(10, route=OTHER), _at_candidate(range(3), 9)
     )
-    evidence_so_far.record(_at_candidate([1], 2, 1, route=OTHER), 10.1)
-    assert evidence_so_far.assess(11.0) is UNDECIDED
-    evidence_so_far.record(_at_candidate([2], 3, route=OTHER), 11.1)
-    assert evidence_so_far.assess(12.0) is GOOD
+    collected.record(_at_candidate([1], 2, 1, route=OTHER), 10.1)
+    assert collected.assess(11.0) is UNDECIDED
+    collected.record(_at_candidate([2], 3, route=OTHER), 11.1)
+    assert collected.assess(12.0) is GOOD
 
 
 def test_recent_bad_answers_revoke_a_good_assessment():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 100))
-    assert evidence_so_far.assess(10.0) is GOOD
-    evidence_so_far.record(_at_candidate([1, 2], 1, 1), 13.0)
-    assert evidence_so_far.assess(13.0) is UNDECIDED
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 100))
+    assert collected.assess(10.0) is GOOD
+    collected.record(_at_candidate([1, 2], 1, 1), 13.0)
+    assert collected.assess(13.0) is UNDECIDED
 
 
 def test_a_rare_route_need_not_be_tried():
-    evidence_so_far = _evidence_from(
+    collected = _evidence_from(
         _at_current(98), _at_current(2, route=OTHER), _at_candidate(range(3), 9)
     )
-    assert evidence_so_far.assess(10.0) is GOOD
+    assert collected.assess(10.0) is GOOD
 
 
 def test_a_version_assessed_as_good_may_become_bad():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 100))
-    assert evidence_so_far.assess(10.0) is GOOD
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 100))
+    assert collected.assess(10.0) is GOOD
     for second in range(11, 14):
-        evidence_so_far.record(_at_current(20), float(second))
-        evidence_so_far.record(_at_candidate(range(3), 2, 2), float(second))
-    assert evidence_so_far.assess(13.0) is BAD
+        collected.record(_at_current(20), float(second))
+        collected.record(_at_candidate(range(3), 2, 2), float(second))
+    assert collected.assess(13.0) is BAD
 
 
 def test_a_version_is_still_tested_once_it_gets_all_requests():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 10))
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 10))
     for second in range(20, 24):
-        evidence_so_far.record(_at_candidate(range(3), 2, 2), float(second))
-    assert evidence_so_far.assess(24.0) is BAD
+        collected.record(_at_candidate(range(3), 2, 2), float(second))
+    assert collected.assess(24.0) is BAD
 
 
 def test_a_bad_answer_updates_the_assessment_at_once():
-    evidence_so_far = _evidence_from(_at_current(100), _at_candidate(range(3), 2, 2))
-    evidence_so_far.assess(10.0)
-    evidence_so_far.record(_at_candidate(range(3), 1, 1), 10.01)
-    assert evidence_so_far.assess(10.01) is BAD
+    collected = _evidence_from(_at_current(100), _at_candidate(range(3), 2, 2))
+    collected.assess(10.0)
+    collected.record(_at_candidate(range(3), 1, 1), 10.01)
+    assert collected.assess(10.01) is BAD
 
 
 def test_totals_contain_all_recorded_answers():
-    evidence_so_far = _evidence_from(_at_current(5, 1), _at_candidate([3, 4], 2, 1))
-    evidence_so_far.record(_at_candidate([3], 1), 30.0)
-    assert evidence_so_far.totals() == AnswerTallies(
+    collected = _evidence_from(_at_current(5, 1), _at_candidate([3, 4], 2, 1))
+    collected.record(_at_candidate([3], 1), 30.0)
+    assert collected.totals() == AnswerTallies(
         {ROUTE: Tally(5, 1)}, {ROUTE: {3: Tally(3, 1), 4: Tally(2, 1)}}
     )
 
 
 def test_a_successor_continues_from_the_logged_totals():
     for bad, wanted in ((0, GOOD), (9, BAD)):
-        evidence_so_far = _evidence_from(
-            _at_current(100), _at_candidate(range(3), 9, bad)
-        )
-        written = msgspec.msgpack.encode(evidence_so_far.totals())
+        collected = _evidence_from(_at_current(100), _at_candidate(range(3), 9, bad))
+        written = msgspec.msgpack.encode(collected.totals())
         successor = Evidence()
         successor.restore(msgspec.msgpack.decode(written, type=AnswerTallies), 50.0)
         assert successor.assess(50.0) is wanted
-        assert successor.totals() == evidence_so_far.totals()
+        assert successor.totals() == collected.totals()
 
 
 def test_logged_totals_are_ignored_once_answers_were_seen():
-    evidence_so_far = _evidence_from(_at_current(3))
-    evidence_so_far.restore(_at_candidate(range(3), 9, 9), 10.5)
-    assert evidence_so_far.totals() == _at_current(3)
+    collected = _evidence_from(_at_current(3))
+    collected.restore(_at_candidate(range(3), 9, 9), 10.5)
+    assert collected.totals() == _at_current(3)
 
 
 @params([-8, 0], [8, -8], [8, 9], [0, 900], [2**64 - 1, 0])
@@ -245,11 +241,11 @@
 
 
 def test_tables_of_routes_and_targets_are_bounded():
-    evidence_so_far = Evidence()
+    collected = Evidence()
     for number in range(300):
-        evidence_so_far.record(_at_current(1, route=number), 10.0)
-        evidence_so_far.record(_at_candidate([number], 1, route=number), 10.0)
-    totals = evidence_so_far.totals()
+        collected.record(_at_current(1, route=number), 10.0)
+        collected.record(_at_candidate([number], 1, route=number), 10.0)
+    totals = collected.totals()
     targets = {target for tallies in totals.candidate.values() for target in tallies}
     assert len(totals.current) <= answer_counts.MAX_ROUTES
     assert len(totals.candidate) <= answer_counts.MAX_ROUTES
@@ -258,21 +254,21 @@
     assert sum(tally.answered for tally in totals.candidate_tallies()) == 300
 
 
-def test_settled_seconds_are_removed():
-    evidence_so_far = Evidence()
+def test_confirmed_seconds_are_removed():
+    collected = Evidence()
     for second in range(200):
-        evidence_so_far.record(_at_current(1), float(second))
-    assert len(evidence_so_far._seconds) <= evidence.CONFIRMED_AFTER_S + 1
+        collected.record(_at_current(1), float(second))
+    assert len(collected._seconds) <= evidence.CONFIRMED_AFTER_S + 1
 
 
 def test_the_summary_names_the_worst_route():
-    evidence_so_far = _evidence_from(
+    collected = _evidence_from(
         _at_current(50),
         _at_current(50, route=OTHER),
         _at_candidate(range(3), 6),
         _at_candidate(range(3), 6, 5, route=OTHER),
     )
-    summary = evidence_so_far.summary(10.0)
+    summary = collected.summary(10.0)
     assert summary.worst_route == OTHER
     assert (summary.targets, summary.assessment) == (3, BAD)
     assert summary.candidate == Tally(36, 15)
@@ -317,7 +313,7 @@
 
 @settings(max_examples=40, database=None, deadline=None)
 @given(st.lists(SEEN, max_size=8))
-def test_nothing_that_is_told_gets_lost_on_the_way(seen):
+def test_no_reported_answer_is_lost(seen):
     local, remote, unsent = Evidence(), Evidence(), UnsentAnswers()
     for answers_seen in seen:
         local.record(answers_seen, 1.0)
@@ -336,7 +332,7 @@
         (_at_candidate([0], 1, 1), 1.0),
     ]
 )
-def test_looking_often_changes_nothing_that_is_settled(history):
+def test_frequent_assessments_change_no_confirmed_second(history):
     assessed_often, assessed_once, now_s = Evidence(), Evidence(), 0.0
     for seen, pause_s in history:
         now_s += pause_s
--- a/tests/core/test_rollout_stages.py
+++ b/tests/core/test_rollout_stages.py
@@ -70,7 +70,7 @@
 
 @settings(max_examples=60, database=None, deadline=None)
 @given(st.lists(SNAPSHOTS, min_size=1, max_size=4))
-def test_the_order_in_which_standings_are_heard_does_not_matter(received):
+def test_the_order_in_which_snapshots_are_received_does_not_matter(received):
     merged = {
         reduce(RolloutSnapshot.merged_with, order) for order in permutations(received)
     }
@@ -79,7 +79,7 @@
 
 @settings(max_examples=60, database=None, deadline=None)
 @given(SNAPSHOTS, SNAPSHOTS)
-def test_a_standing_that_is_heard_again_changes_nothing(one, other):
+def test_a_snapshot_that_is_received_again_changes_nothing(one, other):
     merged = one.merged_with(other)
     assert merged.merged_with(other) == merged
     assert merged.merged_with(one) == merged
--- a/tests/core/test_rollout_state.py
+++ b/tests/core/test_rollout_state.py
@@ -53,7 +53,7 @@
 
 
 def _good_state() -> RolloutState:
-    """Return a state whose candidate was found good so far."""
+    """Return a state whose candidate is currently found good."""
     state = _state()
     _answer(state, Track.CURRENT, 60, 101.0)
     _answer(state, Track.CANDIDATE, 30, 102.0)
@@ -126,7 +126,7 @@
 
 
 def _doubtful_state() -> RolloutState:
-    """Return a state whose candidate looks bad, and not clearly so."""
+    """Return a state with some evidence that the candidate is bad."""
     state = _state()
     _answer(state, Track.CURRENT, 60, 101.0)
     _answer(state, Track.CANDIDATE, 3, 102.0, is_failed=True)
@@ -181,7 +181,7 @@
     assert not state.has_switched(119.9 - DONE_LEAD_S)
 
 
-def test_an_idle_router_that_has_switched_keeps_the_bound():
+def test_an_idle_router_that_has_switched_respects_the_bound():
     state = _state(saw_order_given=False)
     state.stage = Stage.PROMOTING
     _answer(state, Track.CURRENT, 60, 101.0)
@@ -380,7 +380,7 @@
     st.floats(5.0, 200.0),
     st.integers(1, 40),
 )
-def test_the_bound_holds_whenever_a_version_is_promoted(
+def test_the_bound_is_respected_whenever_a_version_is_promoted(
     duration_s, promoted_fraction, rate_per_s, routers
 ):
     order = msgspec.structs.replace(ORDER, duration_s=duration_s)
--- a/tests/core/test_stream_bounds.py
+++ b/tests/core/test_stream_bounds.py
@@ -116,7 +116,7 @@
         assert chosen is None
 
 
-def test_a_version_that_fails_more_than_another_is_not_ejected_as_a_whole():
+def test_a_version_that_fails_more_than_another_is_not_ejected_completely():
     chooser = _mixed_chooser(old_count=2, new_count=6)
     for number in range(2):
         record = chooser.view.records[TargetId(f"i-{number}")]
--- a/tests/core/test_stream_fleet.py
+++ b/tests/core/test_stream_fleet.py
@@ -1,4 +1,4 @@
-"""Plays of simulated fleets: which streams go on after faults, and at which version."""
+"""Tests of which streams continue after faults, and at which version."""
 
 from nose2.tools import params
 
@@ -12,8 +12,8 @@
 
 
 def _breaks_lost(tally: Tally) -> bool:
-    """Return whether too few of the streams that could go on do."""
-    return tally.owed >= MIN_OWED and tally.owed_gone_on < MIN_SHARE * tally.owed
+    """Return whether too few of the streams that could continue do."""
+    return tally.owed >= MIN_OWED and tally.owed_resumed < MIN_SHARE * tally.owed
 
 
 @params(*range(4))
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -1,4 +1,4 @@
-"""Tests of the versions that began streams, and of the targets they may go on at."""
+"""Tests of the versions that began streams, and of where they may continue."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -130,7 +130,7 @@
     assert own_knowledge(origins.find(KEY, later_s), V1) == CONFLICTING_ORIGIN
 
 
-def test_an_origin_told_twice_stays_known():
+def test_an_origin_announced_twice_stays_known():
     origins = StreamOrigins(RETENTION_S)
     origins.add(KEY, V1, 0.0)
     origins.add(KEY, V1, 1.0)
@@ -138,22 +138,22 @@
     assert origins.find(OTHER_KEY, 1.0) is None
 
 
-def test_untold_streams_are_told_once_and_the_newest_first():
+def test_unannounced_streams_are_announced_once_and_the_newest_first():
     unannounced = UnannouncedOrigins(RETENTION_S)
     for number in range(5):
         unannounced.add(SERVICE, StreamKey(number), V1, float(number))
     assert unannounced.services == [SERVICE]
-    told = [
+    announced = [
         [origin.key for origin in unannounced.pop(SERVICE, 3, 5.0)],
         [origin.key for origin in unannounced.pop(SERVICE, 3, 5.0)],
         [origin.key for origin in unannounced.pop(SERVICE, 3, 5.0)],
     ]
-    assert told == [[4, 3, 2], [1, 0], []]
+    assert announced == [[4, 3, 2], [1, 0], []]
     assert unannounced.services == []
 
 
 @given(DISTANCES_S, st.floats(0.0, 3.0 * RETENTION_S), st.integers(1, 10))
-def test_untold_streams_are_bounded_in_age_and_number(
+def test_unannounced_streams_are_bounded_in_age_and_number(
     distances_s, later_s, max_origins
 ):
     unannounced = UnannouncedOrigins(RETENTION_S, max_origins)
@@ -163,9 +163,11 @@
         unannounced.add(SERVICE, StreamKey(number), V1, now_s)
         begun_s.append(now_s)
     now_s += later_s
-    told = [origin.begun_s for origin in unannounced.pop(SERVICE, len(begun_s), now_s)]
+    announced = [
+        origin.begun_s for origin in unannounced.pop(SERVICE, len(begun_s), now_s)
+    ]
     current = [at_s for at_s in begun_s if now_s - at_s < RETENTION_S]
-    assert told == current[::-1][:max_origins]
+    assert announced == current[::-1][:max_origins]
 
 
 @params(
@@ -187,7 +189,7 @@
     (OriginKnowledge(OriginSource.ONLY_VERSION, NO_VERSION), False),
     (UNKNOWN_ORIGIN, True),
 )
-def test_others_are_asked_unless_a_record_suffices(own, expected):
+def test_others_are_queried_unless_a_record_suffices(own, expected):
     assert needs_query(own) is expected
 
 
--- a/tests/core/test_target_choice.py
+++ b/tests/core/test_target_choice.py
@@ -56,7 +56,7 @@
     assert len(homes) == 1
 
 
-def test_the_bound_holds_when_all_requests_share_one_part():
+def test_the_bound_is_respected_when_all_requests_share_one_part():
     view = target_view(6)
     chooser = target_chooser(view)
     for _ in range(200):
@@ -106,8 +106,10 @@
     first.mark_unreachable(0.0)
     second = chooser.choose(placement_key(), ENGINE, set(), 0.0)
     assert second is not first
-    kept = [listed_target(n) for n in range(LARGE_POOL) if f"i-{n}" != second.listed.id]
-    view.apply_list(kept, 2)
+    remaining = [
+        listed_target(n) for n in range(LARGE_POOL) if f"i-{n}" != second.listed.id
+    ]
+    view.apply_list(remaining, 2)
     assert chooser.choose(placement_key(), ENGINE, set(), 0.0) not in (first, second)
 
 
@@ -139,8 +141,8 @@
 def test_plain_requests_prefer_the_own_data_centre():
     view = TargetView()
     near = [listed_target(n) for n in range(2)]
-    far = [listed_target(n, data_centre=THERE) for n in range(2, 4)]
-    view.apply_list(near + far, 1)
+    remote = [listed_target(n, data_centre=THERE) for n in range(2, 4)]
+    view.apply_list(near + remote, 1)
     record = target_chooser(view).choose(placement_key(None), PLAIN, set(), 0.0)
     assert record.listed.data_centre == HERE
 
--- a/tests/core/test_target_pools.py
+++ b/tests/core/test_target_pools.py
@@ -27,7 +27,7 @@
     assert _targets(pools.table("dossier", "unknown", 2.0)) == set()
 
 
-def test_a_change_of_customers_keeps_the_tables():
+def test_a_change_of_customers_does_not_rebuild_the_tables():
     fold = configured_fold(3)
     pools, _ = _pools(fold)
     before = pools.table("dossier", None, 0.0)
@@ -41,8 +41,8 @@
     append_record(fold, Change("c", 0, "ana", regions))
     membership = Membership()
     membership.apply_list([member(name) for name in ENGINES], 0.0)
-    far = EnginePools(fold, membership, "sala-b").table("dossier", None, 0.0)
-    assert not any(item.is_same_region for item in far.members)
+    remote = EnginePools(fold, membership, "sala-b").table("dossier", None, 0.0)
+    assert not any(item.is_same_region for item in remote.members)
 
 
 def test_a_service_has_its_configured_targets():
--- a/tests/core/test_target_restarts.py
+++ b/tests/core/test_target_restarts.py
@@ -25,7 +25,7 @@
 
 
 def _reading(starts: list[int]) -> list[ListedTarget]:
-    """Return a list in which each target has started as often as `starts` says."""
+    """Return a list in which each target has started `starts` times."""
     return [_listed(number, started_ms) for number, started_ms in enumerate(starts)]
 
 
@@ -44,8 +44,8 @@
         0.0,
     )
     assert view.find_source(before.listed.id, 0.2) is None
-    kept = view.find_by_entry(EntryKey("i-1"))
-    assert kept.listed.id == "i-1@1"
+    restarted = view.find_by_entry(EntryKey("i-1"))
+    assert restarted.listed.id == "i-1@1"
 
 
 def test_a_former_start_is_not_retained_after_a_restart():
--- a/tests/core/test_target_signals.py
+++ b/tests/core/test_target_signals.py
@@ -86,7 +86,7 @@
     former = next(iter(view.records))
     view.record_signals(former, signals, NOW_S)
     view.apply_list([_started(2)], 2, NOW_S)
-    # Answers of the former start may arrive after the next start was listed.
+    # Answers of the previous start may arrive after the next start was listed.
     view.record_signals(former, signals, NOW_S)
     assert _usable(view, NOW_S) == {target_start_id("i-0", 2)}
 
--- a/tests/core/test_target_tracks.py
+++ b/tests/core/test_target_tracks.py
@@ -71,7 +71,7 @@
 
 
 def _rollout_state(position: int = 3, duration_s: float = 30.0) -> RolloutState:
-    """Return the state of a roll-out whose order this router saw from the start."""
+    """Return the state of a roll-out whose order this router read when it was given."""
     order = RolloutOrder(SERVICE, NEW, duration_s, position)
     return start_rollout(order, ExposureBounds(), 1, 1.0, True, 0.0)
 
@@ -123,7 +123,7 @@
     assert _usable(view) == _ids(_both())
 
 
-def test_a_rule_that_changes_nothing_keeps_the_pools():
+def test_a_rule_that_changes_nothing_does_not_rebuild_the_pools():
     view = _view()
     before = view.generation
     view.apply_rules({SERVICE: VersionRule(NEW)}, 5.0)
@@ -289,8 +289,10 @@
             chooser.load.add_request(target)
     while chooser.choose(placement_key(), ENGINE, set(), 0.0).listed.id == home:
         chooser.load.add_request(home)
-    held = [chooser.load.in_flight(target) for target in view.records]
-    assert chooser.load.in_flight(home) <= max(13, 2.0 * sum(held) / len(held) + 3)
+    in_flight = [chooser.load.in_flight(target) for target in view.records]
+    assert chooser.load.in_flight(home) <= max(
+        13, 2.0 * sum(in_flight) / len(in_flight) + 3
+    )
 
 
 def _stage(view: TargetView, course: RolloutState, now_s: float) -> list[TargetId]:
@@ -323,10 +325,10 @@
 def test_trial_targets_follow_the_list():
     view = _view()
     staged = TrialTargets()
-    gone = staged.select(view, _rollout_state(), 0.0)[0]
-    kept = [target for target in _both() if target.id != gone]
-    view.apply_list(kept, 2, 1.0)
-    assert gone not in staged.select(view, _rollout_state(), 1.0)
+    removed = staged.select(view, _rollout_state(), 0.0)[0]
+    remaining = [target for target in _both() if target.id != removed]
+    view.apply_list(remaining, 2, 1.0)
+    assert removed not in staged.select(view, _rollout_state(), 1.0)
 
 
 def test_a_trial_request_goes_to_the_least_loaded_trial_target():
--- a/tests/core/test_version_history.py
+++ b/tests/core/test_version_history.py
@@ -44,7 +44,7 @@
     assert not history.must_announce(SERVICE, RETENTION_S, RETENTION_S)
 
 
-def test_a_router_that_has_just_started_cannot_tell():
+def test_a_router_that_has_just_started_does_not_know_the_version():
     history = _history(RETENTION_S - 0.1)
     now_s = RETENTION_S - 0.1
     assert history.only_version(SERVICE, RETENTION_S, now_s) is None
@@ -60,7 +60,7 @@
 
 
 @params((V1, V2), (V1, ""), ("", V2))
-def test_streams_are_told_of_while_several_versions_are_listed(*versions):
+def test_streams_are_announced_while_several_versions_are_listed(*versions):
     history = _history(2 * RETENTION_S)
     end_s = _extend(history, 2 * RETENTION_S + 0.1, RETENTION_S, versions)
     assert history.only_version(SERVICE, RETENTION_S, end_s) is None
@@ -112,7 +112,7 @@
 
 
 @params(0.0, 0.5)
-def test_a_router_that_was_cut_off_or_suspended_begins_anew(margin_s):
+def test_a_router_that_was_cut_off_or_suspended_starts_again(margin_s):
     history = _history(2 * RETENTION_S)
     back_s = history.confirmed_s + MAX_GAP_S + 0.1 + margin_s
     history.confirm(back_s)
@@ -132,7 +132,7 @@
     assert history.only_version(SERVICE, RETENTION_S, now_s) == V1
 
 
-def test_a_service_whose_entries_never_told_a_version_has_one():
+def test_a_service_whose_entries_never_named_a_version_has_one():
     history = _history(0.0, versions=("", ""))
     for now_s in (0.0, 100.0):
         assert history.only_version(SERVICE, RETENTION_S, now_s) == Version("")
--- a/tests/fleet/test_clock.py
+++ b/tests/fleet/test_clock.py
@@ -16,7 +16,7 @@
 
 
 class _Machine:
-    """A simulated machine whose monotonic clock stands still during a suspension."""
+    """A simulated machine whose monotonic clock does not advance while suspended."""
 
     def __init__(self) -> None:
         self.steady_s = 1000.0
--- a/tests/fleet/test_listening.py
+++ b/tests/fleet/test_listening.py
@@ -19,7 +19,7 @@
 
 @contextmanager
 def _settings(text: str) -> Iterator[str]:
-    """Yield the path of a settings file that holds `text`."""
+    """Yield the path of a settings file with the content `text`."""
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "gateway.ini"
         path.write_text(text)
--- a/tests/fleet/test_signals.py
+++ b/tests/fleet/test_signals.py
@@ -14,7 +14,7 @@
 print('up', flush=True)
 import scaleloom_fleet.__main__
 assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
-# Loading modules takes long enough for a signal to arrive before it is ignored.
+# Modules load slowly enough for a signal to arrive before it is ignored.
 assert not [name for name in sys.modules if name.startswith('scaleloom_fleet.utils')]
 print('loaded', flush=True)
 sys.stdin.read()
--- a/tests/fleet/test_unframed_answers.py
+++ b/tests/fleet/test_unframed_answers.py
@@ -16,12 +16,12 @@
 from tests.fixtures.own_path import RawTarget, own_path
 from tests.fixtures.stub_server import free_listener, port_of, serve_http
 
-WHOLE_JSON = b'{"filed": [1, 2], "note": "forest"}'
+COMPLETE_JSON = b'{"filed": [1, 2], "note": "forest"}'
 JSON = b"application/json"
 OVER_BUFFER_BYTES = 2 << 20
-# Content type and body of answers that nothing proves whole.
+# Content type and body of answers that may be truncated.
 UNPROVED = [
-    (JSON, WHOLE_JSON[:-1]),
+    (JSON, COMPLETE_JSON[:-1]),
     (JSON, b'{"filed": [1'),
     (JSON, b""),
     (JSON, b"12"),
@@ -39,7 +39,7 @@
 
 @params(*UNPROVED)
 @runs_on_paused_clock
-async def test_a_broken_off_answer_of_a_service_is_not_told_as_whole(
+async def test_a_truncated_answer_of_a_service_is_not_passed_on_as_complete(
     content_type, body
 ):
     async with own_path("service", _unframed(content_type, body)) as path:
@@ -54,7 +54,7 @@
 
 @params(*UNPROVED)
 @runs_on_paused_clock
-async def test_a_broken_off_answer_is_not_kept_for_its_idempotency_key(
+async def test_a_truncated_answer_is_not_stored_for_its_idempotency_key(
     content_type, body
 ):
     async with own_path("service", _unframed(content_type, body)) as path:
@@ -68,13 +68,13 @@
 
 
 @runs_on_paused_clock
-async def test_a_whole_unframed_answer_of_a_service_is_passed_on():
-    async with own_path("service", _unframed(JSON, WHOLE_JSON)) as path:
+async def test_a_complete_unframed_answer_of_a_service_is_passed_on():
+    async with own_path("service", _unframed(JSON, COMPLETE_JSON)) as path:
         once = await path.call_service("GET")
-        kept = [await path.call_service("POST", "k-1") for _ in range(2)]
-    assert [answer.status for answer in (once, *kept)] == [200] * 3
-    assert [answer.body for answer in (once, *kept)] == [WHOLE_JSON] * 3
-    assert kept[1].headers["x-scaleloom-replayed"] == "1"
+        replies = [await path.call_service("POST", "k-1") for _ in range(2)]
+    assert [answer.status for answer in (once, *replies)] == [200] * 3
+    assert [answer.body for answer in (once, *replies)] == [COMPLETE_JSON] * 3
+    assert replies[1].headers["x-scaleloom-replayed"] == "1"
 
 
 @params(b"HTTP/1.1 204 No Content\r\n\r\n", b"HTTP/1.1 304 Not Modified\r\n\r\n")
@@ -85,9 +85,9 @@
     assert answer.status == int(raw.split()[1])
 
 
-@params(WHOLE_JSON[:-1], b"", b"12")
+@params(COMPLETE_JSON[:-1], b"", b"12")
 @runs_on_paused_clock
-async def test_a_broken_off_completion_is_not_told_as_whole(body):
+async def test_a_truncated_completion_is_not_passed_on_as_complete(body):
     async with own_path("engine", _unframed(JSON, body)) as path:
         answer = await path.ask_chat()
     problem = msgspec.json.decode(answer.body)
@@ -96,10 +96,10 @@
 
 
 @runs_on_paused_clock
-async def test_a_whole_unframed_completion_is_passed_on():
-    async with own_path("engine", _unframed(JSON, WHOLE_JSON)) as path:
+async def test_a_complete_unframed_completion_is_passed_on():
+    async with own_path("engine", _unframed(JSON, COMPLETE_JSON)) as path:
         answer = await path.ask_chat()
-    assert (answer.status, answer.body) == (200, WHOLE_JSON)
+    assert (answer.status, answer.body) == (200, COMPLETE_JSON)
 
 
 @asynccontextmanager
@@ -114,18 +114,18 @@
 
 
 @runs_on_paused_clock
-async def test_a_document_needs_no_content_type_to_be_known_as_whole():
-    whole = b'{"running": 1, "waiting": 0}'
-    async with _engine_client(_unframed(b"text/plain", whole)) as engine:
+async def test_a_document_needs_no_content_type_to_be_known_as_complete():
+    complete = b'{"running": 1, "waiting": 0}'
+    async with _engine_client(_unframed(b"text/plain", complete)) as engine:
         load = await engine.read_load()
     assert load.unwrap().running == 1
-    async with _engine_client(_unframed(b"text/plain", whole[:-1])) as engine:
+    async with _engine_client(_unframed(b"text/plain", complete[:-1])) as engine:
         load = await engine.read_load()
     assert "AnswerEndUnknown" in load.failure()
 
 
 @runs_on_paused_clock
-async def test_the_head_of_an_answer_tells_that_an_order_was_carried_out():
+async def test_the_status_of_an_answer_shows_that_an_order_was_carried_out():
     order = LoadOrder(Assignment("e1", "dossier", 1), 0)
     async with _engine_client(_unframed(JSON, b"")) as engine:
         assert not isinstance(await engine.order_load(order, 1), Failure)
--- a/tests/fleet/test_unframed_streams.py
+++ b/tests/fleet/test_unframed_streams.py
@@ -1,4 +1,4 @@
-"""Tests of streams that end without saying so, passed on by a sidecar and a router."""
+"""Tests of streams without a marked end, passed on by a sidecar and a router."""
 
 import msgspec
 from nose2.tools import params
@@ -11,7 +11,7 @@
 
 EVENTS = [b'data: {"n": %d}\n\n' % number for number in range(3)]
 LAST_EVENT = b"data: [DONE]\n\n"
-WHOLE = b"".join(EVENTS) + LAST_EVENT
+COMPLETE = b"".join(EVENTS) + LAST_EVENT
 BETWEEN_EVENTS = len(EVENTS[0]) * 2
 INSIDE_AN_EVENT = len(EVENTS[0]) + 5
 LONG_EVENT = b"data: " + b"x" * (2 * MAX_EVENT_BYTES) + b"\n\n"
@@ -35,8 +35,8 @@
     return _HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
-def _check_told(answer: Answer, sent: bytes) -> None:
-    """Check that the caller got the whole events of `sent`, and then an error."""
+def _check_truncation_error(answer: Answer, sent: bytes) -> None:
+    """Check that the caller got the complete events of `sent`, and then an error."""
     assert answer.status == 200
     begun = sent[: sent.rfind(b"\n\n") + 2] if b"\n\n" in sent else b""
     assert answer.body.startswith(begun)
@@ -46,66 +46,66 @@
     assert problem["kind"] == "answer_cut" and problem["error"]
 
 
-@params(0, 3, INSIDE_AN_EVENT, BETWEEN_EVENTS, len(WHOLE) - 3, len(WHOLE) - 1)
+@params(0, 3, INSIDE_AN_EVENT, BETWEEN_EVENTS, len(COMPLETE) - 3, len(COMPLETE) - 1)
 @runs_on_paused_clock
-async def test_a_stream_that_ends_with_its_connection_too_early_is_told_as_broken(cut):
-    async with own_path("engine", _unframed(WHOLE[:cut]), NOT_FOUND) as path:
+async def test_a_stream_that_ends_with_its_connection_too_early_is_an_error(cut):
+    async with own_path("engine", _unframed(COMPLETE[:cut]), NOT_FOUND) as path:
         answer = await path.ask_chat()
-    _check_told(answer, WHOLE[:cut])
+    _check_truncation_error(answer, COMPLETE[:cut])
 
 
 @params(_chunked, _with_length)
 @runs_on_paused_clock
-async def test_a_stream_that_ends_inside_an_event_is_told_as_broken(frame):
-    sent = WHOLE[:INSIDE_AN_EVENT]
+async def test_a_stream_that_ends_inside_an_event_is_an_error(frame):
+    sent = COMPLETE[:INSIDE_AN_EVENT]
     async with own_path("engine", frame(sent), NOT_FOUND) as path:
         answer = await path.ask_chat()
-    _check_told(answer, sent)
+    _check_truncation_error(answer, sent)
 
 
 @params(_unframed, _chunked, _with_length)
 @runs_on_paused_clock
-async def test_a_whole_stream_is_passed_on_however_it_is_framed(frame):
-    async with own_path("engine", frame(WHOLE)) as path:
+async def test_a_complete_stream_is_passed_on_however_it_is_framed(frame):
+    async with own_path("engine", frame(COMPLETE)) as path:
         answer = await path.ask_chat()
         request_count = len(path.target.received)
-    assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
+    assert (answer.status, answer.body, answer.is_complete) == (200, COMPLETE, True)
     assert request_count == 1
 
 
 @params(_chunked, _with_length)
 @runs_on_paused_clock
 async def test_the_framing_of_the_engine_proves_a_stream_without_a_last_event(frame):
-    sent = WHOLE[:BETWEEN_EVENTS]
+    sent = COMPLETE[:BETWEEN_EVENTS]
     async with own_path("engine", frame(sent)) as path:
         answer = await path.ask_chat()
     assert (answer.body, answer.is_complete) == (sent, True)
 
 
-@params(0, INSIDE_AN_EVENT, BETWEEN_EVENTS, len(WHOLE) - 3)
+@params(0, INSIDE_AN_EVENT, BETWEEN_EVENTS, len(COMPLETE) - 3)
 @runs_on_paused_clock
 async def test_an_unframed_stream_that_broke_off_is_resumed_at_an_event(cut):
-    resumed_from = WHOLE[:cut].rfind(b"\n\n") + 2 if cut else 0
-    rest = WHOLE[resumed_from:]
-    answers = (_unframed(WHOLE[:cut]), _unframed(rest))
+    resumed_from = COMPLETE[:cut].rfind(b"\n\n") + 2 if cut else 0
+    rest = COMPLETE[resumed_from:]
+    answers = (_unframed(COMPLETE[:cut]), _unframed(rest))
     async with own_path("engine", *answers) as path:
         answer = await path.ask_chat()
         targets = [request.target for request in path.target.received]
-    assert (answer.body, answer.is_complete) == (WHOLE, True)
+    assert (answer.body, answer.is_complete) == (COMPLETE, True)
     assert targets[1].endswith(f"?from={resumed_from}") and len(targets) == 2
 
 
 @runs_on_paused_clock
-async def test_an_event_without_an_end_is_told_as_broken():
+async def test_an_event_without_an_end_is_an_error():
     async with own_path("engine", _chunked(EVENTS[0] + LONG_EVENT), NOT_FOUND) as path:
         answer = await path.ask_chat()
-    _check_told(answer, EVENTS[0])
+    _check_truncation_error(answer, EVENTS[0])
 
 
 @params(1, 2, 3, 7)
-def test_events_are_whole_wherever_their_bytes_are_split(step):
-    windows = WHOLE.replace(b"\n", b"\r\n")
-    for stream in (WHOLE, windows):
+def test_events_are_complete_wherever_their_bytes_are_split(step):
+    windows = COMPLETE.replace(b"\n", b"\r\n")
+    for stream in (COMPLETE, windows):
         splitter = EventSplitter()
         parts = [stream[n : n + step] for n in range(0, len(stream), step)]
         passed_on = b""
