--- a/benchmarks/own_code.py
+++ b/benchmarks/own_code.py
@@ -6,7 +6,7 @@
 import trio
 
 from benchmarks.measures import Measure
-from proofs.whole_answers import (
+from proofs.complete_answers import (
     CUSTOMER_KEY,
     REQUEST_BODY,
     apply_configuration,
--- a/packages/scaleloom-standins/scaleloom_standins/demo.py
+++ b/packages/scaleloom-standins/scaleloom_standins/demo.py
@@ -259,13 +259,13 @@
             f"{status['control_received_bytes']} B received"
         )
     report.print_line(
-        f"  turns {tally.turns}, served {tally.served}, asked again "
+        f"  turns {tally.turns}, served {tally.served}, retried "
         f"{tally.retried}, shed {tally.shed}, lost {tally.lost}"
     )
     report.print_line("\nPromises under the stop and the kill:")
     report.check(tally.lost == 0, "no request was lost")
     report.check(tally.foreign == 0, "every caller got only its own answer")
-    report.check(tally.truncated == 0, "no cut answer looked whole")
+    report.check(tally.truncated == 0, "no truncated answer looked complete")
 
 
 def _sum_tallies(callers: list[Caller]) -> Tally:
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -8,13 +8,13 @@
 
 from proofs import (
     at_most_once,
+    complete_answers,
     load_bound,
     overload,
     process_answers,
     process_at_most_once,
     process_config,
     process_draining,
-    whole_answers,
 )
 from proofs.results import ProofResult
 
@@ -22,8 +22,8 @@
     "at most once": at_most_once.prove,
     "load bound": load_bound.prove,
     "overload": overload.prove,
-    "whole answers": whole_answers.prove,
-    "processes: whole answers": lambda: trio.run(process_answers.prove),
+    "complete answers": complete_answers.prove,
+    "processes: complete answers": lambda: trio.run(process_answers.prove),
     "processes: at most once": lambda: trio.run(process_at_most_once.prove),
     "processes: leaving": lambda: trio.run(process_draining.prove),
     "processes: configuration": lambda: trio.run(process_config.prove),
--- a/proofs/whole_answers.py
+++ b/proofs/complete_answers.py
@@ -1,4 +1,4 @@
-"""Proofs that callers get the whole answer to their own request, or an error.
+"""Proofs that callers get the complete answer to their own request, or an error.
 
 The router forwards with the code of the product; the connections to sidecars are
 scripted from fixed seeds to truncate, mix up, delay and refuse answers.
@@ -38,7 +38,7 @@
 from scaleloom_fleet.router.process import build_router, make_routes
 from scaleloom_fleet.router.state import RouterState
 
-PROMISE = "whole answers, and only theirs"
+PROMISE = "complete answers, and only theirs"
 SEEDS = 3000
 TARGETS = ("e1", "e2", "e3")
 CUSTOMER_KEY = "appraisal-key"
@@ -52,7 +52,7 @@
     How the body of a scripted answer ends.
 
     CHUNKED ends with a last chunk and BROKEN with a reset. CLOSED has neither a length
-    nor chunks and ends with a clean close, whether it is whole or not.
+    nor chunks and ends with an orderly close, whether it is complete or not.
     """
 
     CHUNKED = "chunked"
@@ -69,7 +69,7 @@
     has_reached_target: bool = False
 
     def get_answer(self, attempt: str) -> bytes:
-        """Return the whole answer to `attempt`, drawn on the first call."""
+        """Return the complete answer to `attempt`, drawn on the first call."""
         if attempt not in self.answers:
             lines = [
                 f"data: {attempt} part {number}\n\n".encode()
@@ -106,7 +106,7 @@
             raise httpcore.ReadError("cut")
 
     async def aread(self) -> bytes:
-        """Return the whole body."""
+        """Return the complete body."""
         return b"".join([part async for part in self.aiter_stream()])
 
 
@@ -263,12 +263,12 @@
         return "refused"
     if body in script.answers.values():
         checker.check(True, "")
-        return "whole"
+        return "complete"
     before_error, error = _split_last_event(body)
     checker.check(_is_error(error), f"seed {seed}: a truncated answer has no error")
     is_own = any(item.startswith(before_error) for item in script.answers.values())
     checker.check(is_own, f"seed {seed}: bytes of the answer to another attempt")
-    return "cut, and told so"
+    return "truncated with an error"
 
 
 def _split_last_event(body: bytes) -> tuple[bytes, bytes]:
@@ -279,7 +279,7 @@
 
 
 def _is_error(event: bytes) -> bool:
-    """Return whether `event` is whole and tells that the answer is truncated."""
+    """Return whether `event` is complete and reports a truncated answer."""
     data = event.removeprefix(b"data: ")
     if data == event or not data.endswith(EVENT_END):
         return False
--- a/proofs/idempotency_model.py
+++ b/proofs/idempotency_model.py
@@ -136,7 +136,7 @@
         self._record_error(attempt, reported)
 
     def _record_error(self, attempt: Attempt, error: FleetError) -> None:
-        """Count the outcome of an error; keep a report of each "not run"."""
+        """Count the outcome of an error; store a report of each "not run"."""
         self.outcomes[error.known_outcome.value] += 1
         if error.known_outcome is Outcome.NOT_RUN:
             self.not_run_reports.append(NotRunReport(attempt.key, self.now_s))
--- a/proofs/idempotency_trial_parts.py
+++ b/proofs/idempotency_trial_parts.py
@@ -23,7 +23,7 @@
     Faults of a trial.
 
     Freezes, kills, false takeovers, hand-overs and outages are rates, in events
-    per second over the whole fleet. `lost_answers` is the probability that the
+    per second over the complete fleet. `lost_answers` is the probability that the
     answer of a target is lost; `slow_network` delays attempts by up to 12 s.
     """
 
--- a/proofs/overload.py
+++ b/proofs/overload.py
@@ -106,8 +106,8 @@
         "one customer surging 20-fold",
         checker.cases,
         tuple(checker.violations),
-        f"least served quiet customer {quiet:.1%} of tries, surging one "
-        f"{shares.get(surging, 0):.1%}; served on coming back {retried_share:.1%}",
+        f"least served quiet customer {quiet:.1%} of attempts, surging one "
+        f"{shares.get(surging, 0):.1%}; served when retrying {retried_share:.1%}",
     )
 
 
--- a/proofs/process_answers.py
+++ b/proofs/process_answers.py
@@ -11,7 +11,7 @@
 from scaleloom_standins.local_fleet import LocalFleet
 from tests.fixtures.fleets import small_fleet
 
-ANSWER_PROMISE = "whole answers, and only theirs (processes)"
+ANSWER_PROMISE = "complete answers, and only theirs (processes)"
 RETRY_PROMISE = "attempts under 1.2 a request"
 MAX_ATTEMPTS_PER_REQUEST = 1.2
 ROUTERS = ["r1", "r2"]
@@ -100,7 +100,7 @@
         fault,
         tally.turns,
         tuple(checker.violations),
-        f"{tally.served} of {tally.turns} served, {tally.retried} asked again",
+        f"{tally.served} of {tally.turns} served, {tally.retried} retried",
     )
 
 
@@ -126,7 +126,7 @@
         requests,
         tuple(checker.violations),
         f"{ratio:.3f} attempts a request; {client.tally.served} of "
-        f"{client.tally.turns} served, {client.tally.retried} asked again",
+        f"{client.tally.turns} served, {client.tally.retried} retried",
     )
 
 
--- a/proofs/process_at_most_once.py
+++ b/proofs/process_at_most_once.py
@@ -33,7 +33,7 @@
 
 
 async def _freeze_owner(fleet: LocalFleet) -> None:
-    """Freeze a key owner for longer than its lease, then thaw it."""
+    """Suspend a key owner for longer than its lease, then resume it."""
     fleet.suspend("s1")
     await trio.sleep(6.0)
     fleet.resume("s1")
@@ -58,7 +58,7 @@
 
 
 async def _lose_target_answers(fleet: LocalFleet) -> None:
-    """Lose answers of targets after the write took effect."""
+    """Drop answers of targets after the write was applied."""
     for name in SERVICES:
         await fleet.set_faults(f"service-{name}", Faults(lost_answers=5))
     await trio.sleep(2.0)
@@ -72,7 +72,7 @@
 
 
 async def _freeze_router(fleet: LocalFleet) -> None:
-    """Freeze a router that has attempts in flight, then thaw it."""
+    """Suspend a router that has attempts in flight, then resume it."""
     fleet.suspend("r1")
     await trio.sleep(3.0)
     fleet.resume("r1")
@@ -89,7 +89,7 @@
 
 
 async def _stop_owner_while_list_flaps(fleet: LocalFleet) -> None:
-    """Let the list flap while an owner stops as planned."""
+    """Change the list back and forth while an owner stops as planned."""
     fleet.terminate("s1")
     for _ in range(4):
         await fleet.unlist_member("s2")
@@ -118,7 +118,7 @@
 
 
 FAULT_INJECTIONS: dict[str, InjectFault] = {
-    "owner killed and restarted beside its target": _kill_owner,
+    "owner killed and restarted while its target runs": _kill_owner,
     "owner frozen past its lease and thawed": _freeze_owner,
     "log down longer than the lease": _stop_log,
     "log slow, answers lost, owner killed": _slow_down_log_and_kill_owner,
--- a/proofs/process_config.py
+++ b/proofs/process_config.py
@@ -89,7 +89,7 @@
 
 
 async def _lose_append_answer(fleet: LocalFleet, monitor: VersionMonitor) -> None:
-    """Lose the answer to the append after it took effect."""
+    """Drop the answer to the append after it was applied."""
     plan = await fleet.admin("r1", "POST", "/plan", _intent(3).encode())
     await fleet.set_faults("log", Faults(lost_answers=4))
     confirmation = await fleet.admin("r1", "POST", "/confirm", plan.body)
@@ -180,7 +180,7 @@
     "two operators racing on one object": _confirm_concurrently,
     "router restarted during a log outage": _restart_router_in_outage,
     "router frozen through a change, log down": _freeze_router,
-    "records expired behind a snapshot": _expire_records,
+    "records before a snapshot expired": _expire_records,
     "confirming router killed": _kill_confirming_router,
 }
 SHORT_RETENTION = {"platform": {"log_retention_s": 4.0}}
--- a/proofs/process_draining.py
+++ b/proofs/process_draining.py
@@ -50,17 +50,17 @@
 
 
 async def _stop_gracefully(fleet: LocalFleet) -> None:
-    """Ask the sidecar for a planned stop while the list still says live."""
+    """Start a planned stop of the sidecar while the list still shows it as live."""
     fleet.terminate("e1")
 
 
 DRAIN_STARTS: dict[str, Action] = {
-    "told by an intent": _drain_by_intent,
+    "announced by an intent": _drain_by_intent,
     "vanished from the list": _unlist,
     "listed as leaving": _list_as_draining,
-    "told by an intent, list down": _drain_while_list_is_down,
-    "told by an intent, list flapping": _drain_while_list_flaps,
-    "sidecar asked to stop, list lagging": _stop_gracefully,
+    "announced by an intent, list down": _drain_while_list_is_down,
+    "announced by an intent, list flapping": _drain_while_list_flaps,
+    "sidecar told to stop, list lagging": _stop_gracefully,
 }
 
 
@@ -112,7 +112,7 @@
 def _summarize(client: Caller) -> str:
     """Return the turns served and retried as text."""
     tally = client.tally
-    return f"{tally.served} of {tally.turns} turns, asked again {tally.retried}"
+    return f"{tally.served} of {tally.turns} turns, retried {tally.retried}"
 
 
 async def _stop_sidecar(fleet: LocalFleet) -> None:
--- a/proofs/process_traffic.py
+++ b/proofs/process_traffic.py
@@ -35,7 +35,7 @@
 async def _keep_chatting(
     caller: Caller, number: int, pause_s: float, stopped: trio.Event
 ) -> None:
-    """Hold short chats until `stopped` is set."""
+    """Run short chats until `stopped` is set."""
     turn = 0
     while not stopped.is_set():
         await caller.run_chat(number * 1000 + turn, 3, pause_s)
@@ -45,7 +45,7 @@
 async def watch_readiness(
     fleet: LocalFleet, balancer: Balancer, stopped: trio.Event
 ) -> None:
-    """Keep only ready routers in the balancer, as the platform's balancer does."""
+    """Remove routers that are not ready from the balancer, as the platform's does."""
     addresses = dict(balancer.routers)
     while not stopped.is_set():
         for name, address in addresses.items():
--- a/proofs/results.py
+++ b/proofs/results.py
@@ -31,13 +31,13 @@
 
 @dataclass
 class Checker:
-    """Counts the checks of one proof and keeps those that failed."""
+    """Counts the checks of one proof and stores those that failed."""
 
     cases: int = 0
     violations: list[str] = field(default_factory=list)
 
     def check(self, holds: bool, description: str) -> None:
-        """Count a check, and keep `description` as a violation unless `holds`."""
+        """Count a check, and store `description` as a violation unless `holds`."""
         self.cases += 1
         if not holds:
             self.violations.append(description)
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -3,7 +3,7 @@
 import trio
 from trio.testing import MockClock
 
-from proofs import load_bound, overload, whole_answers
+from proofs import complete_answers, load_bound, overload
 from proofs.at_most_once import FAULTS, WITHOUT_MECHANISM, run_trials
 from proofs.results import Checker
 from scaleloom_fleet.http import relay
@@ -47,8 +47,8 @@
     assert unlimited < admitted / 3
 
 
-def test_callers_get_whole_answers_or_an_error():
-    (result,) = whole_answers.prove(300)
+def test_callers_get_complete_answers_or_an_error():
+    (result,) = complete_answers.prove(300)
     assert (result.violations, result.cases >= 300) == ((), True)
 
 
@@ -58,7 +58,7 @@
     offers.matches_attempt = lambda headers, attempt: True
     try:
         clock = MockClock(autojump_threshold=0)
-        trio.run(whole_answers.run_trials, 100, checker, clock=clock)
+        trio.run(complete_answers.run_trials, 100, checker, clock=clock)
     finally:
         offers.matches_attempt = matches_attempt
     assert checker.violations
@@ -70,7 +70,7 @@
     relay.is_end_known = lambda response, method: True
     try:
         clock = MockClock(autojump_threshold=0)
-        trio.run(whole_answers.run_trials, 100, checker, clock=clock)
+        trio.run(complete_answers.run_trials, 100, checker, clock=clock)
     finally:
         relay.is_end_known = is_end_known
     assert any("has no error" in item for item in checker.violations)
