Check the tally of the process proofs in one function

The proofs of answers and of drains had the same three checks of lost, mixed up and truncated requests; check_tally in process_traffic.py serves both.

--- a/proofs/process_answers.py
+++ b/proofs/process_answers.py
@@ -5,7 +5,7 @@
 import trio
 
 from proofs.cutting_relay import CuttingRelay
-from proofs.process_traffic import chats_running
+from proofs.process_traffic import chats_running, check_tally
 from proofs.results import Checker, ProofResult
 from scaleloom_standins.faults import Faults
 from scaleloom_standins.local_fleet import LocalFleet
@@ -87,14 +87,7 @@
             await trio.sleep(1.0)
             await inject_fault(fleet)
     tally = client.tally
-    checker.check(tally.lost == 0, f"{fault}: {tally.lost} requests lost")
-    checker.check(
-        tally.foreign == 0, f"{fault}: {tally.foreign} answers of other requests"
-    )
-    checker.check(
-        tally.truncated == 0,
-        f"{fault}: {tally.truncated} answers truncated without an error",
-    )
+    check_tally(checker, tally, fault)
     return ProofResult(
         ANSWER_PROMISE,
         fault,
--- a/proofs/process_draining.py
+++ b/proofs/process_draining.py
@@ -4,12 +4,12 @@
 
 import trio
 
-from proofs.process_traffic import chats_running
+from proofs.process_traffic import chats_running, check_tally
 from proofs.results import Checker, ProofResult
 from scaleloom_core.membership import MemberState
 from scaleloom_standins.faults import Faults
 from scaleloom_standins.local_fleet import LocalFleet
-from scaleloom_standins.traffic import Caller, Tally
+from scaleloom_standins.traffic import Caller
 from tests.fixtures.fleets import small_fleet
 
 DRAIN_PROMISE = "leaving targets get no new work after 3 s"
@@ -82,7 +82,7 @@
             checker.check(
                 late_count == 0, f"{fault}: {late_count} requests started after 3 s"
             )
-    _check_tally(checker, client.tally, fault)
+    check_tally(checker, client.tally, fault)
     return ProofResult(
         DRAIN_PROMISE,
         fault,
@@ -97,18 +97,6 @@
     return (await fleet.get_json("engine-e1", "/figures"))["begun"]
 
 
-def _check_tally(checker: Checker, tally: Tally, fault: str) -> None:
-    """Check that no request was lost, mixed up or truncated."""
-    checker.check(tally.lost == 0, f"{fault}: {tally.lost} requests lost")
-    checker.check(
-        tally.foreign == 0, f"{fault}: {tally.foreign} answers of other requests"
-    )
-    checker.check(
-        tally.truncated == 0,
-        f"{fault}: {tally.truncated} answers truncated without an error",
-    )
-
-
 def _summarize(client: Caller) -> str:
     """Return the turns served and retried as text."""
     tally = client.tally
@@ -152,7 +140,7 @@
             await stop(fleet)
             await trio.sleep(1.0)
         cached_share = await _cached_token_share(fleet)
-    _check_tally(checker, client.tally, fault)
+    check_tally(checker, client.tally, fault)
     interrupted = client.tally.retried - client.tally.shed
     checker.check(interrupted == 0, f"{fault}: {interrupted} requests interrupted")
     availability = f"{_summarize(client)}; prompt tokens cached {cached_share:.1%}"
--- a/proofs/process_traffic.py
+++ b/proofs/process_traffic.py
@@ -7,9 +7,10 @@
 import msgspec
 import trio
 
+from proofs.results import Checker
 from scaleloom_fleet.http.clients import ClientAnswer
 from scaleloom_standins.local_fleet import LocalFleet
-from scaleloom_standins.traffic import Balancer, Caller
+from scaleloom_standins.traffic import Balancer, Caller, Tally
 from tests.fixtures.fleets import CUSTOMER_KEY, MODEL, SERVICE
 
 WRITE_INTERVAL_S = 0.05
@@ -61,6 +62,18 @@
         await trio.sleep(READINESS_INTERVAL_S)
 
 
+def check_tally(checker: Checker, tally: Tally, fault: str) -> None:
+    """Check that no request was lost, mixed up or truncated."""
+    checker.check(tally.lost == 0, f"{fault}: {tally.lost} requests lost")
+    checker.check(
+        tally.foreign == 0, f"{fault}: {tally.foreign} answers of other requests"
+    )
+    checker.check(
+        tally.truncated == 0,
+        f"{fault}: {tally.truncated} answers truncated without an error",
+    )
+
+
 @dataclass
 class WriteOutcomes:
     """Keys of non-repeatable writes by the outcome that their callers received."""
