Share the statuses and the rolled-back roll-out of the tests

Four modules defined the statuses RUNNING, DONE and ROLLED_BACK, two the set of roll-out topics, and five tests had the same four lines up to a roll-back; they are in tests/fixtures/rollout_sites.py now. Two tests of disconnected callers in test_answers.py share a function. Ids, bounds and waits stay.

--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -6,6 +6,7 @@
 from tests.fixtures import stub_targets
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
+    Site,
     ask_on,
     eventually,
     request_bytes,
@@ -167,44 +168,36 @@
     assert (answer.status, answer.is_complete) == (200, False)
 
 
+async def _disconnect_in_flight(site: Site, path: str, **limits: float) -> None:
+    """Disconnect a caller while its request runs, and wait for the cancellation."""
+    (target,) = site.runners
+    target.behaviour = stub_targets.stay_silent
+
+    async def has_run() -> bool:
+        return site.run_count() == 1
+
+    async def is_cancelled() -> bool:
+        return target.cancelled == 1
+
+    port = site.gateways[0].front_port
+    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+        await stream.send_all(request_bytes(path))
+        await eventually(has_run)
+    await eventually(is_cancelled, **limits)
+
+
 @params("/safe/1", "/stream-once/1", "/once/1")
 @runs_on_paused_clock
 async def test_a_disconnected_caller_cancels_its_request_at_the_target(path):
     async with running_site(runner_count=1) as site:
-        (target,) = site.runners
-        target.behaviour = stub_targets.stay_silent
-
-        async def has_run() -> bool:
-            return site.run_count() == 1
-
-        async def is_cancelled() -> bool:
-            return target.cancelled == 1
-
-        port = site.gateways[0].front_port
-        async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
-            await stream.send_all(request_bytes(path))
-            await eventually(has_run)
-        await eventually(is_cancelled, limit_s=0.4)
+        await _disconnect_in_flight(site, path, limit_s=0.4)
 
 
 @runs_on_paused_clock
 async def test_a_disconnected_caller_is_not_logged_as_not_served():
     with ListHandler.capture("scaleloom.gateway") as messages:
         async with running_site(runner_count=1) as site:
-            (target,) = site.runners
-            target.behaviour = stub_targets.stay_silent
-
-            async def has_run() -> bool:
-                return site.run_count() == 1
-
-            async def is_cancelled() -> bool:
-                return target.cancelled == 1
-
-            port = site.gateways[0].front_port
-            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
-                await stream.send_all(request_bytes("/once/1"))
-                await eventually(has_run)
-            await eventually(is_cancelled)
+            await _disconnect_in_flight(site, "/once/1")
             await site.ask("/nowhere/1")
     assert "request not served" not in messages
 
--- a/tests/gateway/test_rollout_decisions.py
+++ b/tests/gateway/test_rollout_decisions.py
@@ -13,18 +13,17 @@
 from tests.fixtures.platform_store import StoreFault
 from tests.fixtures.rollout_sites import (
     DECISIONS_TOPIC,
+    DONE,
     DURATION_S,
     NEW,
     OLD,
+    ROLLED_BACK,
+    ROLLOUT_TOPICS,
+    RUNNING,
     STATUS_TOPIC,
     rollout_site,
 )
 
-RUNNING = ("running", NEW)
-DONE = ("done", NEW)
-ROLLED_BACK = ("rolled_back", NEW)
-ROLLOUT_TOPICS = {DECISIONS_TOPIC, STATUS_TOPIC}
-
 
 @runs_on_paused_clock
 async def test_a_good_version_is_done_and_replaces_the_old_one():
@@ -42,10 +41,7 @@
 @runs_on_paused_clock
 async def test_a_bad_version_is_rolled_back_and_rejected_at_all_routers():
     async with rollout_site() as rollout:
-        rollout.order()
-        await rollout.wait_statuses(RUNNING)
-        rollout.forced.assessment = Assessment.BAD
-        await rollout.wait_statuses(RUNNING, ROLLED_BACK)
+        await rollout.roll_back()
         rules = [rollout.rule(gateway) for gateway in rollout.running()]
         assert {rule.rejected for rule in rules} == {frozenset({NEW})}
 
@@ -59,10 +55,7 @@
         mock.patch.object(RolloutReporter, "local_reports", lambda self, now_s: []),
     ):
         async with rollout_site(routers=1) as rollout:
-            rollout.order()
-            await rollout.wait_statuses(RUNNING)
-            rollout.forced.assessment = Assessment.BAD
-            await rollout.wait_statuses(RUNNING, ROLLED_BACK)
+            await rollout.roll_back()
     assert [stage["by"] for stage in stages if stage["stage"] == "rolled_back"] == [
         "evidence"
     ]
--- a/tests/gateway/test_rollout_orders.py
+++ b/tests/gateway/test_rollout_orders.py
@@ -20,27 +20,25 @@
 from tests.fixtures.logs import ListHandler
 from tests.fixtures.platform_store import StoreFault
 from tests.fixtures.rollout_sites import (
-    DECISIONS_TOPIC,
+    DONE,
     DURATION_S,
     NEW,
     OLD,
     ORDER_KEY,
+    ROLLED_BACK,
+    ROLLOUT_TOPICS,
+    RUNNING,
     SERVICE,
     SETTLED_S,
-    STATUS_TOPIC,
     rollout_site,
 )
 
-RUNNING = ("running", NEW)
-DONE = ("done", NEW)
-ROLLED_BACK = ("rolled_back", NEW)
 THIRD = "v3"
 LONG_S = 60.0
 # Until every router has received reports of all others.
 REPORTED_S = 0.5
 # A starting router reads the decision log within this time, before ranks settle.
 READ_S = 0.5
-ROLLOUT_TOPICS = {DECISIONS_TOPIC, STATUS_TOPIC}
 
 
 @runs_on_paused_clock
@@ -67,10 +65,7 @@
 @runs_on_paused_clock
 async def test_an_ended_roll_out_causes_no_store_calls():
     async with rollout_site() as rollout:
-        rollout.order()
-        await rollout.wait_statuses(RUNNING)
-        rollout.forced.assessment = Assessment.BAD
-        await rollout.wait_statuses(RUNNING, ROLLED_BACK)
+        await rollout.roll_back()
         await trio.sleep(1.0)
         readings = dict(rollout.store.newest_read_counts)
         appends = len(rollout.store.appends)
@@ -197,10 +192,7 @@
 @runs_on_paused_clock
 async def test_an_order_for_the_version_kept_by_a_rollback_is_done_at_once():
     async with rollout_site() as rollout:
-        rollout.order()
-        await rollout.wait_statuses(RUNNING)
-        rollout.forced.assessment = Assessment.BAD
-        await rollout.wait_statuses(RUNNING, ROLLED_BACK)
+        await rollout.roll_back()
         rollout.forced.assessment = Assessment.UNDECIDED
         rollout.order(OLD, LONG_S)
         await rollout.wait_stage(Stage.DONE)
@@ -302,10 +294,7 @@
 @runs_on_paused_clock
 async def test_a_starting_router_learns_the_stage_from_its_peers():
     async with rollout_site() as rollout:
-        rollout.order()
-        await rollout.wait_statuses(RUNNING)
-        rollout.forced.assessment = Assessment.BAD
-        await rollout.wait_statuses(RUNNING, ROLLED_BACK)
+        await rollout.roll_back()
         rollout.store.down_topics = ROLLOUT_TOPICS
         rollout.forced.assessment = Assessment.UNDECIDED
         started = await rollout.start()
--- a/tests/gateway/test_rollout_reports.py
+++ b/tests/gateway/test_rollout_reports.py
@@ -16,15 +16,14 @@
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import GatewayFixture, request_bytes
 from tests.fixtures.rollout_sites import (
-    NEW,
+    DONE,
+    RUNNING,
     SERVICE,
     SETTLED_S,
     RolloutSite,
     rollout_site,
 )
 
-RUNNING = ("running", NEW)
-DONE = ("done", NEW)
 ANSWERS = 20
 LONG_S = 60.0
 REPORTED_S = 0.5
--- a/tests/gateway/test_rollout_whole.py
+++ b/tests/gateway/test_rollout_whole.py
@@ -9,12 +9,16 @@
 from tests.fixtures import stub_targets
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import GatewayFixture, eventually, request_bytes
-from tests.fixtures.rollout_sites import NEW, SERVICE, RolloutSite, rollout_site
+from tests.fixtures.rollout_sites import (
+    DONE,
+    ROLLED_BACK,
+    RUNNING,
+    SERVICE,
+    RolloutSite,
+    rollout_site,
+)
 from tests.fixtures.stub_server import raw_answer
 
-RUNNING = ("running", NEW)
-DONE = ("done", NEW)
-ROLLED_BACK = ("rolled_back", NEW)
 DURATION_S = 12.0
 BEFORE_S = 1.0
 RATE_PER_S = 60
