--- a/tests/gateway/test_stream_refusals.py
+++ b/tests/gateway/test_stream_refusals.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose version is gone, or which began at an unknown version."""
+"""Tests of streams whose version was removed or is unknown."""
 
 from collections.abc import Callable
 
@@ -17,7 +17,7 @@
     PATH,
     RETENTION_S,
     UNKNOWN,
-    UNTOLD,
+    UNVERSIONED,
     V1,
     V2,
     Begun,
@@ -44,7 +44,7 @@
 
 
 @runs_on_paused_clock
-async def test_a_stream_that_breaks_is_reset_at_once_if_its_version_is_gone():
+async def test_a_stream_that_breaks_is_reset_at_once_if_its_version_was_removed():
     async with version_site([V1, V2], gateway_count=1) as versioned:
         (gateway,) = versioned.gateways
         started_s = trio.current_time()
@@ -59,7 +59,7 @@
 
 @params({"state": "draining"}, None)
 @runs_on_paused_clock
-async def test_a_stream_whose_version_has_left_is_refused_at_once(fields):
+async def test_a_stream_whose_version_was_removed_is_refused_at_once(fields):
     async with version_site([V1, V2, V2]) as versioned:
         first, second, _ = versioned.gateways
         begun = await versioned.begin_at_version(first, V1)
@@ -80,7 +80,7 @@
         assert _run_count(versioned, begun) == 0
 
 
-# What a second attempt says instead of the id of the first, by name.
+# Headers of a second attempt without the id of the first, by name.
 WRONG_IDS: dict[str, Callable[[Begun], dict[str, str | None]]] = {
     "unknown": lambda begun: {"Resumes": "never-sent"},
     "own": lambda begun: {"Resumes": f"{begun.stream_id}-again"},
@@ -136,28 +136,28 @@
     async with version_site([V1, V1, "", ""]) as versioned:
         first, second, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
-        assert {one.version for one in begun} == {V1, UNTOLD}
+        assert {one.version for one in begun} == {V1, UNVERSIONED}
         for one in begun:
             result = one.result(await versioned.take_up(second, one))
             assert result is (
-                Result.REFUSED if one.version == UNTOLD else Result.WENT_ON
+                Result.REFUSED if one.version == UNVERSIONED else Result.WENT_ON
             )
 
 
 @runs_on_paused_clock
-async def test_a_break_at_a_target_without_a_version_is_told_in_the_answer():
+async def test_a_break_at_a_target_without_a_version_is_visible_in_the_answer():
     async with version_site([V1, V1, "", ""], gateway_count=1) as versioned:
         (gateway,) = versioned.gateways
         begun = await versioned.begin_many(gateway, stream_ids(IN_ANSWER), path=PATH)
-        assert {one.version for one in begun} == {V1, UNTOLD}
+        assert {one.version for one in begun} == {V1, UNVERSIONED}
         assert version_counts(begun) == {1: IN_ANSWER}
         for one in begun:
-            is_told = one.version == V1
-            assert numbers_in(one.answer) == (ALL_EVENTS if is_told else [1, 2])
+            is_versioned = one.version == V1
+            assert numbers_in(one.answer) == (ALL_EVENTS if is_versioned else [1, 2])
 
 
 @runs_on_paused_clock
-async def test_streams_go_on_anywhere_where_no_entry_ever_told_a_version():
+async def test_streams_continue_anywhere_if_no_entry_ever_named_a_version():
     async with version_site(["", "", ""]) as versioned:
         first, second, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
--- a/tests/gateway/test_stream_releases.py
+++ b/tests/gateway/test_stream_releases.py
@@ -1,4 +1,4 @@
-"""Tests of streams that go on while versions appear, take over and are rejected."""
+"""Tests of streams that continue while versions appear, take over and are rejected."""
 
 import msgspec
 from nose2.tools import params
@@ -37,8 +37,8 @@
         versioned.list_target(number, V2)
 
 
-async def _long_with_one_version(versioned: VersionSite) -> None:
-    """Leave only the first two targets, of one version, for longer than a stream."""
+async def _wait_with_one_version(versioned: VersionSite) -> None:
+    """Remove all but two targets of one version, for longer than a stream's life."""
     for runner in versioned.site.runners[2:]:
         versioned.site.drop_entry(runner)
     await pass_time(RETENTION_S + VERSION_HOLD_S)
@@ -48,7 +48,7 @@
 @runs_on_paused_clock
 async def test_a_stream_goes_on_at_its_version_after_another_has_appeared(after_s):
     async with version_site([V1] * 5) as versioned:
-        await _long_with_one_version(versioned)
+        await _wait_with_one_version(versioned)
         first, second, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
         await _release(versioned)
@@ -61,7 +61,7 @@
 @runs_on_paused_clock
 async def test_a_stream_begun_before_a_version_goes_on_after_its_router_died(after_s):
     async with version_site([V1] * 5) as versioned:
-        await _long_with_one_version(versioned)
+        await _wait_with_one_version(versioned)
         first, second, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
         await _release(versioned)
@@ -73,7 +73,7 @@
 
 
 @runs_on_paused_clock
-async def test_nothing_is_told_of_streams_while_there_is_one_version():
+async def test_no_origins_are_announced_while_there_is_one_version():
     async with version_site([V1, V1]) as versioned:
         await pass_time(RETENTION_S + VERSION_HOLD_S)
         versioned.network.sent.clear()
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,9 +1,9 @@
 """
 Tests of streams before targets of several software versions.
 
-Guards against streams that go on at another version than the one that began them: in
-one answer after a break, or where a caller takes a stream up at any router. What two
-versions write does not fit together, and targets do not check it.
+Guards against streams that continue at another version than the one that began them
+after a break in an answer, or when a caller resumes them at any router. The events of
+two versions do not form one answer, and targets do not check that.
 """
 
 import random
@@ -37,11 +37,11 @@
 )
 from tests.fixtures.stub_targets import close_unanswered
 from tests.fixtures.version_sites import (
+    ANNOUNCED_S,
     IN_ANSWER,
     OTHER_SERVICE,
     SPLIT_PATH,
     STREAMS,
-    TOLD_S,
     TWO_EACH,
     VersionSite,
     shuffled,
@@ -78,7 +78,7 @@
 @params(0.25, 0.35)
 @runs_on_paused_clock
 async def test_a_stream_goes_on_at_its_version_after_its_router_was_killed(after_s):
-    # The first events came 0.2 s or more before, which is enough to tell others.
+    # The first events arrived at least 0.2 s before, so others know of the streams.
     async with version_site(TWO_EACH) as versioned:
         first, second, _ = versioned.gateways
         begun = await versioned.begin_and_kill(first, stream_ids(STREAMS), after_s)
@@ -99,7 +99,7 @@
         assert results.keys() <= {Result.WENT_ON, Result.REFUSED}, results
         answer = await versioned.take_up(second, begun[0])
         assert kind_of(answer) in ("", UNKNOWN)
-        # It remembers them itself.
+        # It has stored the origins itself.
         results = await versioned.take_up_all(first, begun)
         assert results == {Result.WENT_ON: STREAMS}, results
 
@@ -118,7 +118,7 @@
     async with version_site(TWO_EACH, gateway_count=4) as versioned:
         first, second, third, _ = versioned.gateways
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
-        await pass_time(TOLD_S)
+        await pass_time(ANNOUNCED_S)
         await first.kill()
         streams: list[Begun] = []
         for one in shuffled(begun):
@@ -133,7 +133,7 @@
 
 @runs_on_paused_clock
 async def test_a_stream_is_of_the_version_that_wrote_its_first_event():
-    # The first try of each stream ends at a target that writes nothing.
+    # The first attempt of each stream ends at a target that writes nothing.
     async with version_site([V1, V2, V2]) as versioned:
         versioned.site.runners[0].behaviour = close_unanswered
         first, second, _ = versioned.gateways
@@ -183,14 +183,14 @@
         versioned.site.store.fault = StoreFault.UNAVAILABLE
         await pass_time(2 * VERSION_HOLD_S)
         begun = await versioned.begin_many(first, stream_ids(STREAMS))
-        await pass_time(TOLD_S)
+        await pass_time(ANNOUNCED_S)
         await first.kill()
         results = await versioned.take_up_all(second, begun)
         assert results == {Result.WENT_ON: STREAMS}, results
 
 
 @runs_on_paused_clock
-async def test_a_stream_that_cannot_be_resumed_is_begun_anew_wherever_asked():
+async def test_a_stream_that_cannot_be_resumed_starts_again_at_any_router():
     async with version_site(TWO_EACH, gateway_count=1) as versioned:
         (gateway,) = versioned.gateways
         begun = Begun("s-0", "/stream-once/1", Answer(None))
@@ -208,7 +208,7 @@
 
 
 @runs_on_paused_clock
-async def test_a_new_stream_is_not_held_up_beside_two_versions():
+async def test_a_new_stream_does_not_wait_while_there_are_two_versions():
     async with version_site(TWO_EACH) as versioned:
         for gateway in versioned.gateways:
             ids = stream_ids(STREAMS, gateway.host)
@@ -232,7 +232,7 @@
 
 
 class Fault(Enum):
-    """What happens between the two attempts; a suspended router is not played."""
+    """Fault between the two attempts; no router is suspended."""
 
     SENDER_KILLED = "sender_killed"
     CUT_OFF_BEFORE = "cut_off_before"
