--- a/tests/fleet/test_unframed_streams.py
+++ b/tests/fleet/test_unframed_streams.py
@@ -122,13 +122,13 @@
 async def test_a_stream_goes_on_behind_an_engine_that_refuses_for_a_moment():
     # All resumes came within some milliseconds, and the stream ended as broken.
     cut = BETWEEN_EVENTS
-    async with own_path("engine", _unframed(WHOLE[:cut]), b"") as path:
+    async with own_path("engine", _unframed(COMPLETE[:cut]), b"") as path:
 
         async def answer_again() -> None:
             await trio.sleep(0.3)
-            path.target.answers.append(_chunked(WHOLE[cut:]))
+            path.target.answers.append(_chunked(COMPLETE[cut:]))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(answer_again)
             answer = await path.ask_chat()
-    assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
+    assert (answer.status, answer.body, answer.is_complete) == (200, COMPLETE, True)
