Soak: silences of targets that end, and whether each read request is answered

Cause: the soak's targets failed, crashed or were cut, and none of its kinds let a sound target fall silent and go on; requests that ended without an answer were judged only in planned stops and below 0.4 s. Three promises: a request that was read is answered or refused; a request runs at one target at a time (400 ms); answers that break off hold the first events.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -49,7 +49,7 @@
         return _find_unframed_problem(site, result)
     if _has_whole_body(result):
         return None
-    if _is_begun(result):
+    if begins_whole_answer(result):
         return f"broken off, and framed as complete by {answer.delimiter.value}"
     return "unexpected body"
 
@@ -60,10 +60,10 @@
     if result.kind != MIXED:
         return body in _whole_bodies(result)
     is_last = len(whole_events(body)) == MIXED_EVENT_COUNT - result.first_event + 1
-    return is_last and _ends_between_events(body) and _is_begun(result)
+    return is_last and _ends_between_events(body) and begins_whole_answer(result)
 
 
-def _is_begun(result: CallerResult) -> bool:
+def begins_whole_answer(result: CallerResult) -> bool:
     """Return whether the body is that of the request as far as it goes."""
     body = result.answer.body
     if result.kind == MIXED:
@@ -97,7 +97,7 @@
         return "the end of the connection isn't announced"
     if _has_whole_body(result):
         return None
-    if not _is_begun(result):
+    if not begins_whole_answer(result):
         return "unexpected body"
     if not is_undisturbed(
         result.gateway.disturbances_s, result.started_s, result.ended_s
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import trio
 
 from soak.mixed_streams import whole_events
+from soak.observed_streams import ObservedStream
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
 from soak.targets import GATEWAY_HEADER
@@ -23,6 +24,8 @@
 STEERED_SHARE = 0.9
 STEERED_KEEP_ALIVE_SHARE = 0.3
 ANSWER_TIMEOUT_S = 4.0
+# As the requests state it; what lasts longer may be cut at any time.
+REQUEST_DEADLINE_S = 2.0
 DISCONNECT_SHARE = 0.04
 DISCONNECT_AFTER_S = 0.01
 PROBE_INTERVAL_S = 0.2
@@ -43,11 +46,17 @@
     was_stopping : bool
         Whether the gateway had been told to stop when the request was sent.
     is_disconnected : bool
-        Whether the caller disconnected before the answer was complete.
+        Whether the caller disconnected before its answer ended.
     has_left : bool
         Whether it did so of its own accord, before its time ran out.
     first_event : int
         Number of the first event that was asked for.
+    deadline_s : float
+        How long after its start the request must be answered.
+    sent_s : float or None
+        When the last byte was written, or None if the connection was lost before.
+    is_reset : bool
+        Whether the connection was reset, and not closed, before its answer ended.
     """
 
     kind: str
@@ -61,6 +70,9 @@
     is_disconnected: bool
     has_left: bool = False
     first_event: int = 1
+    deadline_s: float = REQUEST_DEADLINE_S
+    sent_s: float | None = None
+    is_reset: bool = False
 
 
 @dataclass
@@ -170,11 +182,11 @@
     disconnects_early = rng.random() < DISCONNECT_SHARE
     was_stopping, incarnation = gateway.is_stopping, gateway.incarnation
     started_s = trio.current_time()
-    answer = Answer(None)
+    answer, observed = Answer(None), ObservedStream(stream)
     with trio.move_on_after(
         DISCONNECT_AFTER_S if disconnects_early else ANSWER_TIMEOUT_S
     ) as scope:
-        answer = await ask_on(stream, data, "GET")
+        answer = await ask_on(observed, data, "GET")
     return CallerResult(
         kind,
         request_id,
@@ -185,6 +197,9 @@
         answer,
         was_stopping,
         scope.cancelled_caught,
+        disconnects_early and scope.cancelled_caught,
+        sent_s=observed.sent_s,
+        is_reset=observed.is_reset,
     )
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from soak.callers import CHAT, PROMPT_COUNT
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.relays import Relay, RelayMode
+from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
 from soak.targets import CRASHING_BODY, CRASHING_PART, GATEWAY_HEADER, SoakTarget
 from tests.fixtures.gateways import ask_raw, request_bytes
@@ -28,7 +29,10 @@
 )
 # Shorter together than the time for which a gateway counts as disturbed afterwards.
 SERIES_PAUSE_RANGE_S = (0.0, 0.5)
-DISRUPTIVE_MODES = [mode for mode in RelayMode if mode is not RelayMode.PASS]
+# Without the mode of silences that end, which have kinds of their own.
+DISRUPTIVE_MODES = [
+    mode for mode in RelayMode if mode not in (RelayMode.PASS, RelayMode.WITHHELD)
+]
 STORE_FAULTS = [fault for fault in StoreFault if fault is not StoreFault.NONE]
 SINGLE_TARGET_BAD_SHARE = 0.3
 WHOLE_SERVICE_BAD_SHARE = 0.8
@@ -344,4 +348,5 @@
     change_versions,
     send_crashing_part,
     steer_callers,
+    *SILENCES,
 )
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -34,6 +34,8 @@
         How often the process was started.
     disturbances_s : list of float
         When anything but an orderly stop disturbed the process, on trio's clock.
+    stops_s, hangups_s : list of float
+        When SIGTERM and SIGHUP were sent; the latter are also disturbances.
     stopping_s : list of float
         When the process was told to stop, then at every poll until its restart.
     unexpected_exits : list of int
@@ -51,6 +53,8 @@
     incarnation: int = 0
     is_stopping: bool = False
     disturbances_s: list[float] = field(default_factory=list)
+    stops_s: list[float] = field(default_factory=list)
+    hangups_s: list[float] = field(default_factory=list)
     stopping_s: list[float] = field(default_factory=list)
     unexpected_exits: list[int] = field(default_factory=list)
     _popen: subprocess.Popen | None = None
@@ -122,11 +126,15 @@
             return
         if signal_number is signal.SIGHUP and not self._handles_sighup():
             return
+        now_s = trio.current_time()
         if signal_number is signal.SIGTERM:
             self.is_stopping = True
-            self.stopping_s.append(trio.current_time())
+            self.stops_s.append(now_s)
+            self.stopping_s.append(now_s)
         else:
-            self.record_disturbance()
+            self.disturbances_s.append(now_s)
+        if signal_number is signal.SIGHUP:
+            self.hangups_s.append(now_s)
         if signal_number in EXIT_SIGNALS:
             self._is_exit_expected = True
         self._popen.send_signal(signal_number)
@@ -138,6 +146,11 @@
         handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
         return bool(handled >> (signal.SIGHUP - 1) & 1)
 
+    @property
+    def strikes_s(self) -> list[float]:
+        """Return when anything but planned work disturbed the process."""
+        return [at_s for at_s in self.disturbances_s if at_s not in self.hangups_s]
+
     def record_disturbance(self) -> None:
         """Record that something disturbs the process now."""
         self.disturbances_s.append(trio.current_time())
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -9,7 +9,7 @@
     was_broken_off,
 )
 from soak.arrivals import ready_count, sorted_arrivals
-from soak.callers import Observations
+from soak.callers import REQUEST_DEADLINE_S, Observations
 from soak.crash_checks import (
     check_beside_crashing_parts,
     check_crashing_parts,
@@ -30,6 +30,11 @@
     check_stream_order,
     check_stream_versions,
 )
+from soak.silence_checks import (
+    check_answered,
+    check_broken_off_events,
+    check_second_runs,
+)
 from soak.site import ENGINE, PLAIN, SoakSite
 from soak.steering_checks import check_steered_callers
 
@@ -41,8 +46,6 @@
 # The same for the load bound, and for requests in flight during an orderly stop.
 LOAD_RECOVERY_S = 5.0
 STOP_RECOVERY_S = 1.0
-# As the soak's requests state it; what lasts longer may be cut at any time.
-REQUEST_DEADLINE_S = 2.0
 LOAD_MULTIPLE = 2.0
 LOAD_EXTRA = 3
 MAX_OVERLOAD_SHARE = 0.03
@@ -325,6 +328,9 @@
     "a configuration is applied in time and never reverted": check_config,
     "a draining target gets no new requests": check_draining,
     "a planned stop cuts no request": check_planned_stops,
+    "a request that was read is answered or refused": check_answered,
+    "a request runs at one target at a time": check_second_runs,
+    "answers that break off hold the first events": check_broken_off_events,
     "no engine exceeds the load bound": check_load_bound,
     "retries stay within the fleet's budget": check_retry_budget,
     "a request that crashes targets is sent to few": check_crashing_requests,
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -16,7 +16,8 @@
     """
     What a relay does with the bytes of its connections.
 
-    SILENT withholds the bytes of both directions, ONE_WAY those of answers.
+    SILENT withholds the bytes of both directions, ONE_WAY those of answers. WITHHELD
+    withholds also the ends of connections, so that all is delivered in order later.
     """
 
     PASS = "pass"
@@ -24,6 +25,7 @@
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one_way"
+    WITHHELD = "withheld"
 
 
 class Relay:
@@ -104,6 +106,8 @@
                 await destination.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        while self.mode is RelayMode.WITHHELD:
+            await self._mode_changed.wait()
         scope.cancel()
 
     async def _receive(
@@ -120,7 +124,7 @@
         """Wait for as long as the mode delays or withholds bytes."""
         if self.mode is RelayMode.DELAY:
             await trio.sleep(DELAY_S)
-        while self.mode is RelayMode.SILENT or (
+        while self.mode in (RelayMode.SILENT, RelayMode.WITHHELD) or (
             self.mode is RelayMode.ONE_WAY and is_answer
         ):
             await self._mode_changed.wait()
--- a/soak/resuming_callers.py
+++ b/soak/resuming_callers.py
@@ -13,6 +13,7 @@
     connect,
 )
 from soak.mixed_streams import EVENT_COUNT, MIXED, whole_events
+from soak.observed_streams import ObservedStream
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
 from soak.targets import GATEWAY_HEADER
@@ -116,9 +117,9 @@
     limit_s = rng.uniform(*LEAVE_AFTER_RANGE_S) if leaves else ANSWER_TIMEOUT_S
     was_stopping, incarnation = gateway.is_stopping, gateway.incarnation
     started_s = trio.current_time()
-    answer = Answer(None)
+    answer, observed = Answer(None), ObservedStream(link)
     with trio.move_on_after(limit_s) as scope:
-        await ask_on(link, data, "GET", answer)
+        await ask_on(observed, data, "GET", answer)
     is_cut = scope.cancelled_caught
     return CallerResult(
         MIXED,
@@ -132,4 +133,6 @@
         is_cut,
         leaves and is_cut,
         first_event,
+        sent_s=observed.sent_s,
+        is_reset=observed.is_reset,
     )
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -23,10 +23,13 @@
     draw_faults,
     inject_faults,
 )
+from soak.patient_callers import PATIENT_CALLER_COUNT, send_slow_requests
 from soak.processes import GatewayProcess
 from soak.promise_checks import PROMISES
 from soak.resuming_callers import RESUMING_CALLER_COUNT, take_streams_up
 from soak.resumption_checks import describe_outcomes
+from soak.silence_checks import describe_second_runs
+from soak.silences import SILENCES
 from soak.site import START_TIMEOUT_S, SoakSite, running_soak
 from tests.fixtures.gateways import ask_raw
 
@@ -46,8 +49,8 @@
     sent_count, served_count : int
         Requests that were sent, and those that were answered with status 200.
     stream_counts : str
-        How many streams began and went on at gateways in touch; empty if no caller
-        takes streams up.
+        How many streams began and went on at gateways in touch, if callers take them
+        up, and how many requests went on at another target, if targets are silent.
     broken : dict of str to list of str
         The promises that were broken, each with its cases.
     """
@@ -101,8 +104,9 @@
     kinds = faults or draw_faults(random.Random(seed))
     observations = Observations()
     has_mixed_service = change_versions in kinds
-    arguments = (seed, directory, gateway_count, disabled_mechanism, has_mixed_service)
-    async with running_soak(*arguments) as site:
+    has_slow_routes = any(kind in SILENCES for kind in kinds)
+    arguments = (seed, directory, gateway_count, disabled_mechanism)
+    async with running_soak(*arguments, has_mixed_service, has_slow_routes) as site:
         await wait_until_ready(site)
         async with trio.open_nursery() as nursery:
             for number in range(CALLER_COUNT):
@@ -111,6 +115,8 @@
                 nursery.start_soon(send_requests, site, observations, number, (CHAT,))
             for number in range(RESUMING_CALLER_COUNT if has_mixed_service else 0):
                 nursery.start_soon(take_streams_up, site, observations, number)
+            for number in range(PATIENT_CALLER_COUNT if has_slow_routes else 0):
+                nursery.start_soon(send_slow_requests, site, observations, number)
             for gateway in site.gateways:
                 nursery.start_soon(probe_config_versions, site, observations, gateway)
             for number in range(sequence_count):
@@ -129,8 +135,13 @@
     }
     broken = {promise: cases for promise, cases in cases_by_promise.items() if cases}
     served_count = sum(result.answer.status == 200 for result in observations.results)
-    counts = describe_outcomes(site, observations) if site.has_mixed_service else ""
-    return SoakResult(seed, len(observations.results), served_count, broken, counts)
+    counts = []
+    if site.has_mixed_service:
+        counts.append(describe_outcomes(site, observations))
+    if site.has_slow_routes:
+        counts.append(describe_second_runs(site))
+    sent_count = len(observations.results)
+    return SoakResult(seed, sent_count, served_count, broken, "\n  ".join(counts))
 
 
 async def wait_until_ready(site: SoakSite) -> None:
--- /dev/null
+++ b/soak/silence_checks.py
@@ -0,0 +1,226 @@
+"""Whether requests are answered or refused, and run at one target at a time."""
+
+from collections import defaultdict
+from itertools import pairwise
+
+from soak.answer_checks import EVENT_KINDS, begins_whole_answer
+from soak.arrivals import sorted_arrivals
+from soak.callers import CallerResult, Observations
+from soak.disturbances import RECOVERY_S, is_undisturbed, was_gateway_undisturbed
+from soak.processes import GRACE_S
+from soak.site import SoakSite
+from soak.targets import Arrival, SoakTarget
+
+# A request that wasn't passed on may have crossed the close of its connection.
+LOSS_SLACK_S = 0.2
+# A gateway may answer this much before the deadline.
+DEADLINE_MARGIN_S = 0.1
+MAX_LATENESS_S = 0.5
+# At the end of its time a gateway that stops cuts what still runs.
+STOP_END_SHARE = 1 / 6
+MAX_SECOND_RUN_S = 0.4
+BREAKING_OUTCOMES = ("close_unanswered", "cut_body", "crash")
+
+
+def check_answered(site: SoakSite, observations: Observations) -> list[str]:
+    """Return the requests that were read and ended with no complete answer."""
+    targets = _targets_by_request(site)
+    return [
+        _describe(targets[result.request_id], result)
+        for result in observations.results
+        if _ended_unanswered(result)
+        and _was_read(targets[result.request_id], result)
+        and not _may_end_so(targets[result.request_id], result)
+    ]
+
+
+def _targets_by_request(site: SoakSite) -> dict[str, list[SoakTarget]]:
+    """Return the targets that each request reached."""
+    targets: dict[str, list[SoakTarget]] = defaultdict(list)
+    for target in site.all_targets():
+        for request_id in target.reached_ids:
+            targets[request_id].append(target)
+    return targets
+
+
+def _ended_unanswered(result: CallerResult) -> bool:
+    """Return whether no complete answer came to a caller that waited for it."""
+    return not result.answer.is_complete and not result.has_left
+
+
+def _was_read(targets: list[SoakTarget], result: CallerResult) -> bool:
+    """
+    Return whether a gateway read the whole of a request.
+
+    What a gateway closes unread is reset, and what crosses its close ends at once.
+    """
+    if result.sent_s is None:
+        return False
+    has_begun = result.answer.status is not None
+    is_read_later = (
+        not result.is_reset and result.ended_s > result.sent_s + LOSS_SLACK_S
+    )
+    return has_begun or bool(targets) or is_read_later
+
+
+def _may_end_so(targets: list[SoakTarget], result: CallerResult) -> bool:
+    """Return whether anything but a silence accounts for the end of a request."""
+    return (
+        _was_gateway_struck(result)
+        or _has_reached_deadline(result)
+        or _has_reached_stop_end(result)
+        or any(_broke_off(target, result) for target in targets)
+    )
+
+
+def _was_gateway_struck(result: CallerResult) -> bool:
+    """Return whether anything but planned work disturbed the gateway."""
+    since_s = result.started_s - RECOVERY_S
+    return not is_undisturbed(result.gateway.strikes_s, since_s, result.ended_s)
+
+
+def _has_reached_deadline(result: CallerResult) -> bool:
+    """Return whether a connection was closed at the deadline, and not much later."""
+    lateness_s = result.ended_s - result.started_s - result.deadline_s
+    return -DEADLINE_MARGIN_S < lateness_s < MAX_LATENESS_S
+
+
+def _has_reached_stop_end(result: CallerResult) -> bool:
+    """Return whether a request lasted until a planned stop of its gateway ends."""
+    cut_after_s = GRACE_S * (1 - STOP_END_SHARE)
+    stops_s = result.gateway.stops_s
+    is_repeated = any(
+        later_s - earlier_s < GRACE_S
+        and earlier_s < result.ended_s
+        and later_s > result.started_s - GRACE_S
+        for earlier_s, later_s in pairwise(stops_s)
+    )
+    return is_repeated or any(
+        result.started_s - GRACE_S < stop_s < result.ended_s - cut_after_s
+        for stop_s in stops_s
+    )
+
+
+def _broke_off(target: SoakTarget, result: CallerResult) -> bool:
+    """Return whether a target, or the path to it, broke off a request."""
+    has_ended = target.ended_s <= result.ended_s
+    is_path_cut = not is_undisturbed(
+        target.path_disturbances_s, result.started_s - RECOVERY_S, result.ended_s
+    )
+    has_broken_off = result.request_id in target.broken_off_ids
+    return (
+        has_ended
+        or is_path_cut
+        or has_broken_off
+        or any(
+            arrival.request_id == result.request_id
+            and arrival.outcome in BREAKING_OUTCOMES
+            for arrival in target.arrivals
+        )
+    )
+
+
+def _describe(targets: list[SoakTarget], result: CallerResult) -> str:
+    """Return how a request ended, and what the targets did that it reached."""
+    answer, length_s = result.answer, result.ended_s - result.started_s
+    end = "reset" if result.is_reset else "closed"
+    end = "still open" if result.is_disconnected else end
+    deeds = "; ".join(_describe_deeds(target, result) for target in targets)
+    return (
+        f"{result.request_id} ({result.kind}) of {result.gateway.name}"
+        f" at {result.ended_s:.2f} after {length_s:.2f} s: {end},"
+        f" status {answer.status},"
+        f" {len(answer.body)} bytes; {deeds or 'reached no target'}"
+    )
+
+
+def _describe_deeds(target: SoakTarget, result: CallerResult) -> str:
+    """Return what a target did while it had a request."""
+    deeds = [
+        silence.describe()
+        for silence in target.silences
+        if silence.from_s < result.ended_s and silence.to_s > result.started_s
+    ]
+    deeds += [
+        f"{arrival.outcome} from {arrival.arrived_s:.2f} to {arrival.ended_s:.2f}"
+        + (f", closed at {arrival.closed_s:.2f}" if arrival.was_closed else "")
+        for arrival in target.arrivals
+        if arrival.request_id == result.request_id
+    ]
+    return f"{target.stub.id} " + ", ".join(deeds or ["has it still"])
+
+
+def check_second_runs(site: SoakSite, observations: Observations) -> list[str]:
+    """Return the requests that ran at two targets at once for too long."""
+    return [
+        f"{first.request_id} from {first.gateway} ran at {first.target} and"
+        f" {second.target} for {overlap_s:.2f} s from {second.arrived_s:.2f} on"
+        for first, second in _second_runs(site)
+        if (overlap_s := _overlap_s(first, second)) > MAX_SECOND_RUN_S
+        and _could_cancel(site, first, second)
+    ]
+
+
+def _second_runs(site: SoakSite) -> list[tuple[Arrival, Arrival]]:
+    """Return the pairs of runs of a request that follow each other, by arrival."""
+    runs: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in sorted_arrivals(site):
+        if arrival.has_run:
+            runs[arrival.request_id].append(arrival)
+    return [pair for arrivals in runs.values() for pair in pairwise(arrivals)]
+
+
+def _overlap_s(first: Arrival, second: Arrival) -> float:
+    """Return how long the first run went on beside the second one."""
+    first_end_s = min(first.ended_s, first.closed_s)
+    second_end_s = min(second.ended_s, second.closed_s)
+    return min(first_end_s, second_end_s) - second.arrived_s
+
+
+def _could_cancel(site: SoakSite, first: Arrival, second: Arrival) -> bool:
+    """Return whether the gateway was in touch and reached both targets."""
+    gateway = next((g for g in site.gateways if g.name == first.gateway), None)
+    from_s = second.arrived_s
+    to_s = from_s + _overlap_s(first, second)
+    if gateway is None or not was_gateway_undisturbed(gateway, from_s, to_s):
+        return False
+    return all(
+        _was_path_open(target, from_s, to_s)
+        for target in site.all_targets()
+        if target.stub.id in (first.target, second.target)
+    )
+
+
+def _was_path_open(target: SoakTarget, from_s: float, to_s: float) -> bool:
+    """Return whether the path to a target delivered bytes all the time."""
+    is_silent = any(
+        silence.is_of_path and silence.from_s <= to_s and silence.to_s >= from_s
+        for silence in target.silences
+    )
+    return not is_silent and is_undisturbed(
+        target.path_disturbances_s, from_s - RECOVERY_S, to_s
+    )
+
+
+def check_broken_off_events(site: SoakSite, observations: Observations) -> list[str]:
+    """Return the answers that broke off with other events than the first ones."""
+    return [
+        f"{result.request_id} ({result.kind}) of {result.gateway.name}"
+        f" at {result.ended_s:.2f}: {result.answer.body[-40:]!r}"
+        for result in observations.results
+        if result.kind in EVENT_KINDS
+        and result.answer.status == 200
+        and not result.answer.is_complete
+        and not begins_whole_answer(result)
+    ]
+
+
+def describe_second_runs(site: SoakSite) -> str:
+    """Return how many requests went on at another target, and how long both ran."""
+    overlaps_s = [_overlap_s(first, second) for first, second in _second_runs(site)]
+    longest_s = max(overlaps_s, default=0.0)
+    late_count = sum(each_s > MAX_SECOND_RUN_S for each_s in overlaps_s)
+    return (
+        f"{len(overlaps_s)} went on at another target, {late_count} of them with a"
+        f" first run not cancelled in time, the longest {max(0.0, longest_s):.2f} s"
+    )
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,6 +12,7 @@
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.processes import GatewayProcess
 from soak.relays import Relay
+from soak.slow_routes import slow_routes
 from soak.targets import SoakTarget, start_target
 from tests.fixtures.gateways import CONFIG_TOPIC, TARGETS_TOPIC, config, route
 from tests.fixtures.platform_store import StoreFault, StoreStandin
@@ -60,6 +61,8 @@
         When one gateway got them.
     has_mixed_service : bool
         Whether there is a service whose targets run several versions.
+    has_slow_routes : bool
+        Whether there are routes whose answers take long, with time for silences.
     """
 
     rng: random.Random
@@ -77,6 +80,7 @@
     steered_to: GatewayProcess | None = None
     steered_periods: list[SteeredPeriod] = field(default_factory=list)
     has_mixed_service: bool = False
+    has_slow_routes: bool = False
     _started_count: int = 0
 
     def newest_version_at(self, at_s: float) -> int:
@@ -97,6 +101,8 @@
             document["services"].append({"name": MIXED})
             mixed = route(MIXED, "stream", service=MIXED, attempts=3, resumable=True)
             document["routes"].append(mixed)
+        if self.has_slow_routes:
+            document["routes"] += slow_routes()
         self.store.put(CONFIG_TOPIC, "config", document)
         self.config_written_s[version] = trio.current_time()
 
@@ -178,6 +184,17 @@
         await trio.sleep(max(0.0, ENTRY_REMOVAL_DELAY_S - replacement_delay_s))
         self.store.drop(TARGETS_TOPIC, target.stub.id)
 
+    async def replace_silent_target(self, target: SoakTarget) -> None:
+        """Replace a target that stays silent, once it has missed its heartbeats."""
+        await trio.sleep(ENTRY_REMOVAL_DELAY_S)
+        if target in self.targets:
+            self.targets.remove(target)
+            self.removed_targets.append(target)
+            target.removed_s = target.ended_s = trio.current_time()
+            target.record_disturbance()
+            self.store.drop(TARGETS_TOPIC, target.stub.id)
+            self.add_target(target.service, target.version)
+
     def all_targets(self) -> list[SoakTarget]:
         """Return the current and the removed targets."""
         return self.targets + self.removed_targets
@@ -214,6 +231,7 @@
     gateway_count: int,
     disabled_mechanism: str | None,
     has_mixed_service: bool = False,
+    has_slow_routes: bool = False,
 ) -> AsyncIterator[SoakSite]:
     """Yield a site with started gateways; kill their processes at the end."""
     store = StoreStandin()
@@ -221,6 +239,7 @@
         listener = free_listener()
         site = SoakSite(random.Random(seed), nursery, store, port_of(listener))
         nursery.start_soon(serve_http, listener, store.answer)
+        site.has_slow_routes = has_slow_routes
         if has_mixed_service:
             site.add_mixed_service()
         site.write_config()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -13,6 +13,8 @@
     plan_mixed_answer,
 )
 from soak.relays import Relay, RelayMode
+from soak.slow_routes import SLOW_PAUSE_RANGE_S, is_slow_path
+from soak.stillness import CloseWatch, Silence, Stillness, StillStream
 from soak.version_defects import (
     FAILING_ANSWER_SHARE,
     SLOWDOWN_FACTOR,
@@ -79,6 +81,10 @@
         Whether the target ran the request.
     prompt : str
         The parts of its prompt, as listed in its header.
+    closed_s : float
+        When the gateway closed the connection before the target was done.
+    outcome : str
+        What the target did, by the name of the function that did it.
     """
 
     request_id: str
@@ -90,6 +96,13 @@
     has_run: bool
     body: bytes = b""
     prompt: str = ""
+    closed_s: float = float("inf")
+    outcome: str = ""
+
+    @property
+    def was_closed(self) -> bool:
+        """Return whether the gateway closed the connection before the answer's end."""
+        return self.closed_s < float("inf")
 
 
 @dataclass
@@ -135,6 +148,14 @@
         When the version's defect spoiled an answer.
     in_flight : Counter of str
         The requests that the target runs now, by path.
+    nursery : trio.Nursery or None
+        For tasks that notice when the gateway closes the connection of a request.
+    ended_s : float
+        When the target broke all its connections.
+    silences : list of Silence
+        When the target or the path to it was silent.
+    reached_ids : set of str
+        The requests that reached the target, also while it stood still.
     """
 
     stub: StubTarget
@@ -163,6 +184,11 @@
     request_starts_s: list[float] = field(default_factory=list)
     bad_answers_s: list[float] = field(default_factory=list)
     in_flight: Counter[str] = field(default_factory=Counter)
+    nursery: trio.Nursery | None = None
+    ended_s: float = float("inf")
+    stillness: Stillness = field(default_factory=Stillness)
+    silences: list[Silence] = field(default_factory=list)
+    reached_ids: set[str] = field(default_factory=set)
 
     def record_disturbance(self) -> None:
         """Record that a fault begins or ends now."""
@@ -188,18 +214,19 @@
     def stop_at_once(self) -> None:
         """Stop without draining: reset all connections, busy ones too."""
         self.relay.set_mode(RelayMode.RESET)
-        self.removed_s = trio.current_time()
+        self.removed_s = self.ended_s = trio.current_time()
         self.record_disturbance()
 
     def crash(self) -> None:
         """Close all connections and the port, as a crashed process does."""
         self.relay.close()
-        self.removed_s = trio.current_time()
+        self.removed_s = self.ended_s = trio.current_time()
         self.record_disturbance()
 
     def end(self) -> None:
         """Close all connections and the port, some time after draining."""
         self.relay.close()
+        self.ended_s = trio.current_time()
         self.record_disturbance()
 
     def _shows_defect(self, request: ReceivedRequest) -> bool:
@@ -217,6 +244,10 @@
 
     async def answer(self, stub: StubTarget, request: ReceivedRequest) -> bool:
         """Process one request for a while, and answer it normally or badly."""
+        self.reached_ids.add(request_id(request))
+        connection = request.stream
+        request.stream = StillStream(connection, self.stillness, self.rng)
+        await self.stillness.wait_until_going_on()
         runs_before = stub.runs[request_id(request)]
         arrived_s = trio.current_time()
         self.request_starts_s.append(arrived_s)
@@ -226,8 +257,10 @@
         is_failing = (
             shows_defect and not is_slow and self.rng.random() < FAILING_ANSWER_SHARE
         )
+        outcome, watch = "crash", CloseWatch(connection, self.nursery)
         try:
             if self.retry_after_s > 0.0:
+                outcome = "reject_with_retry_after"
                 return await self._reject_with_retry_after(stub, request)
             cause = crash_cause(request)
             if cause is not None and self.on_crash is not None:
@@ -241,14 +274,19 @@
             )
             is_mixed = self.service == MIXED
             behave = self._answer_mixed if is_mixed else self._answer_normally
+            if is_slow_path(request.target):
+                behave = self._answer_slowly
             if self.rng.random() < self.bad_answer_share:
                 behave = self.rng.choice(BAD_MIXED if is_mixed else BAD_ANSWERS)
             elif not is_mixed and self.rng.random() < self.unframed_share:
                 behave = self._answer_unframed
             if is_slow or is_failing:
                 self.bad_answers_s.append(trio.current_time())
-            return await (stub_targets.fail if is_failing else behave)(stub, request)
+            behave = stub_targets.fail if is_failing else behave
+            outcome = behave.__name__.lstrip("_")
+            return await behave(stub, request)
         finally:
+            watch.stop()
             self.in_flight[request.target] -= 1
             has_run = stub.runs[request_id(request)] > runs_before
             gateway = request.headers.get(GATEWAY_HEADER, "")
@@ -263,6 +301,8 @@
                     has_run,
                     request.body,
                     request.headers.get("prompt-prefix", ""),
+                    watch.closed_s,
+                    outcome,
                 )
             )
 
@@ -273,6 +313,15 @@
         self.whole_ids.add(request_id(request))
         return await stub_targets.answer_normally(stub, request)
 
+    async def _answer_slowly(self, stub: StubTarget, request: ReceivedRequest) -> bool:
+        """Run the request and send its answer in pieces that take long."""
+        stub.runs[request_id(request)] += 1
+        self.whole_ids.add(request_id(request))
+        answer = PlannedAnswer(tuple(pieces_of(request)))
+        return await send_pieces(
+            stub, request, answer, self.rng, True, SLOW_PAUSE_RANGE_S
+        )
+
     async def _answer_unframed(
         self, stub: StubTarget, request: ReceivedRequest
     ) -> bool:
@@ -339,7 +388,8 @@
     """Start a target behind a relay of its own."""
     listener = free_listener()
     stub = StubTarget(name, port_of(listener))
-    target = SoakTarget(stub, Relay(stub.port), service, rng, version=version)
+    relay = Relay(stub.port)
+    target = SoakTarget(stub, relay, service, rng, version=version, nursery=nursery)
     stub.behaviour = target.answer
     nursery.start_soon(serve_http, listener, stub.answer)
     nursery.start_soon(target.relay.run)
