--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -91,7 +91,7 @@
     assert promise in result.broken, result.describe()
 
 
-@params(7701)
+@params(7702)
 def test_requests_at_targets_that_fall_silent_and_go_on_are_answered(seed):
     _assert_kept(_run(seed, SIGNAL_LENGTH_S, kinds=silences.SILENCES))
 
