Soak: targets that stand still read no large bodies; failures are counted

Cause: the relay took over the whole of a body for a target that stood still, so that a gateway's connection to it never filled up, as it does before a process that reads nothing; and a request that failed because of a silence was seen nowhere.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -55,6 +55,8 @@
         How long after its start the request must be answered.
     sent_s : float or None
         When the last byte was written, or None if the connection was lost before.
+    is_large : bool
+        Whether the request had a large body.
     is_reset : bool
         Whether the connection was reset, and not closed, before its answer ended.
     """
@@ -73,6 +75,7 @@
     deadline_s: float = REQUEST_DEADLINE_S
     sent_s: float | None = None
     is_reset: bool = False
+    is_large: bool = False
 
 
 @dataclass
--- a/soak/patient_callers.py
+++ b/soak/patient_callers.py
@@ -19,6 +19,9 @@
 LEAVE_SHARE = 0.04
 LEAVE_AFTER_RANGE_S = (0.01, 0.6)
 NEW_CONNECTION_SHARE = 0.2
+# More than a connection takes up while the target reads nothing.
+LARGE_BODY = b"x" * 400_000
+LARGE_BODY_SHARE = 0.2
 _USUAL_DEADLINE = b"Deadline-Ms: 2000"
 
 
@@ -54,9 +57,10 @@
     limit_s = rng.uniform(*LEAVE_AFTER_RANGE_S) if leaves else PATIENCE_S
     was_stopping, incarnation = gateway.is_stopping, gateway.incarnation
     answer, observed = Answer(None), ObservedStream(link)
+    data, method = _request(gateway, rng, kind, request_id)
     started_s = trio.current_time()
     with trio.move_on_after(limit_s) as scope:
-        await ask_on(observed, _request(gateway, kind, request_id), "GET", answer)
+        await ask_on(observed, data, method, answer)
     return CallerResult(
         kind,
         request_id,
@@ -71,12 +75,21 @@
         deadline_s=SLOW_TIMEOUT_S,
         sent_s=observed.sent_s,
         is_reset=observed.is_reset,
+        is_large=method == "POST",
     )
 
 
-def _request(gateway: GatewayProcess, kind: str, request_id: str) -> bytes:
-    """Return a request with the time-out of the slow routes as its deadline."""
+def _request(
+    gateway: GatewayProcess, rng: random.Random, kind: str, request_id: str
+) -> tuple[bytes, str]:
+    """
+    Return a request and its method.
+
+    Its deadline is the time-out of the slow routes, and its body may be large.
+    """
+    body = LARGE_BODY if rng.random() < LARGE_BODY_SHARE else b""
+    method = "POST" if body else "GET"
     headers = {GATEWAY_HEADER.replace("-", "_"): gateway.name}
     deadline = b"Deadline-Ms: %d" % (1000 * SLOW_TIMEOUT_S)
-    data = request_bytes(slow_path(kind), request_id, **headers)
-    return data.replace(_USUAL_DEADLINE, deadline)
+    data = request_bytes(slow_path(kind), request_id, method, body, **headers)
+    return data.replace(_USUAL_DEADLINE, deadline), method
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -5,6 +5,7 @@
 import trio
 
 from scaleloom_standins.ports import LOOPBACK
+from soak.stillness import Stillness
 from tests.fixtures.cut_answers import reset
 from tests.fixtures.stub_server import free_listener, port_of
 
@@ -36,10 +37,13 @@
     ----------
     server_port : int
         The port of the server on loopback.
+    stillness : Stillness or None
+        While the server stands still, nothing more is read for it.
     """
 
-    def __init__(self, server_port: int) -> None:
+    def __init__(self, server_port: int, stillness: Stillness | None = None) -> None:
         self.server_port = server_port
+        self._stillness = stillness or Stillness()
         self.mode = RelayMode.PASS
         self._listener = free_listener()
         self._mode_changed = trio.Event()
@@ -103,6 +107,8 @@
         try:
             while data := await self._receive(source, destination):
                 await self._wait_for_mode(is_answer)
+                if not is_answer:
+                    await self._stillness.wait_until_going_on()
                 await destination.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -28,7 +28,7 @@
 from soak.promise_checks import PROMISES
 from soak.resuming_callers import RESUMING_CALLER_COUNT, take_streams_up
 from soak.resumption_checks import describe_outcomes
-from soak.silence_checks import describe_second_runs
+from soak.silence_checks import describe_failures, describe_second_runs
 from soak.silences import SILENCES
 from soak.site import START_TIMEOUT_S, SoakSite, running_soak
 from tests.fixtures.gateways import ask_raw
@@ -140,6 +140,7 @@
         counts.append(describe_outcomes(site, observations))
     if site.has_slow_routes:
         counts.append(describe_second_runs(site))
+        counts.append(describe_failures(site, observations))
     sent_count = len(observations.results)
     return SoakResult(seed, sent_count, served_count, broken, "\n  ".join(counts))
 
--- a/soak/silence_checks.py
+++ b/soak/silence_checks.py
@@ -1,13 +1,13 @@
 """Whether requests are answered or refused, and run at one target at a time."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from itertools import pairwise
 
 from soak.answer_checks import EVENT_KINDS, begins_whole_answer
 from soak.arrivals import sorted_arrivals
 from soak.callers import CallerResult, Observations
-from soak.disturbances import RECOVERY_S, is_undisturbed, was_gateway_undisturbed
-from soak.processes import GRACE_S
+from soak.disturbances import RECOVERY_S, is_undisturbed
+from soak.processes import GRACE_S, GatewayProcess
 from soak.site import SoakSite
 from soak.targets import Arrival, SoakTarget
 
@@ -21,6 +21,7 @@
 # What is sent later in a stop must be refused, or answered in time.
 MAX_SENT_IN_STOP_S = 3.0
 MAX_SECOND_RUN_S = 0.4
+FAILED_STATUS = 502
 BREAKING_OUTCOMES = ("close_unanswered", "cut_body", "crash")
 
 
@@ -177,7 +178,7 @@
     gateway = next((g for g in site.gateways if g.name == first.gateway), None)
     from_s = second.arrived_s
     to_s = from_s + _overlap_s(first, second)
-    if gateway is None or not was_gateway_undisturbed(gateway, from_s, to_s):
+    if gateway is None or not _was_in_touch(gateway, from_s, to_s):
         return False
     return all(
         _was_path_open(target, from_s, to_s)
@@ -186,6 +187,14 @@
     )
 
 
+def _was_in_touch(gateway: GatewayProcess, from_s: float, to_s: float) -> bool:
+    """Return whether a gateway was neither struck nor stopped; SIGHUP is neither."""
+    since_s = from_s - RECOVERY_S
+    return is_undisturbed(gateway.strikes_s, since_s, to_s) and is_undisturbed(
+        gateway.stopping_s, since_s, to_s
+    )
+
+
 def _was_path_open(target: SoakTarget, from_s: float, to_s: float) -> bool:
     """Return whether the path to a target delivered bytes all the time."""
     is_silent = any(
@@ -210,6 +219,24 @@
     ]
 
 
+def describe_failures(site: SoakSite, observations: Observations) -> str:
+    """Return how many requests failed though their targets were silent at most."""
+    targets = _targets_by_request(site)
+    failed = [
+        result
+        for result in observations.results
+        if result.answer.status == FAILED_STATUS
+        and "response-seal" not in result.answer.headers
+        and not _may_end_so(targets[result.request_id], result)
+    ]
+    kinds = Counter(
+        f"{result.kind} with a large body" if result.is_large else result.kind
+        for result in failed
+    )
+    counts = ", ".join(f"{count} {kind}" for kind, count in kinds.most_common())
+    return f"{len(failed)} failed at targets that were silent at most: {counts or '-'}"
+
+
 def describe_second_runs(site: SoakSite) -> str:
     """Return how many requests went on at another target, and how long both ran."""
     overlaps_s = [_overlap_s(first, second) for first, second in _second_runs(site)]
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,7 +12,7 @@
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.processes import GatewayProcess
 from soak.relays import Relay
-from soak.slow_routes import slow_routes
+from soak.slow_routes import MAX_BODY_BYTES, slow_routes
 from soak.targets import SoakTarget, start_target
 from tests.fixtures.gateways import CONFIG_TOPIC, TARGETS_TOPIC, config, route
 from tests.fixtures.platform_store import StoreFault, StoreStandin
@@ -103,6 +103,7 @@
             document["routes"].append(mixed)
         if self.has_slow_routes:
             document["routes"] += slow_routes()
+            document["limits"]["max-body-bytes"] = MAX_BODY_BYTES
         self.store.put(CONFIG_TOPIC, "config", document)
         self.config_written_s[version] = trio.current_time()
 
--- a/soak/slow_routes.py
+++ b/soak/slow_routes.py
@@ -4,6 +4,7 @@
 
 SLOW_SUFFIX = "-slow"
 SLOW_TIMEOUT_S = 5.0
+MAX_BODY_BYTES = 1_000_000
 # The kinds of request as on the routes whose answers come at once.
 SLOW_KINDS = ("safe", "once", "stream", "stream-once")
 # Four events take about half a second.
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -388,8 +388,10 @@
     """Start a target behind a relay of its own."""
     listener = free_listener()
     stub = StubTarget(name, port_of(listener))
-    relay = Relay(stub.port)
+    stillness = Stillness()
+    relay = Relay(stub.port, stillness)
     target = SoakTarget(stub, relay, service, rng, version=version, nursery=nursery)
+    target.stillness = stillness
     stub.behaviour = target.answer
     nursery.start_soon(serve_http, listener, stub.answer)
     nursery.start_soon(target.relay.run)
