--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -9,13 +9,13 @@
 from scaleloom_fleet.gateway.attempts import serve
 from scaleloom_fleet.gateway.error_responses import send_error, send_rejection
 from scaleloom_fleet.gateway.overload_refusals import (
-    close_unread,
-    closes_unread,
     exceeded_by_caller,
     exceeded_by_request,
     may_accept,
     refuse,
     refuse_caller,
+    turn_away,
+    turns_away,
 )
 from scaleloom_fleet.gateway.request_metrics import record_malformed, record_unserved
 from scaleloom_fleet.gateway.state import GatewayState
@@ -53,8 +53,8 @@
             if connection is None:
                 break
             accepted += 1
-            if closes_unread(state):
-                close_unread(state, connection)
+            if turns_away(state):
+                await turn_away(state, connection)
                 continue
             limit = exceeded_by_caller(state, connection, admitted)
             if limit is not None:
@@ -77,6 +77,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.read_forever)
             await _serve_requests(state, caller)
+            await caller.discard_rest()
             nursery.cancel_scope.cancel()
     finally:
         state.connections.discard(caller)
@@ -87,7 +88,7 @@
     """Serve the requests of one connection one after another."""
     try:
         while True:
-            request = await caller.read_request(state.caller_limits())
+            request = await caller.read_request(state.caller_limits)
             limit = exceeded_by_request(state)
             if limit is not None:
                 await refuse(state, caller, limit)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -102,9 +102,12 @@
     connection : socket
         Connected and non-blocking.
     head : AnswerHead or None
-        Of the answer to the request under way, once it has been read.
+        Of the answer to the request under way, or of a surplus answer before it, once
+        it has been read.
     body_bytes : int
         How much of the body of that answer has been read.
+    received_s : float
+        When the request was sent or the last bytes after it came, on trio's clock.
     """
 
     def __init__(self, connection: socket.socket) -> None:
@@ -112,12 +115,13 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._unsent = b""
+        self._unsent = memoryview(b"")
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
         self.body_bytes = 0
         self.started_s = 0.0
+        self.received_s = 0.0
         self.idle_since_s = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
@@ -130,12 +134,12 @@
         ConnectionLost
             If the connection was reset; the server may have received some bytes.
         """
-        self.started_s = trio.current_time()
+        self.started_s = self.received_s = trio.current_time()
         self._method = request.method
         self.head = None
         data = self._serialise(request)
         sent = sockets.send_nowait(self._connection, data)
-        self._unsent = data[sent:]
+        self._unsent = memoryview(data)[sent:]
 
     def _serialise(self, request: OutgoingRequest) -> bytes:
         """Return `request` in its wire format."""
@@ -167,13 +171,17 @@
         """
         Send the part of the request that `start` did not send.
 
-        A lost connection is not reported here: reading the answer reports it.
+        A lost connection is not reported here: reading the answer reports it. A call
+        that was cancelled may be repeated.
         """
         try:
-            await sockets.send_all(self._connection, self._unsent)
+            await sockets.send_all(self._connection, self._unsent, self._record_sent)
         except ConnectionLost:
             return
-        self._unsent = b""
+
+    def _record_sent(self, size: int) -> None:
+        """Record that the kernel has accepted `size` more bytes of the request."""
+        self._unsent = self._unsent[size:]
 
     async def read_head(self) -> AnswerHead:
         """
@@ -253,7 +261,7 @@
         """
         Skip an answer that belongs to an earlier request on this connection.
 
-        The answer to `request` is read next.
+        The answer to `request` is read next. A call that was cancelled may be repeated.
 
         Raises
         ------
@@ -269,6 +277,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._serialise(request)
+        self.head = None
         # h11 takes empty data for the end of the connection.
         if surplus:
             self._feed(surplus)
@@ -290,6 +299,7 @@
 
     def _feed(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
+        self.received_s = trio.current_time()
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -325,6 +335,26 @@
         """Return whether the idle connection is open and has no unread bytes."""
         return not self._is_closed and sockets.is_open_and_empty(self._connection)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether this side has closed the connection."""
+        return self._is_closed
+
+    def probe_silence(self, unacked_timeout_ms: int) -> int:
+        """
+        Return how many keep-alive probes are unanswered, and send another if any is.
+
+        Parameters
+        ----------
+        unacked_timeout_ms : int
+            For how long probes may stay unanswered before the kernel drops the link.
+        """
+        unanswered = sockets.unanswered_probes(self._connection)
+        if unanswered:
+            sockets.limit_silence(self._connection, unacked_timeout_ms)
+            sockets.send_probe(self._connection)
+        return unanswered
+
     def close(self) -> None:
         """Close the connection."""
         if not self._is_closed:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -14,6 +14,9 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
+# The beginning of the kernel's struct tcp_info, and the place of its count of probes.
+TCP_INFO_BYTES = 8
+TCP_INFO_PROBES = 3
 # Without a free descriptor a waiting connection stays readable, and accepting in a
 # loop would take a whole processor.
 ACCEPT_RETRY_S = 0.02
@@ -201,6 +204,48 @@
         await trio.lowlevel.wait_writable(connection)
 
 
+def unanswered_probes(connection: socket.socket) -> int:
+    """
+    Return how many keep-alive probes were sent since the peer last answered.
+
+    0 if the system doesn't tell.
+    """
+    if sys.platform != "linux":
+        return 0
+    option = (socket.IPPROTO_TCP, socket.TCP_INFO)
+    try:
+        return connection.getsockopt(*option, TCP_INFO_BYTES)[TCP_INFO_PROBES]
+    except (OSError, IndexError):
+        return 0
+
+
+def send_probe(connection: socket.socket) -> None:
+    """
+    Send a keep-alive probe now if nothing has come for `KEEP_ALIVE_IDLE_S`.
+
+    At that moment the kernel also drops the connection if probes are unanswered and
+    the limit on silence has passed.
+    """
+    # Setting the idle time restarts the timer, which is due at once.
+    option = (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    _set_option(connection, option)
+
+
+def limit_silence(connection: socket.socket, unacked_timeout_ms: int) -> None:
+    """Set for how long sent bytes and probes may stay unacknowledged."""
+    if sys.platform == "linux":
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_timeout_ms)
+        _set_option(connection, option)
+
+
+def _set_option(connection: socket.socket, option: tuple[int, int, int]) -> None:
+    """Set an option of a connection that may have ended."""
+    try:
+        connection.setsockopt(*option)
+    except OSError:
+        return
+
+
 def is_open_and_empty(connection: socket.socket) -> bool:
     """Return whether an idle connection is open and has no unread bytes."""
     try:
@@ -222,6 +267,14 @@
         return True
 
 
+def end_sending(connection: socket.socket) -> None:
+    """Tell the peer that nothing more will be sent; bytes can still be received."""
+    try:
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        return
+
+
 def close(connection: socket.socket) -> None:
     """Close the connection normally."""
     trio.lowlevel.notify_closing(connection)
