Merge silences into the soak

Its check of large bodies that are read late stands beside the other one under a name of its own. The case that the soak found, a target that goes on in the moment in which it is given up, holds since the claim looks at its own time.

--- a/soak/relays.py
+++ b/soak/relays.py
@@ -5,6 +5,7 @@
 import trio
 
 from scaleloom_standins.ports import LOOPBACK
+from soak.stillness import Stillness
 from tests.fixtures.cut_answers import reset
 from tests.fixtures.stub_server import free_listener, port_of
 
@@ -16,7 +17,8 @@
     """
     What a relay does with the bytes of its connections.
 
-    SILENT withholds the bytes of both directions, ONE_WAY those of answers.
+    SILENT withholds the bytes of both directions, ONE_WAY those of answers. WITHHELD
+    withholds also the ends of connections, so that all is delivered in order later.
     """
 
     PASS = "pass"
@@ -24,6 +26,7 @@
     RESET = "reset"
     SILENT = "silent"
     ONE_WAY = "one_way"
+    WITHHELD = "withheld"
 
 
 class Relay:
@@ -34,10 +37,13 @@
     ----------
     server_port : int
         The port of the server on loopback.
+    stillness : Stillness or None
+        While the server stands still, nothing more is read for it.
     """
 
-    def __init__(self, server_port: int) -> None:
+    def __init__(self, server_port: int, stillness: Stillness | None = None) -> None:
         self.server_port = server_port
+        self._stillness = stillness or Stillness()
         self.mode = RelayMode.PASS
         self._listener = free_listener()
         self._mode_changed = trio.Event()
@@ -101,9 +107,13 @@
         try:
             while data := await self._receive(source, destination):
                 await self._wait_for_mode(is_answer)
+                if not is_answer:
+                    await self._stillness.wait_until_going_on()
                 await destination.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        while self.mode is RelayMode.WITHHELD:
+            await self._mode_changed.wait()
         scope.cancel()
 
     async def _receive(
@@ -120,7 +130,7 @@
         """Wait for as long as the mode delays or withholds bytes."""
         if self.mode is RelayMode.DELAY:
             await trio.sleep(DELAY_S)
-        while self.mode is RelayMode.SILENT or (
+        while self.mode in (RelayMode.SILENT, RelayMode.WITHHELD) or (
             self.mode is RelayMode.ONE_WAY and is_answer
         ):
             await self._mode_changed.wait()
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,6 +12,7 @@
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.processes import GatewayProcess
 from soak.relays import Relay
+from soak.slow_routes import MAX_BODY_BYTES, slow_routes
 from soak.targets import SoakTarget, start_target
 from tests.fixtures.gateways import CONFIG_TOPIC, TARGETS_TOPIC, config, route
 from tests.fixtures.platform_store import StoreFault, StoreStandin
@@ -23,6 +24,9 @@
 UNTOLD_VERSION_SHARE = 0.15
 FIRST_BORN_MS = 1_764_721_000_000
 START_TIMEOUT_S = 20.0
+PAUSE_CHECK_S = 0.02
+# A fraction of the shortest time that is judged, the 0.4 s of a second run.
+MIN_PAUSE_S = 0.08
 # The platform removes an entry after three missed heartbeats and starts a
 # replacement of a crashed target within some seconds.
 ENTRY_REMOVAL_DELAY_S = 3.6
@@ -60,6 +64,10 @@
         When one gateway got them.
     has_mixed_service : bool
         Whether there is a service whose targets run several versions.
+    has_slow_routes : bool
+        Whether there are routes whose answers take long, with time for silences.
+    pauses : list of tuple of float
+        From when to when the soak itself did not run, on a busy machine.
     """
 
     rng: random.Random
@@ -77,6 +85,8 @@
     steered_to: GatewayProcess | None = None
     steered_periods: list[SteeredPeriod] = field(default_factory=list)
     has_mixed_service: bool = False
+    has_slow_routes: bool = False
+    pauses: list[tuple[float, float]] = field(default_factory=list)
     _started_count: int = 0
 
     def newest_version_at(self, at_s: float) -> int:
@@ -97,6 +107,9 @@
             document["services"].append({"name": MIXED})
             mixed = route(MIXED, "stream", service=MIXED, attempts=3, resumable=True)
             document["routes"].append(mixed)
+        if self.has_slow_routes:
+            document["routes"] += slow_routes()
+            document["limits"]["max-body-bytes"] = MAX_BODY_BYTES
         self.store.put(CONFIG_TOPIC, "config", document)
         self.config_written_s[version] = trio.current_time()
 
@@ -178,6 +191,29 @@
         await trio.sleep(max(0.0, ENTRY_REMOVAL_DELAY_S - replacement_delay_s))
         self.store.drop(TARGETS_TOPIC, target.stub.id)
 
+    async def replace_silent_target(self, target: SoakTarget) -> None:
+        """Replace a target that stays silent, once it has missed its heartbeats."""
+        await trio.sleep(ENTRY_REMOVAL_DELAY_S)
+        if target in self.targets:
+            self.targets.remove(target)
+            self.removed_targets.append(target)
+            target.removed_s = target.ended_s = trio.current_time()
+            target.record_disturbance()
+            self.store.drop(TARGETS_TOPIC, target.stub.id)
+            self.add_target(target.service, target.version)
+
+    async def record_pauses(self) -> None:
+        """Record when the soak itself does not run in time, until cancelled."""
+        while True:
+            due_s = trio.current_time() + PAUSE_CHECK_S
+            await trio.sleep_until(due_s)
+            if trio.current_time() > due_s + MIN_PAUSE_S:
+                self.pauses.append((due_s, trio.current_time()))
+
+    def has_paused(self, from_s: float, to_s: float) -> bool:
+        """Return whether the soak itself paused between `from_s` and `to_s`."""
+        return any(start_s < to_s and end_s > from_s for start_s, end_s in self.pauses)
+
     def all_targets(self) -> list[SoakTarget]:
         """Return the current and the removed targets."""
         return self.targets + self.removed_targets
@@ -214,6 +250,7 @@
     gateway_count: int,
     disabled_mechanism: str | None,
     has_mixed_service: bool = False,
+    has_slow_routes: bool = False,
 ) -> AsyncIterator[SoakSite]:
     """Yield a site with started gateways; kill their processes at the end."""
     store = StoreStandin()
@@ -221,6 +258,7 @@
         listener = free_listener()
         site = SoakSite(random.Random(seed), nursery, store, port_of(listener))
         nursery.start_soon(serve_http, listener, store.answer)
+        site.has_slow_routes = has_slow_routes
         if has_mixed_service:
             site.add_mixed_service()
         site.write_config()
@@ -235,6 +273,7 @@
                 gateway.write_settings(seeds)
                 gateway.start()
                 nursery.start_soon(gateway.supervise)
+            nursery.start_soon(site.record_pauses)
             yield site
         finally:
             nursery.cancel_scope.cancel()
--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -37,6 +37,7 @@
     "tests.fleet.test_router_requests",
     "tests.fleet.test_http",
     "tests.fleet.test_signals",
+    "tests.gateway.test_bodies_read_late",
     "tests.gateway.test_operations",
     "tests.gateway.test_process_limits",
     "tests.gateway.test_silent_links",
