Close new connections of a late router unread again

Refusing a request that had wholly arrived before a late router accepted its connection gave its caller an answer, but showed that the router had read it: it then counts as not served at its first attempt, while a connection that is closed unread does not. A closed connection is also what lets requests that must not run twice be tried at another router.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -9,13 +9,13 @@
 from scaleloom_fleet.gateway.attempts import serve
 from scaleloom_fleet.gateway.error_responses import send_error, send_rejection
 from scaleloom_fleet.gateway.overload_refusals import (
+    close_unread,
+    closes_unread,
     exceeded_by_caller,
     exceeded_by_request,
     may_accept,
     refuse,
     refuse_caller,
-    turn_away,
-    turns_away,
 )
 from scaleloom_fleet.gateway.request_metrics import record_malformed, record_unserved
 from scaleloom_fleet.gateway.state import GatewayState
@@ -53,8 +53,8 @@
             if connection is None:
                 break
             accepted += 1
-            if turns_away(state):
-                await turn_away(state, connection)
+            if closes_unread(state):
+                close_unread(state, connection)
                 continue
             limit = exceeded_by_caller(state, connection, admitted)
             if limit is not None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -46,35 +46,21 @@
     return state.refusals_in_progress < MAX_CONCURRENT_REFUSALS
 
 
-def turns_away(state: GatewayState) -> bool:
+def closes_unread(state: GatewayState) -> bool:
     """
-    Return whether new connections are ended in the step in which they are accepted.
+    Return whether new connections are closed before anything is read from them.
 
-    A router whose timers are late would take long to read a request and refuse it in a
-    task. The next attempt of the caller reaches another router, as long as there is
-    one.
+    A router whose timers are late would take long even to refuse a request. The next
+    attempt of a caller whose connection is closed unread reaches another router, as
+    long as there is one.
     """
     return state.process_limits.lateness.is_over and state.has_live_peers
 
 
-async def turn_away(state: GatewayState, connection: socket.socket) -> None:
-    """End a new connection; refuse its request if that has wholly arrived."""
-    caller = CallerConnection(connection)
-    limits = state.caller_limits()
-    if not caller.receive_arrived(limits.header_bytes + limits.body_bytes):
-        _record_refusal(state, Resource.PROCESSOR)
-        caller.close()
-        return
-    is_whole = False
-    # What has not arrived is not waited for.
-    with trio.CancelScope(deadline=float("-inf")):
-        is_whole = await _has_request(state, caller)
-    if is_whole:
-        await refuse(state, caller, Resource.PROCESSOR)
-        caller.close()
-    else:
-        _record_refusal(state, Resource.PROCESSOR)
-        caller.reset()
+def close_unread(state: GatewayState, connection: socket.socket) -> None:
+    """Close a new connection before anything is read from it."""
+    connection.close()
+    _record_refusal(state, Resource.PROCESSOR)
 
 
 def exceeded_by_caller(
@@ -124,17 +110,11 @@
 
 async def _read_request(state: GatewayState, caller: CallerConnection) -> None:
     """Wait until a request has arrived or none is expected any more."""
-    with trio.move_on_after(READ_TIMEOUT_S):
-        await _has_request(state, caller)
-
-
-async def _has_request(state: GatewayState, caller: CallerConnection) -> bool:
-    """Read a request; return False if the caller sent no further or no proper one."""
     try:
-        await caller.read_request(state.caller_limits)
+        with trio.move_on_after(READ_TIMEOUT_S):
+            await caller.read_request(state.caller_limits)
     except (CallerDisconnected, RequestRejected):
-        return False
-    return True
+        return
 
 
 async def refuse(
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -131,15 +131,6 @@
         if self._request_scope is not None:
             self._request_scope.cancel()
 
-    def receive_arrived(self, limit_bytes: int) -> bool:
-        """Receive what has already arrived, up to a limit; return whether any has."""
-        while len(self._inbox) < limit_bytes:
-            data = sockets.receive_nowait(self._connection)
-            if not data:
-                break
-            self._inbox += data
-        return bool(self._inbox)
-
     @property
     def has_unread(self) -> bool:
         """Return whether received bytes have not been parsed yet."""
