--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -144,7 +144,12 @@
         self._record.write(f"{elapsed_s:8.3f} {text}\n")
         self._record.flush()
 
-    def configure(self, routes: list[dict], services: list[dict]) -> None:
+    def configure(
+        self,
+        routes: list[dict],
+        services: list[dict],
+        tenants: list[dict] | None = None,
+    ) -> None:
         """Write the next version of the configuration."""
         self._version += 1
         document = {
@@ -153,6 +158,8 @@
             "services": services,
             "limits": LIMITS,
         }
+        if tenants is not None:
+            document["tenants"] = tenants
         self.store.put(CONFIG_TOPIC, "config", document)
         self.note(f"configuration {self._version} acknowledged")
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -12,12 +12,31 @@
 CONFIG_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 PAGE_LIMIT = 500
+OFFSETS_BYTES = 16
+
+
+def _tells_of_change(request: Request, body: bytes) -> bool:
+    """Return whether an answer brings records of the operator to one who waits."""
+    is_wait = "log-read" in request.target and CONFIG_TOPIC in request.target
+    return is_wait and len(body) > OFFSETS_BYTES
 
 
 class Store:
-    """The store of one deployment, which answers every call at once."""
+    """
+    The store of one deployment, which answers every call at once.
+
+    Parameters
+    ----------
+    loses_changes : bool
+        Whether the answers that tell of a new configuration are lost. A connection
+        that has lost an answer says nothing more.
+    lost_count, sent_count : int
+        How many answers were lost, and how many were sent.
+    """
 
     def __init__(self, host: str) -> None:
+        self.loses_changes = False
+        self.lost_count = self.sent_count = 0
         self.host = host
         self.port = free_port(host)
         self._records: dict[tuple[str, str], list[tuple[str, bytes]]] = {}
@@ -45,6 +64,11 @@
         try:
             while (request := await read_request(reader)) is not None:
                 status, body = await self._answer(request)
+                if self.loses_changes and _tells_of_change(request, body):
+                    self.lost_count += 1
+                    await reader.read()
+                    return
+                self.sent_count += 1
                 head = answer_head(status, {"Content-Length": str(len(body))})
                 writer.write(head + body)
                 await writer.drain()
