Let a run of all tests keep to a given range of ports

Two runs beside each other took the same ports, and a stand-in that bound its port again ended with 'Address already in use'. A run now splits the range that SCALELOOM_PORT_RANGE gives among its modules, as single modules already did; ten parts of 30000 to 31000 come out as 30000-30100 and so on.

--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -124,16 +124,23 @@
     return Outcome(module, ran, took_s, _SUMMARY.sub("", output), failures)
 
 
+def _port_ranges(count: int) -> SimpleQueue[str]:
+    """Return `count` equal parts of the port range that this run may use."""
+    whole = os.environ.get(RANGE_VARIABLE, f"{FIRST_PORT}-{FIRST_EPHEMERAL_PORT}")
+    first, end = map(int, whole.split("-"))
+    span = (end - first) // count
+    ranges: SimpleQueue[str] = SimpleQueue()
+    for begin in range(first, first + count * span, span):
+        ranges.put(f"{begin}-{begin + span}")
+    return ranges
+
+
 def main() -> None:
     """Run all modules, or those on the command line, and print a summary."""
     started_s = time.monotonic()
     modules = sys.argv[1:] or find_modules()
     count = min(MAX_WORKERS, max(1, int((os.cpu_count() or 1) * WORKERS_PER_CORE)))
-    span = (FIRST_EPHEMERAL_PORT - FIRST_PORT) // count
-    ranges: SimpleQueue[str] = SimpleQueue()
-    for number in range(count):
-        first = FIRST_PORT + number * span
-        ranges.put(f"{first}-{first + span}")
+    ranges = _port_ranges(count)
 
     def run_next(module: str) -> Outcome:
         ports = ranges.get()
