Never send one run's bytes behind another's

Callers of a safe route got 200 with the seal of one target and a body that began with its bytes and went on with all of another's, framed as complete: a target that broke off after the router had begun to pass on its long answer was retried, since only the route was asked whether the request may be sent again.

What the caller has got is a type now, CallerAnswer: whose bytes were sent, whether the head was, and whether others may follow, which only the remaining events of a stream do, behind an event with an id. Retries, returns to a silent target and time-outs of silence ask it, and it refuses to send bytes that may not follow.

Found beside it: a stream was resumed behind an event without an id, which came twice; a body that is no stream was split into events on a route that may be resumed; a plain body could continue a begun stream.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -13,6 +13,7 @@
 from scaleloom_core.target_signals import RAMP_UP_S
 from scaleloom_fleet.gateway import metric_definitions
 from scaleloom_fleet.gateway.attempt_results import NOT_RUN_RESULTS, AttemptResult
+from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.error_responses import send_error
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
 from scaleloom_fleet.gateway.exchange_ends import (
@@ -102,9 +103,8 @@
     if match.deadline_s > state.shutdown_deadline_s:
         await _refuse(state, connection, _STOPPING, match.route.kind.value)
         return
-    context = RequestContext(connection, request, match, match.placement)
-    if match.route.is_resumable:
-        context.splitter = EventSplitter()
+    answer = CallerAnswer(connection, _splitter(match))
+    context = RequestContext(connection, request, match, match.placement, answer)
     state.retry_windows.get(match.service).record_request(trio.current_time())
     try:
         with trio.CancelScope(deadline=match.deadline_s) as scope:
@@ -129,6 +129,11 @@
     await _send_failure(state, context, error)
 
 
+def _splitter(match: Match) -> EventSplitter | None:
+    """Return what splits the answer, if the stream may be resumed."""
+    return EventSplitter() if match.route.is_resumable else None
+
+
 async def _refuse(
     state: GatewayState,
     connection: CallerConnection,
@@ -197,7 +202,7 @@
     _logger.info("request not served", extra=fields)
     state.statsd.count(f"failures.{error.kind.value}")
     record_unserved(state, error, context.match.route.kind.value)
-    if context.is_answer_started:
+    if context.answer.is_begun:
         context.connection.reset()
         return
     if context.failure is not None and _can_forward(context.failure[0].status):
@@ -344,7 +349,7 @@
 
 def _failure_error(context: RequestContext) -> FleetError | None:
     """Return the error for an answer that was a failure, or None if it is forwarded."""
-    if context.is_answer_started:
+    if context.answer.is_begun:
         return None
     return FleetError(_K.TARGET_FAILED, "The target answered with an error.")
 
@@ -355,6 +360,8 @@
     """Return whether another target is to be attempted after `result`."""
     if not context.is_retry:
         return True
+    if not context.answer.may_be_continued:
+        return False
     if result not in FREE_RESULTS and not context.may_retry:
         return False
     if is_retry_refused(state, context, wait_until_s(context)):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -8,6 +8,7 @@
 _LONGEST_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_DATA_LINE = re.compile(rb"^data[:\r\n]", re.MULTILINE)
 
 
 class EventBoundary:
@@ -39,11 +40,22 @@
 
 
 class EventSplitter:
-    """Holds back incomplete events of a stream, and remembers the last event id."""
+    """
+    Holds back incomplete events of a stream, and remembers the last event id.
+
+    Parameters
+    ----------
+    last_id : bytes or None
+        The id of the last complete event that has one.
+    ends_with_id : bool
+        Whether no complete event without an id came after it, so that a stream that is
+        resumed behind it repeats none.
+    """
 
     def __init__(self) -> None:
         self._partial = b""
         self.last_id: bytes | None = None
+        self.ends_with_id = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events that `data` finishes."""
@@ -52,11 +64,19 @@
         for boundary in _EVENT_END.finditer(buffered):
             end = boundary.end()
         complete, self._partial = buffered[:end], buffered[end:]
-        ids = _ID_LINE.findall(complete)
-        if ids:
-            self.last_id = ids[-1]
+        self._record_ids(complete)
         return complete
 
+    def _record_ids(self, events: bytes) -> None:
+        """Remember the last id, and whether an event without an id follows it."""
+        unnumbered_from = 0
+        for line in _ID_LINE.finditer(events):
+            self.last_id = line[1]
+            self.ends_with_id = True
+            unnumbered_from = _EVENT_END.search(events, line.end()).end()
+        if _DATA_LINE.search(events, unnumbered_from):
+            self.ends_with_id = False
+
     def drop_partial(self) -> None:
         """Discard an event that its target never finished."""
         self._partial = b""
@@ -65,6 +85,7 @@
         """Discard what came after the event `last_id`, the last that was passed on."""
         self.drop_partial()
         self.last_id = last_id
+        self.ends_with_id = last_id is not None
 
     @property
     def has_partial(self) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
@@ -55,8 +55,8 @@
     """Let another target's answer be passed on after what this one has sent."""
     if context.answering is exchange:
         context.answering = None
-    if exchange.has_claimed and context.splitter is not None:
-        context.splitter.go_back_to(context.last_event_id)
+    if exchange.has_claimed:
+        context.answer.go_back_to_sent()
 
 
 def abandon_exchange(
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
@@ -36,6 +36,8 @@
         Whether its answer is passed on, or was until the target fell silent.
     has_sent_events : bool
         Whether the caller got a part of the body from this target.
+    splits_events : bool
+        Whether the body is split into events, so that another run may go on with it.
     has_new_holder : bool
         Whether the answer is the first to show that its target caches the shared
         prompt part.
@@ -61,6 +63,7 @@
     is_return: bool = False
     has_claimed: bool = False
     has_sent_events: bool = False
+    splits_events: bool = False
     has_new_holder: bool = False
     has_succeeded: bool = False
     answer_end: AnswerEnd | None = None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -175,7 +175,7 @@
         context.match,
         context.request,
         state.adapter.headers,
-        context.last_event_id,
+        context.answer.last_event_id,
         source,
         now_s,
     )
@@ -250,7 +250,7 @@
 ) -> AttemptResult:
     """Read an answer that is no success, to be forwarded if none follows."""
     body = await exchange.link.read_body(BUFFERED_ANSWER_LIMIT_BYTES)
-    if head.status >= 500 or context.is_answer_started:
+    if head.status >= 500 or context.answer.is_begun:
         context.failure = context.failure or (head, body)
         return AttemptResult.FAILED
     await claim_answer(state, context, exchange)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -6,7 +6,11 @@
 
 from scaleloom_fleet.gateway.attempt_results import AttemptResult
 from scaleloom_fleet.gateway.error_responses import closing_headers
-from scaleloom_fleet.gateway.event_splitter import EventBoundary, UnsplitBody
+from scaleloom_fleet.gateway.event_splitter import (
+    EventBoundary,
+    EventSplitter,
+    UnsplitBody,
+)
 from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.headers import answer_headers
 from scaleloom_fleet.gateway.hedging import claim_answer
@@ -55,10 +59,7 @@
     if has_body and head.has_known_end:
         headers.append((b"Content-Length", str(len(body)).encode()))
     headers += closing_headers(state.is_stopping)
-    context.is_answer_started = True
-    await context.connection.send_answer(
-        head.status, head.reason, headers, body, head.has_known_end
-    )
+    await context.answer.send_whole(head, headers, body)
 
 
 def _record_first_byte(state: GatewayState, context: RequestContext) -> None:
@@ -70,16 +71,13 @@
 
 
 async def _begin_answer(
-    state: GatewayState, context: RequestContext, head: AnswerHead, keeps_length: bool
+    state: GatewayState, context: RequestContext, exchange: Exchange, keeps_length: bool
 ) -> None:
     """Send the head of an answer whose body follows."""
     _record_first_byte(state, context)
-    headers = answer_headers(head, keeps_length)
+    headers = answer_headers(exchange.link.head, keeps_length)
     headers += closing_headers(state.is_stopping)
-    context.is_answer_started = True
-    await context.connection.send_head(
-        head.status, head.reason, headers, head.has_known_end
-    )
+    await context.answer.begin(exchange, headers)
 
 
 async def _forward_long(
@@ -90,7 +88,7 @@
     while part is not None:
         await _send_part(state, context, exchange, part, keeps_length=True)
         part = await exchange.link.read_data()
-    await context.connection.send_end()
+    await context.answer.end(exchange)
     return AttemptResult.ANSWERED
 
 
@@ -109,13 +107,11 @@
     observation = exchange.observation
     started_s = trio.current_time() if observation is not None else 0.0
     try:
-        if not context.is_answer_started:
+        if not context.answer.is_begun:
             record_first_event(state, context, exchange)
-            await _begin_answer(state, context, exchange.link.head, keeps_length)
+            await _begin_answer(state, context, exchange, keeps_length)
         exchange.has_sent_events = True
-        if context.splitter is not None:
-            context.last_event_id = context.splitter.last_id
-        await context.connection.send_data(part)
+        await context.answer.send_part(exchange, part)
     finally:
         if observation is not None:
             observation.record_backpressure(trio.current_time() - started_s)
@@ -137,7 +133,7 @@
     """
     link = exchange.link
     is_events = _is_event_stream(link.head)
-    events = context.splitter or (EventBoundary() if is_events else UnsplitBody())
+    events = _choose_splitter(context, exchange, is_events)
     while True:
         with trio.move_on_after(event_timeout_s(context, exchange)) as scope:
             part = await link.read_data()
@@ -164,12 +160,31 @@
     _check_unknown_end(context, link)
     if context.answering is not exchange:
         await claim_answer(state, context, exchange)
-    if not context.is_answer_started:
-        await _begin_answer(state, context, link.head, keeps_length=False)
-    await context.connection.send_end()
+    if not context.answer.is_begun:
+        await _begin_answer(state, context, exchange, keeps_length=False)
+    await context.answer.end(exchange)
     return AttemptResult.ANSWERED
 
 
+def _choose_splitter(
+    context: RequestContext, exchange: Exchange, is_events: bool
+) -> EventSplitter | EventBoundary | UnsplitBody:
+    """
+    Return what splits the body of an answer on a stream route.
+
+    Raises
+    ------
+    AnswerProtocolError
+        If a stream has begun that this answer is no part of.
+    """
+    if not is_events:
+        if context.answer.is_begun and context.answer.run is not exchange:
+            raise AnswerProtocolError("answer to a resumed stream is no stream")
+        return UnsplitBody()
+    exchange.splits_events = context.answer.splitter is not None
+    return context.answer.splitter or EventBoundary()
+
+
 def _is_event_stream(head: AnswerHead) -> bool:
     """
     Return whether the answer on a stream route is a stream of events.
@@ -195,5 +210,5 @@
         return
     if not link.body_bytes:
         raise AnswerProtocolError("connection ended before the first event")
-    if context.is_answer_started and not context.connection.ends_with_connection:
+    if context.answer.is_begun and not context.connection.ends_with_connection:
         raise AnswerProtocolError("connection ended, maybe before the last event")
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -8,7 +8,7 @@
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
 from scaleloom_core.stream_origins import StreamBound
-from scaleloom_fleet.gateway.event_splitter import EventSplitter
+from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.hedges import Hedge
 from scaleloom_fleet.gateway.matching import Match
@@ -29,10 +29,8 @@
     ----------
     placement : PlacementKey
         The key that places the request, on the track that it is sent to.
-    splitter : EventSplitter or None
-        Splits the answer, if the stream may be resumed.
-    last_event_id : bytes or None
-        The id of the last event that was passed on.
+    answer : CallerAnswer
+        The answer, as far as the caller has got it.
     attempted : set of TargetId
         The targets that the request was sent to.
     send_count : int
@@ -63,8 +61,7 @@
     request: CallerRequest
     match: Match
     placement: PlacementKey
-    splitter: EventSplitter | None = None
-    last_event_id: bytes | None = None
+    answer: CallerAnswer
     attempted: set[TargetId] = msgspec.field(default_factory=set)
     send_count: int = 0
     ran_at: set[TargetId] = msgspec.field(default_factory=set)
@@ -72,7 +69,6 @@
     is_retry: bool = False
     answering: Exchange | None = None
     hedges: list[Hedge] = msgspec.field(default_factory=list)
-    is_answer_started: bool = False
     rollout_state: RolloutState | None = None
     failure: tuple[AnswerHead, bytes] | None = None
     bound: StreamBound | None = None
@@ -89,7 +85,7 @@
     @property
     def may_retry(self) -> bool:
         """Return whether the request may be sent again, though it may have run."""
-        if not self.match.route.is_retryable:
+        if not self.match.route.is_retryable or not self.answer.may_be_continued:
             return False
         return self.may_use_new_target or self.may_return
 
@@ -101,7 +97,10 @@
     @property
     def may_return(self) -> bool:
         """Return whether a begun stream may go back to a target that was silent."""
-        if not self.is_answer_started or self.send_count >= MAX_SENDS:
+        answer = self.answer
+        if not (answer.is_begun and answer.may_be_continued):
+            return False
+        if self.send_count >= MAX_SENDS:
             return False
         # A target beside which others are attempted may be given up at any time.
         return bool(self.left_silent or self.hedges)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
@@ -100,7 +100,7 @@
         "request": context.match.request_id,
         "target": exchange.target.id,
         "silent_ms": int(silent_s * MS_PER_S),
-        "has_begun": context.is_answer_started,
+        "has_begun": context.answer.is_begun,
         "sends": context.send_count,
     }
     _logger.info("target silent", extra=fields)
--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/test_event_splitter.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from nose2.tools import params
 
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
 
@@ -24,3 +25,17 @@
     assert (splitter.last_id, splitter.has_partial) == (b"1", True)
     splitter.drop_partial()
     assert splitter.feed(b"id: 2\n\n") == b"id: 2\n\n"
+
+
+@params(
+    (b"id: 1\ndata: a\n\n", True),
+    (b"id: 1\ndata: a\n\ndata: b\n\n", False),
+    (b"data: a\n\nid: 1\ndata: b\n\n", True),
+    (b"data: a\nid: 1\n\n", True),
+    (b"id: 1\r\ndata: a\r\n\r\n: comment\r\n\r\n", True),
+    (b"data: a\n\n", False),
+)
+def test_a_stream_that_may_go_on_ends_with_a_numbered_event(stream, ends_with_id):
+    splitter = EventSplitter()
+    splitter.feed(stream)
+    assert splitter.ends_with_id is ends_with_id
