Conclude a stream's version only from a list confirmed after the stream broke

Cause: a router concluded the version of a stream that it had no record of from a list that had shown only that version, until 1.5 s after the last confirmation, since others hold a new version back so long. Some do not: a router that has just started, one whose former version takes no work, one that knew the version before, one with a roll-out order. A router that is out of step (cut off from its peers, the store or both, or standing still) and takes up a stream of such a router, which was killed before it told of it, went on at the former version. Where no entry named a version, the conclusion had no limit of time at all, so a router that was cut off for seconds went on at a target without a version.

Change: a router sends only to targets that its own list shows. So a list that was confirmed after the take-up came in, and has shown one version for a stream's life, proves it without any assumption about others. A take-up without a record waits for that confirmation, 1 s at most (the list is read every 0.7 s), here or at a router that is asked, which tells the age of its list; without it the stream is refused as not known. The 1.5 s past the last confirmation are gone.

Three tests of tests/core/test_version_history.py asserted the 1.5 s past the last confirmation, and one a conclusion for services without versions at any age: they were wrong, and now assert that nothing is proven after it. The property test now asserts that what was listed at any time until the confirmation was seen.

--- a/packages/scaleloom-core/scaleloom_core/origin_tables.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_tables.py
@@ -71,16 +71,44 @@
         """Return whether streams of `service` must be announced to others."""
         return self.versions.must_announce(service, self.retention_s, now_s)
 
-    def only_version(self, service: ServiceName, now_s: float) -> Version | None:
-        """Return the version that began all streams of `service`, if there is one."""
-        return self.versions.only_version(service, self.retention_s, now_s)
+    def only_listed(self, service: ServiceName, broken_s: float) -> Version | None:
+        """Return the version that began all streams if the list is still current."""
+        return self.versions.only_listed(service, self.retention_s, broken_s)
 
-    def knowledge(
+    def likely_knowledge(
         self, key: StreamKey, service: ServiceName, now_s: float
     ) -> OriginKnowledge:
-        """Return what this router knows of the origin of a stream."""
+        """Return what this router will know of a stream if its list is current."""
         recorded = self.origins.find(key, now_s)
-        return own_knowledge(recorded, self.only_version(service, now_s))
+        return own_knowledge(recorded, self.only_listed(service, now_s))
+
+    def knowledge(
+        self, key: StreamKey, service: ServiceName, broken_s: float, now_s: float
+    ) -> OriginKnowledge:
+        """
+        Return what this router knows of the origin of a stream.
+
+        Parameters
+        ----------
+        broken_s : float
+            When the stream had ended or broken off at the latest.
+        """
+        recorded = self.origins.find(key, now_s)
+        only = self.versions.only_version(service, self.retention_s, broken_s)
+        return own_knowledge(recorded, only)
+
+    def told_knowledge(
+        self, key: StreamKey, service: ServiceName, now_s: float
+    ) -> tuple[OriginKnowledge, float]:
+        """
+        Return what another router is told, and the age of the list that proves it.
+
+        Only a router whose stream broke before the list was confirmed may conclude
+        anything from that.
+        """
+        confirmed_s = self.versions.confirmed_s
+        known = self.knowledge(key, service, confirmed_s, now_s)
+        return known, now_s - confirmed_s
 
     def pop_unannounced(self, limit: int, now_s: float) -> list[UnannouncedOrigin]:
         """Return and remove up to `limit` streams that must be announced to others."""
--- a/packages/scaleloom-core/scaleloom_core/stream_origins.py
+++ b/packages/scaleloom-core/scaleloom_core/stream_origins.py
@@ -233,6 +233,10 @@
     UNKNOWN = "unknown"
 
 
+# What a record says needs no other router's knowledge.
+DECISIVE_SOURCES = frozenset({OriginSource.RECORDED, OriginSource.CONFLICTING})
+
+
 class OriginKnowledge(msgspec.Struct, array_like=True, frozen=True):
     """What one router, or several together, know of a stream's origin."""
 
--- a/packages/scaleloom-core/scaleloom_core/version_history.py
+++ b/packages/scaleloom-core/scaleloom_core/version_history.py
@@ -17,38 +17,34 @@
 
 class OnlyVersion(msgspec.Struct):
     """
-    The time in which every entry of a service told the same version.
+    The time in which every entry of a service has told the same version.
 
     Parameters
     ----------
     since_s : float
         When the list first showed only this version.
-    until_s : float or None
-        When a list without another version was last confirmed; None while the list
-        shows no other.
     """
 
     version: Version
     since_s: float
-    until_s: float | None = None
 
 
 class VersionHistory(msgspec.Struct):
     """
     Which services have had only one version, as far as this router's list tells.
 
-    No router sends to a version within `VERSION_HOLD_S` of its first listing, unless
-    a roll-out orders it. So until that time after a list was confirmed, every stream
-    of a service was begun by the version that the list shows, if it shows only one
-    and has shown only that for as long as a stream can last.
+    A router sends only to targets that its own list shows. So every stream that broke
+    before a list was confirmed was begun by the version that this list shows, if it
+    shows only one and has shown only that for as long as a stream can last. A list
+    that was confirmed earlier proves nothing: other routers may have sent to a new
+    version since, and not all of them hold it back.
 
     Parameters
     ----------
     confirmed_s : float
-        When the list was last confirmed, on the runtime's clock.
+        When the list was last known to be current, on the runtime's clock.
     ordered : collection of ServiceName
-        Services with a roll-out order, whose candidate may serve before a list that
-        shows it has reached every router.
+        Services with a roll-out order, whose streams are always announced.
     """
 
     confirmed_s: float = NEVER_S
@@ -67,7 +63,6 @@
 
     def record_listed(self, listed: Iterable[ListedTarget], at_s: float) -> None:
         """Record the list as it was read at `at_s`."""
-        last_confirmed_s = self.confirmed_s
         self.confirm(at_s)
         versions: dict[ServiceName, set[Version]] = {}
         for target in listed:
@@ -75,40 +70,52 @@
         for service, shown in versions.items():
             if any(shown):
                 self._versioned.add(service)
-            self._record_shown(service, shown, last_confirmed_s)
+            self._record_shown(service, shown)
 
-    def _record_shown(
-        self, service: ServiceName, shown: set[Version], last_confirmed_s: float
-    ) -> None:
+    def _record_shown(self, service: ServiceName, shown: set[Version]) -> None:
         """Record the versions that the list shows for one service."""
         only = self._only.get(service)
-        if only is not None and only.until_s is None:
-            if shown == {only.version}:
-                return
-            only.until_s = last_confirmed_s
+        if only is not None and shown == {only.version}:
+            return
+        self._only.pop(service, None)
         if len(shown) == 1:
             self._only[service] = OnlyVersion(next(iter(shown)), self.confirmed_s)
 
     def only_version(
-        self, service: ServiceName, retention_s: float, now_s: float
+        self, service: ServiceName, retention_s: float, broken_s: float
+    ) -> Version | None:
+        """
+        Return the version that began all streams of `service` until `broken_s`.
+
+        None if several versions may have, or if this router cannot tell.
+
+        Parameters
+        ----------
+        retention_s : float
+            How long before `broken_s` a stream may have begun, in seconds.
+        broken_s : float
+            When the stream that is asked for had ended or broken off at the latest.
+        """
+        if self.confirmed_s < broken_s:
+            return None
+        return self.only_listed(service, retention_s, broken_s)
+
+    def only_listed(
+        self, service: ServiceName, retention_s: float, broken_s: float
     ) -> Version | None:
         """
-        Return the version that began all streams of `service` in `retention_s`.
+        Return the version that began all streams if the list is still current.
 
-        None if several versions may have, or if this router cannot tell. Where no
-        entry has ever told a version, there is nothing to tell apart, and the result
-        is an empty version.
+        Where no entry has ever told a version, there is nothing to tell apart, and the
+        result is an empty version.
         """
         only = self._only.get(service)
         if only is None or service in self.ordered:
             return None
-        if self._is_unversioned(service, only):
+        if service not in self._versioned:
             return only.version
-        confirmed_s = self.confirmed_s if only.until_s is None else only.until_s
-        is_current = now_s <= confirmed_s + VERSION_HOLD_S
-        if is_current and only.since_s <= now_s - retention_s and only.version:
-            return only.version
-        return None
+        is_long = only.since_s <= broken_s - retention_s
+        return only.version if is_long and only.version else None
 
     def must_announce(
         self, service: ServiceName, retention_s: float, now_s: float
@@ -122,13 +129,7 @@
         only = self._only.get(service)
         if only is None or service in self.ordered:
             return True
-        if self._is_unversioned(service, only):
+        if service not in self._versioned:
             return False
-        if only.until_s is not None or not only.version:
-            return True
         is_stale = now_s > self.confirmed_s + MAX_TELLER_AGE_S
-        return is_stale or only.since_s > now_s - retention_s
-
-    def _is_unversioned(self, service: ServiceName, only: OnlyVersion) -> bool:
-        """Return whether no entry of `service` has ever told a version."""
-        return only.until_s is None and service not in self._versioned
+        return is_stale or not only.version or only.since_s > now_s - retention_s
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
@@ -1,8 +1,8 @@
 """Exchange of the versions that began streams between routers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
-import msgspec
 import trio
 
 from scaleloom_core.fleet_roster import FleetRoster
@@ -10,6 +10,7 @@
 from scaleloom_core.origin_replicas import ReplicaRing, batches_by_replica
 from scaleloom_core.origin_tables import OriginTables
 from scaleloom_core.stream_origins import (
+    DECISIVE_SOURCES,
     OriginKnowledge,
     OriginSource,
     combine_knowledge,
@@ -24,6 +25,7 @@
     decode_origin_message,
     encode_origin_message,
 )
+from scaleloom_fleet.gateway.origin_queries import OriginSearch
 
 # Streams that begin within this time share a message, and are lost to the others if
 # the router is killed in it.
@@ -33,28 +35,13 @@
 MAX_ANNOUNCED_AT_ONCE = 512
 # A query or its reply may be lost; together a quarter of the shortest objective.
 QUERY_PAUSES_S = (0.04, 0.06)
-_DECISIVE = frozenset({OriginSource.RECORDED, OriginSource.CONFLICTING})
+# The list is read every 0.7 s, and confirmed to the other routers within 0.2 s.
+PROOF_TIMEOUT_S = 1.0
+PROOF_PAUSE_S = 0.1
 
 SendDatagram = Callable[[InstanceId, bytes], None]
 
 
-class _PendingQuery(msgspec.Struct, eq=False):
-    """A query whose replies are awaited."""
-
-    silent: set[InstanceId]
-    replies: list[OriginKnowledge] = msgspec.field(default_factory=list)
-    is_decided: trio.Event = msgspec.field(default_factory=trio.Event)
-
-    def record_reply(self, router: InstanceId, knowledge: OriginKnowledge) -> None:
-        """Record the reply of one of the queried routers."""
-        if router not in self.silent:
-            return
-        self.silent.remove(router)
-        self.replies.append(knowledge)
-        if not self.silent or knowledge.source in _DECISIVE:
-            self.is_decided.set()
-
-
 class OriginExchange:
     """
     Announces streams to other routers, and queries them.
@@ -83,7 +70,7 @@
         self._roster = roster
         self._send_datagram = send_datagram
         self._ring = ReplicaRing([own])
-        self._pending: dict[StreamKey, list[_PendingQuery]] = {}
+        self._searches: dict[StreamKey, list[OriginSearch]] = {}
         self._announcement_requested = trio.Event()
 
     def request_announcement(self) -> None:
@@ -120,40 +107,79 @@
     async def find_origin(
         self, key: StreamKey, service: ServiceName
     ) -> OriginKnowledge:
-        """Return what is known of a stream's origin, here or at other routers."""
-        tables = self._tables
-        own = tables.knowledge(key, service, trio.current_time())
-        if not needs_query(own):
-            return own
-        replies = await self._query(key, service)
+        """
+        Return what is known of the origin of a stream that has broken off.
+
+        A record anywhere goes before a conclusion from the list, which waits until the
+        list is confirmed once more, so that it shows what others may have sent to.
+        """
+        broken_s = trio.current_time()
+        likely = self._tables.likely_knowledge(key, service, broken_s)
+        if likely.source in DECISIVE_SOURCES:
+            return likely
+        search = OriginSearch(broken_s)
+        with self._receiving_replies(key, search):
+            if needs_query(likely):
+                await self._query_replicas(key, service, search)
+            await self._wait_for_proof(key, service, search)
         # A router may have announced the stream meanwhile.
-        own = tables.knowledge(key, service, trio.current_time())
-        return combine_knowledge([own, *replies])
+        return self._found(key, service, search)
+
+    @contextmanager
+    def _receiving_replies(
+        self, key: StreamKey, search: OriginSearch
+    ) -> Iterator[None]:
+        """Record replies about the stream `key` in `search` within the block."""
+        searches = self._searches.setdefault(key, [])
+        searches.append(search)
+        try:
+            yield
+        finally:
+            searches.remove(search)
+            if not searches:
+                del self._searches[key]
 
-    async def _query(
-        self, key: StreamKey, service: ServiceName
-    ) -> list[OriginKnowledge]:
-        """Return the replies of the routers that should know of a stream."""
-        alive = set(self._roster.alive_routers(trio.current_time()))
+    def _found(
+        self, key: StreamKey, service: ServiceName, search: OriginSearch
+    ) -> OriginKnowledge:
+        """Return what is known by now of the origin of a stream."""
+        now_s = trio.current_time()
+        own = self._tables.knowledge(key, service, search.broken_s, now_s)
+        return combine_knowledge([own, *search.replies.values()])
+
+    async def _query_replicas(
+        self, key: StreamKey, service: ServiceName, search: OriginSearch
+    ) -> None:
+        """Query the routers that should know of a stream, and await their replies."""
+        now_s = trio.current_time()
+        alive = set(self._roster.alive_routers(now_s))
         routers = self._current_ring().to_query(key, self._own, alive)
-        query = _PendingQuery(set(routers))
         if not routers:
-            return query.replies
-        pending = self._pending.setdefault(key, [])
-        pending.append(query)
-        try:
-            for pause_s in QUERY_PAUSES_S:
-                for router in list(query.silent):
-                    self._send(router, OriginQuery(key, service))
-                with trio.move_on_after(pause_s):
-                    await query.is_decided.wait()
-                if query.is_decided.is_set():
-                    break
-        finally:
-            pending.remove(query)
-            if not pending:
-                del self._pending[key]
-        return query.replies
+            return
+        search.begin_round(routers, now_s)
+        for pause_s in QUERY_PAUSES_S:
+            for router in list(search.awaited):
+                self._send(router, OriginQuery(key, service))
+            with trio.move_on_after(pause_s):
+                await search.is_decided.wait()
+            if search.is_decided.is_set():
+                return
+
+    async def _wait_for_proof(
+        self, key: StreamKey, service: ServiceName, search: OriginSearch
+    ) -> None:
+        """Wait until a list that may prove the version is confirmed once more."""
+        end_s = search.broken_s + PROOF_TIMEOUT_S
+        while self._found(key, service, search).source is OriginSource.UNKNOWN:
+            own = self._tables.only_listed(service, search.broken_s)
+            now_s = trio.current_time()
+            if now_s >= end_s or (own is None and not search.outdated):
+                return
+            if own is None:
+                router = min(search.outdated)
+                search.begin_round([router], now_s)
+                self._send(router, OriginQuery(key, service))
+            await trio.sleep(PROOF_PAUSE_S)
 
     def receive(self, data: bytes, sender: InstanceId) -> None:
         """
@@ -170,11 +196,11 @@
             for key in message.keys:
                 self._tables.origins.add(key, message.version, now_s)
         elif isinstance(message, OriginQuery):
-            known = self._tables.knowledge(message.key, message.service, now_s)
-            self._send(sender, OriginReply(message.key, known))
+            told = self._tables.told_knowledge(message.key, message.service, now_s)
+            self._send(sender, OriginReply(message.key, *told))
         else:
-            for query in self._pending.get(message.key, []):
-                query.record_reply(sender, message.knowledge)
+            for search in self._searches.get(message.key, []):
+                search.record_reply(sender, message)
 
     def _current_ring(self) -> ReplicaRing:
         """Return the ring of all known routers."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_messages.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_messages.py
@@ -44,10 +44,19 @@
 
 
 class OriginReply(msgspec.Struct, array_like=True, frozen=True, tag=3):
-    """What the queried router knows."""
+    """
+    What the queried router knows.
+
+    Parameters
+    ----------
+    list_age_s : float
+        Age of the list that a conclusion rests on, in seconds. A router that tells
+        none may have concluded it from an old list.
+    """
 
     key: StreamKey
     knowledge: OriginKnowledge
+    list_age_s: float = float("inf")
 
 
 OriginMessage = AnnouncedOrigins | OriginQuery | OriginReply
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
@@ -107,7 +107,7 @@
     now_s = trio.current_time()
     if context.bound is None:
         newest = state.view.records.get(exchange.target.id)
-        only = tables.only_version(match.service, now_s)
+        only = tables.only_listed(match.service, now_s)
         listed = None if newest is None else newest.listed
         context.bound = bound_of_begun(exchange.target, listed, only)
     if not context.bound.version:
--- a/tests/core/test_version_history.py
+++ b/tests/core/test_version_history.py
@@ -67,7 +67,7 @@
     assert history.must_announce(SERVICE, RETENTION_S, end_s)
 
 
-def test_streams_begun_before_a_second_version_may_serve_go_on_at_the_first():
+def test_a_second_version_ends_what_the_list_proves_at_once():
     history = _history(2 * RETENTION_S)
     confirmed_s = history.confirmed_s
     second_s = confirmed_s + 0.4
@@ -75,10 +75,9 @@
         [listed_target(1, version=V1), listed_target(2, version=V2)], second_s
     )
     assert history.must_announce(SERVICE, RETENTION_S, second_s)
-    assert history.only_version(SERVICE, RETENTION_S, second_s) == V1
-    held_until_s = confirmed_s + VERSION_HOLD_S
-    assert history.only_version(SERVICE, RETENTION_S, held_until_s) == V1
-    assert history.only_version(SERVICE, RETENTION_S, held_until_s + 0.01) is None
+    for broken_s in (confirmed_s, second_s):
+        assert history.only_version(SERVICE, RETENTION_S, broken_s) is None
+        assert history.only_listed(SERVICE, RETENTION_S, broken_s) is None
 
 
 def test_a_draining_target_still_shows_its_version():
@@ -101,14 +100,19 @@
     assert not history.must_announce(SERVICE, RETENTION_S, later_s)
 
 
-def test_a_list_that_is_not_confirmed_proves_nothing():
+def test_a_list_proves_nothing_of_streams_that_broke_after_its_confirmation():
     history = _history(2 * RETENTION_S)
     last_s = history.confirmed_s
-    assert history.only_version(SERVICE, RETENTION_S, last_s + VERSION_HOLD_S) == V1
-    stale_s = last_s + VERSION_HOLD_S + 0.01
-    assert history.only_version(SERVICE, RETENTION_S, stale_s) is None
-    assert not history.must_announce(SERVICE, RETENTION_S, stale_s)
-    assert history.must_announce(SERVICE, RETENTION_S, last_s + MAX_TELLER_AGE_S + 0.01)
+    later_s = last_s + 0.01
+    assert history.only_version(SERVICE, RETENTION_S, last_s) == V1
+    assert history.only_version(SERVICE, RETENTION_S, later_s) is None
+    assert history.only_listed(SERVICE, RETENTION_S, later_s) == V1
+    history.confirm(later_s)
+    assert history.only_version(SERVICE, RETENTION_S, later_s) == V1
+    assert not history.must_announce(SERVICE, RETENTION_S, last_s + VERSION_HOLD_S)
+    assert history.must_announce(
+        SERVICE, RETENTION_S, later_s + MAX_TELLER_AGE_S + 0.01
+    )
 
 
 @params(0.0, 0.5)
@@ -135,8 +139,11 @@
 def test_a_service_whose_entries_never_named_a_version_has_one():
     history = _history(0.0, versions=("", ""))
     for now_s in (0.0, 100.0):
-        assert history.only_version(SERVICE, RETENTION_S, now_s) == Version("")
         assert not history.must_announce(SERVICE, RETENTION_S, now_s)
+        assert history.only_listed(SERVICE, RETENTION_S, now_s) == Version("")
+        assert history.only_version(SERVICE, RETENTION_S, now_s + 0.01) is None
+        history.confirm(now_s + 0.01)
+        assert history.only_version(SERVICE, RETENTION_S, now_s) == Version("")
 
 
 def test_a_service_that_stops_telling_versions_is_not_known_to_have_one():
@@ -176,14 +183,13 @@
         listed = [listed_target(n, version=v) for n, v in enumerate(versions)]
         history.record_listed(listed, now_s)
         shown.append((now_s, versions))
-    only = history.only_version(SERVICE, RETENTION_S, now_s + later_s)
+    broken_s = now_s - later_s
+    only = history.only_version(SERVICE, RETENTION_S, broken_s)
+    assert history.only_version(SERVICE, RETENTION_S, now_s + 0.01) is None
     if only is None:
         return
-    begun_s = now_s + later_s - RETENTION_S
-    # A version that was listed after the last reading without it serves only later.
-    served_s = now_s + later_s - VERSION_HOLD_S
-    seen = {
-        v for at_s, versions in shown if begun_s <= at_s <= served_s for v in versions
-    }
+    begun_s = broken_s - RETENTION_S
+    # Whatever another router may have sent to was listed by then.
+    seen = {v for at_s, versions in shown if begun_s <= at_s for v in versions}
     assert seen <= {only}
     assert shown[0][0] <= begun_s
