Count reports that waited as old, so that a router that stood still trusts no old list

Cause: a peer's report confirmed this router's list for the moment at which it was read, less the age that the peer told when it sent it. The time that the report had waited here wasn't counted: after the process stood still, reports from before showed its list as current, also to peers that it then told of its age.

Change: a report may have waited since the socket was last found empty, so that is the moment that the age is taken from. While datagrams are read as they come that is the time between two of them.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -69,6 +69,8 @@
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
         self._peer_is_ahead = trio.Event()
+        # A datagram may have waited in the socket since it was last found empty.
+        self._emptied_s = trio.current_time()
 
     def bind(self) -> socket.socket:
         """Open the datagram socket and return the listener for documents."""
@@ -129,6 +131,7 @@
         try:
             data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
         except BlockingIOError:
+            self._emptied_s = trio.current_time()
             return False
         except OSError:
             return True
@@ -172,7 +175,7 @@
         apply_evacuations(self._state, report.evacuations)
         apply_rollouts(self._state, report.orders)
         self._rollouts.merge(report)
-        self._confirm_freshness(report, now_s)
+        self._confirm_freshness(report)
         self._record_knowledge(report, now_s)
 
     def _record_load(self, report: PeerReport, now_s: float) -> None:
@@ -186,12 +189,17 @@
             load.update_peer(report.sender.router, report.in_flight, now_s)
             self._reports.relay(report)
 
-    def _confirm_freshness(self, report: PeerReport, now_s: float) -> None:
-        """Confirm this router's list if the peer's list has the same content."""
+    def _confirm_freshness(self, report: PeerReport) -> None:
+        """
+        Confirm this router's list if the peer's list has the same content.
+
+        The peer told its list's age when it sent the report, which may have waited
+        here, as when this process stood still.
+        """
         view = self._state.view
         is_same = report.list_digest == view.digest
         if is_same and report.list_position >= view.list_position >= 0:
-            confirmed_s = now_s - report.list_age_ms / 1000.0
+            confirmed_s = self._emptied_s - report.list_age_ms / 1000.0
             self._state.freshness.confirm(confirmed_s)
             self._state.stream_origins.versions.confirm(confirmed_s)
 
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -90,6 +90,20 @@
         assert Result.WRONG_VERSION not in results, results
 
 
+@params(0.2, 0.6)
+@runs_on_paused_clock
+async def test_reports_that_waited_do_not_show_that_the_list_is_current(pause_s):
+    async with struck_site() as site:
+        site.pause()
+        await pass_time(pause_s)
+        site.list_second(state="draining")
+        begun = await _begin_at_second(site, is_sender_new=False)
+        # The store answers later than the reports of the other router are read.
+        site.versioned.network.resume(site.struck.host)
+        results = await site.take_up_as_it_wakes(begun, is_delivered=False)
+        assert Result.WRONG_VERSION not in results, results
+
+
 @params(1.0, 1.4, 2.5, 6.0)
 @runs_on_paused_clock
 async def test_streams_go_on_at_their_version_at_a_router_that_wakes(pause_s):
