Take a list from a peer for as old as its query, not as its arrival

Cause: a list or delta from a peer counted as current at its arrival less the age that the peer told when it answered.

Change: the age is taken from the moment of the query, which was before the answer.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -39,6 +39,7 @@
     """Request newer documents from `peer` and apply them."""
     own = own_document_versions(state)
     query = PeerQuery(own.config_version, own.list_position, own.list_digest)
+    queried_s = trio.current_time()
     data = b""
     with trio.move_on_after(FETCH_TIMEOUT_S):
         data = await _query_peer(peer, msgspec.msgpack.encode(query))
@@ -51,13 +52,16 @@
     if config:
         apply_config_document(state, config)
     if documents.targets:
-        _apply_targets(state, documents, own)
+        _apply_targets(state, documents, own, queried_s)
     fields = {"peer": str(peer), "bytes": len(data)}
     _logger.info("documents received from peer", extra=fields)
 
 
 def _apply_targets(
-    state: GatewayState, documents: PeerDocuments, queried_with: DocumentVersions
+    state: GatewayState,
+    documents: PeerDocuments,
+    queried_with: DocumentVersions,
+    queried_s: float,
 ) -> None:
     """
     Apply a peer's list of targets, or a delta to this router's list.
@@ -66,6 +70,9 @@
     ----------
     queried_with : DocumentVersions
         What the query said that this router has: the base of a delta.
+    queried_s : float
+        When the peer was queried. It told its list's age later, and its response may
+        have been long on its way.
     """
     try:
         entries = _entries_decoder.decode(zlib.decompress(documents.targets))
@@ -81,7 +88,7 @@
         entries = {**state.listed_documents, **entries}
         for key in documents.removed_keys:
             entries.pop(key, None)
-    confirmed_s = trio.current_time() - documents.list_age_ms / 1000.0
+    confirmed_s = queried_s - documents.list_age_ms / 1000.0
     apply_target_documents(state, entries, documents.list_position, confirmed_s)
 
 
--- a/tests/gateway/test_peer_documents.py
+++ b/tests/gateway/test_peer_documents.py
@@ -162,13 +162,35 @@
             assert states[0].routing.version == 9
 
 
-async def _fetch_from_peer(site: Site, state, data: bytes) -> None:
+@runs_on_paused_clock
+async def test_a_list_that_was_long_on_its_way_is_as_old_as_its_query():
+    with captured_states() as states:
+        async with running_site() as site:
+            site.store.fault = StoreFault.UNAVAILABLE
+            await trio.sleep(SETTLE_TIME_S)
+            newer = await _ask(site.gateways[0], -1, -1, 0)
+            newer = msgspec.structs.replace(
+                newer, list_position=newer.list_position + 1, list_age_ms=200
+            )
+            queried_s = trio.current_time()
+            data = msgspec.msgpack.encode(newer)
+            await _fetch_from_peer(site, states[0], data, delay_s=1.0)
+            (state,) = states
+            assert state.view.list_position == newer.list_position
+            for known in (state.freshness, state.stream_origins.versions):
+                assert queried_s - 0.21 <= known.confirmed_s <= queried_s - 0.19
+
+
+async def _fetch_from_peer(
+    site: Site, state, data: bytes, delay_s: float = 0.0
+) -> None:
     """Let a router fetch documents from a peer that sends `data` and closes."""
     listener = free_listener()
     peer = Address("127.0.0.1", port_of(listener))
 
     async def answer(stream: trio.SocketStream) -> None:
         await stream.receive_some()
+        await trio.sleep(delay_s)
         await stream.send_all(data)
         await stream.aclose()
 
