Wait for a port in use instead of ending the start

Cause: the listeners for callers, readiness and peers' documents and the peers' datagram socket were opened once at the start; any failure to bind one ended the process with code 1. The metrics page was given up for good.

The ports are opened in a task of the process's nursery, so that stop signals, settings and the log are heeded meanwhile. Callers wait in the backlog of the port that was opened early until all ports are open, or the process is to stop. A failure that stays (no right to the port) is raised as AddressUnusable.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -41,8 +41,9 @@
     Accept connections on `listener` and serve each one in `nursery`.
 
     The first connection is accepted once a configuration and some targets are known,
-    or after `STARTUP_WAIT_S`.
+    or `STARTUP_WAIT_S` after all ports of the process are open.
     """
+    await state.may_accept_callers.wait()
     with trio.move_on_after(STARTUP_WAIT_S):
         await state.config_and_targets_loaded.wait()
     while True:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+from functools import partial
 
 import msgspec
 import trio
@@ -10,6 +11,7 @@
 from scaleloom_fleet.gateway.page_server import Page
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.binding import AddressUnusable, open_when_free
 from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.exposition import CONTENT_TYPE
 
@@ -61,18 +63,20 @@
 async def serve_page(
     state: GatewayState, address: Address, nursery: trio.Nursery
 ) -> None:
-    """Serve the page at `address`; log an error if that address cannot be bound."""
-    listener = _listen(address)
+    """Serve the page once `address` can be bound; log an error if it never can."""
+    listener = await _listen(address)
     if listener is not None:
         page = MetricsPage(state)
         await page_server.serve_pages(page.respond, listener, nursery, MAX_CONNECTIONS)
 
 
-def _listen(address: Address) -> socket.socket | None:
-    """Return a socket that listens at `address`, or None if it cannot be bound."""
+async def _listen(address: Address) -> socket.socket | None:
+    """Return a socket that listens at `address`, or None if no wait will help."""
     try:
-        return sockets.listen(address)
-    except (OSError, OverflowError) as error:
-        fields = {"address": str(address), "why": str(error)}
+        return await open_when_free(
+            partial(sockets.listen, address), address, "metrics page"
+        )
+    except AddressUnusable as error:
+        fields = {"address": str(address), "why": error.why}
         _logger.error("cannot listen for metrics page", extra=fields)
         return None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import socket
+from functools import partial
 
 import msgspec
 import trio
@@ -30,6 +31,7 @@
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.binding import open_when_free
 from scaleloom_fleet.utils.addresses import Address
 
 REGISTRATION_INTERVAL_S = 60.0
@@ -70,12 +72,20 @@
         self._documents = DocumentServer(state)
         self._peer_is_ahead = trio.Event()
 
-    def bind(self) -> socket.socket:
-        """Open the datagram socket and return the listener for documents."""
-        self._socket.bind((self._own.host, self._own.port))
+    async def bind(self) -> socket.socket:
+        """
+        Bind the datagram socket and return the listener for documents.
+
+        Waits for either port, as long as it is in use.
+        """
+        address = (self._own.host, self._own.port)
+        bind_datagrams = partial(self._socket.bind, address)
+        await open_when_free(bind_datagrams, self._own, "peers' datagrams")
+        listen = partial(sockets.listen, self._own)
+        documents = await open_when_free(listen, self._own, "peers' documents")
         for seed in self._state.settings.seed_hosts:
             self._add_router(str(Address(seed, self._own.port)))
-        return sockets.listen(self._own)
+        return documents
 
     def _add_router(self, router: str) -> None:
         """Add a router that may be running, unless its id is not an address."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -1,6 +1,7 @@
 """The gateway process: its tasks and its graceful stop."""
 
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -41,6 +42,8 @@
 from scaleloom_fleet.gateway.target_selection import backoff_until_s
 from scaleloom_fleet.gateway.wait_queue import WaitQueue
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.binding import open_when_free
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.exposition import MetricRegistry
 from scaleloom_fleet.utils.logs import write_lines
 from scaleloom_fleet.utils.statsd_metrics import FLUSH_INTERVAL_S, make_statsd_metrics
@@ -81,14 +84,17 @@
     decisions = RolloutDecider(state, access)
     crash_log = CrashLog(state, access)
     state.crashes.begin_trial = crash_log.begin_trial
-    front = sockets.listen(settings.front_address)
-    ready = sockets.listen(settings.ready_address)
-    documents = peers.bind()
-    _logger.info("started")
-    async with trio.open_nursery() as nursery:
+
+    async def begin(nursery: trio.Nursery) -> None:
+        """Open the ports as they become free, and start the tasks."""
+        front = await _listen(settings.front_address, "callers")
         nursery.start_soon(accepting.accept_forever, state, front, nursery)
+        ready = await _listen(settings.ready_address, "readiness page")
         nursery.start_soon(readiness.answer_forever, state, ready, nursery)
+        documents = await peers.bind()
         nursery.start_soon(peers.serve_documents, documents, nursery)
+        state.may_accept_callers.set()
+        _logger.info("started")
         for task in (
             targets.follow,
             config.follow,
@@ -114,12 +120,15 @@
         ):
             nursery.start_soon(task)
         nursery.start_soon(record_start_time, state)
-        nursery.start_soon(write_lines)
         if settings.metrics_address is not None:
             add_collectors(state)
             nursery.start_soon(serve_page, state, settings.metrics_address, nursery)
         if settings.statsd_address is not None:
             nursery.start_soon(_report_metrics, state)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(begin, nursery)
+        nursery.start_soon(write_lines)
         if settings_path is not None:
             nursery.start_soon(reload_on_sighup, state, settings_path)
         await wait_stop()
@@ -129,6 +138,11 @@
     _logger.info("stopped")
 
 
+async def _listen(address: Address, purpose: str) -> socket.socket:
+    """Return a listener at `address`, as soon as its port is free."""
+    return await open_when_free(partial(sockets.listen, address), address, purpose)
+
+
 def make_state(settings: GatewaySettings) -> GatewayState:
     """Return the state of a process that has just started."""
     view = TargetView()
@@ -188,6 +202,8 @@
     in flight at its end are answered as at their deadlines.
     """
     state.is_stopping = True
+    # Callers that wait at the port are served or refused also if the start is not over.
+    state.may_accept_callers.set()
     _logger.info("stopping", extra={"connections": len(state.connections)})
     stop = state.settings.stop
     stopped_s = trio.current_time() + stop.grace_s - STOP_MARGIN_S
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -103,6 +103,8 @@
         How many live peers have such a call open.
     config_and_targets_loaded : trio.Event
         Set once a configuration and some targets are known.
+    may_accept_callers : trio.Event
+        Set once all ports of the process are open, or it has been asked to stop.
     shutdown_deadline_s : float
         When a stopping process ends, on the runtime's clock. A request whose
         deadline is later is not started.
@@ -181,6 +183,7 @@
     )
     connections: set[CallerConnection] = msgspec.field(default_factory=set)
     config_and_targets_loaded: trio.Event = msgspec.field(default_factory=trio.Event)
+    may_accept_callers: trio.Event = msgspec.field(default_factory=trio.Event)
 
     def __post_init__(self) -> None:
         """Configure the parts, and connect them to the view and to reports."""
