A stop serves or refuses the callers that wait at its port

Cause: a stop ended once no connection was counted; what the kernel had accepted for the process but the accept loop had not, was reset with the listener. A connection was counted only in the first step of its task, so that a stop in between took the process for idle. An option that could not be set on a connection that had just been reset (TCP_NODELAY) raised in the accept loop and ended the process.

Change: the connection counts from its accept on. When no connection is left, and at the end of the grace period, the stop accepts all that wait, closes the port in the same step, and then serves or refuses them. That holds also for a start that is asked to stop while it waits for another port.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -46,34 +46,83 @@
     await state.may_accept_callers.wait()
     with trio.move_on_after(STARTUP_WAIT_S):
         await state.config_and_targets_loaded.wait()
-    while True:
-        await trio.lowlevel.wait_readable(listener)
-        accepted = admitted = 0
-        while accepted < ACCEPT_BATCH and may_accept(state):
-            connection = sockets.accept_nowait(listener)
-            if connection is None:
-                break
-            accepted += 1
-            if closes_unread(state):
-                close_unread(state, connection)
-                continue
-            limit = exceeded_by_caller(state, connection, admitted)
-            if limit is not None:
-                state.refusals_in_progress += 1
-                nursery.start_soon(refuse_caller, state, connection, limit)
-                continue
-            admitted += 1
-            nursery.start_soon(serve_connection, state, connection)
-        if not accepted:
+    while listener.fileno() >= 0:
+        try:
+            await trio.lowlevel.wait_readable(listener)
+        except trio.ClosedResourceError:
+            return
+        if not _accept_waiting(state, listener, nursery):
             # No descriptor is left, or too many refusals are in progress: the pending
             # connection keeps the listener readable, so the loop would spin.
             await trio.sleep(sockets.ACCEPT_RETRY_S)
 
 
-async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
-    """Serve the requests of one connection until either side closes it."""
+async def accept_rest(
+    state: GatewayState, listener: socket.socket, nursery: trio.Nursery
+) -> None:
+    """
+    Accept all connections that wait at `listener`, and close it.
+
+    Closing it resets those that were not accepted, though their requests may have
+    arrived.
+    """
+    while listener.fileno() >= 0:
+        if _accept_waiting(state, listener, nursery):
+            continue
+        if may_accept(state):
+            sockets.close(listener)
+            return
+        await trio.sleep(sockets.ACCEPT_RETRY_S)
+
+
+def _accept_waiting(
+    state: GatewayState, listener: socket.socket, nursery: trio.Nursery
+) -> int:
+    """Accept some of the connections that wait; return how many."""
+    accepted = 0
+    while accepted < ACCEPT_BATCH and may_accept(state):
+        connection = sockets.accept_nowait(listener)
+        if connection is None:
+            break
+        accepted += 1
+        _admit_or_refuse(state, connection, nursery)
+    return accepted
+
+
+def _admit_or_refuse(
+    state: GatewayState, connection: socket.socket, nursery: trio.Nursery
+) -> None:
+    """Start to serve a connection, or to refuse it."""
+    if closes_unread(state):
+        close_unread(state, connection)
+        return
+    limit = exceeded_by_caller(state, connection)
+    if limit is not None:
+        state.refusals_in_progress += 1
+        nursery.start_soon(refuse_caller, state, connection, limit)
+        return
+    nursery.start_soon(_serve_caller, state, _register(state, connection))
+
+
+def _register(state: GatewayState, connection: socket.socket) -> CallerConnection:
+    """
+    Return a connection, counted among those that are being served.
+
+    It is counted before its task runs: a stop must not take the process for idle in
+    between.
+    """
     caller = CallerConnection(connection, state.record_sent_bytes)
     state.connections.add(caller)
+    return caller
+
+
+async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
+    """Serve the requests of one connection until either side closes it."""
+    await _serve_caller(state, _register(state, connection))
+
+
+async def _serve_caller(state: GatewayState, caller: CallerConnection) -> None:
+    """Serve the requests of a registered connection until either side closes it."""
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.read_forever)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -64,19 +64,12 @@
 
 
 def exceeded_by_caller(
-    state: GatewayState, connection: socket.socket, admitted: int
+    state: GatewayState, connection: socket.socket
 ) -> Resource | None:
-    """
-    Return the limit that an accepted caller exceeds, if any.
-
-    Parameters
-    ----------
-    admitted : int
-        Callers admitted but not yet counted in `state.connections`.
-    """
+    """Return the limit that an accepted caller exceeds, if any."""
     # The kernel assigns the lowest free number, so all lower ones are in use.
     in_use = connection.fileno() + 1
-    callers = len(state.connections) + admitted
+    callers = len(state.connections)
     return state.process_limits.find_exhausted_for_caller(callers, in_use)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -85,8 +85,11 @@
     crash_log = CrashLog(state, access)
     state.crashes.begin_trial = crash_log.begin_trial
 
+    front: socket.socket | None = None
+
     async def begin(nursery: trio.Nursery) -> None:
         """Open the ports as they become free, and start the tasks."""
+        nonlocal front
         front = await _listen(settings.front_address, "callers")
         nursery.start_soon(accepting.accept_forever, state, front, nursery)
         ready = await _listen(settings.ready_address, "readiness page")
@@ -126,13 +129,18 @@
         if settings.statsd_address is not None:
             nursery.start_soon(_report_metrics, state)
 
+    async def accept_rest() -> None:
+        """Accept the callers that wait at the port, and close it."""
+        if front is not None:
+            await accepting.accept_rest(state, front, nursery)
+
     async with trio.open_nursery() as nursery:
         nursery.start_soon(begin, nursery)
         nursery.start_soon(write_lines)
         if settings_path is not None:
             nursery.start_soon(reload_on_sighup, state, settings_path)
         await wait_stop()
-        await _drain(state)
+        await _drain(state, accept_rest)
         nursery.cancel_scope.cancel()
     state.link_pools.close()
     _logger.info("stopped")
@@ -193,13 +201,22 @@
         metrics.flush()
 
 
-async def _drain(state: GatewayState) -> None:
+async def _drain(
+    state: GatewayState, accept_rest: Callable[[], Awaitable[None]]
+) -> None:
     """
     Drain the process.
 
     Readiness is withdrawn first. After the notice time idle connections are closed,
-    and requests that could outlast the grace period are refused. Those that are still
-    in flight at its end are answered as at their deadlines.
+    and requests that could outlast the grace period are refused. When no connection
+    is left, the port is closed, and who waited there is served or refused. Requests
+    that are still in flight at the end of the grace period are answered as at their
+    deadlines.
+
+    Parameters
+    ----------
+    accept_rest : callable
+        Accepts the callers that wait at the port, and closes it.
     """
     state.is_stopping = True
     # Callers that wait at the port are served or refused also if the start is not over.
@@ -211,10 +228,13 @@
         await trio.sleep(stop.notice_s)
         state.shutdown_deadline_s = stopped_s
         await _close_connections(state, IDLE_CHECK_INTERVAL_S)
+        await accept_rest()
+        await _close_connections(state, IDLE_CHECK_INTERVAL_S)
     state.shutdown_deadline_s = stopped_s
     for connection in list(state.connections):
         connection.end_request()
     with trio.move_on_after(LAST_ANSWERS_S):
+        await accept_rest()
         await _close_connections(state, LAST_ANSWERS_CHECK_S)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -43,7 +43,7 @@
     except OSError:
         return None
     connection.setblocking(False)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    _set_option(connection, (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1))
     return connection
 
 
--- a/tests/gateway/test_process_starts.py
+++ b/tests/gateway/test_process_starts.py
@@ -10,9 +10,11 @@
 from scaleloom_standins.ports import free_port
 from soak.processes import GatewayProcess
 from tests.fixtures.fleets import runs_in_trio
-from tests.fixtures.gateways import ask_raw, eventually, request_bytes
+from tests.fixtures.gateways import ask_on, ask_raw, eventually, request_bytes
 from tests.fixtures.processes import (
+    GRACE_S,
     change_settings,
+    connect_when_open,
     prepared_site,
     started_gateway,
     stop_in_time,
@@ -65,6 +67,19 @@
             await stop_in_time(started, signal.SIGTERM)
 
 
+@params("ready", "documents", "datagrams")
+@runs_in_trio
+async def test_a_caller_of_a_start_that_stops_is_refused(port_name):
+    async with prepared_site() as gateway:
+        with _occupied(gateway, port_name), started_gateway(gateway) as started:
+            stream = await connect_when_open(gateway.front_port)
+            await started.wait_line(WAITING)
+            started.process.send_signal(signal.SIGTERM)
+            answer = await ask_on(stream, request_bytes("/safe/1"), "GET")
+            assert (answer.status, answer.is_complete) == (503, True)
+            assert await started.wait_end(GRACE_S) == 0
+
+
 @runs_in_trio
 async def test_the_metrics_page_comes_up_when_its_port_is_free():
     port = free_port()
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -18,6 +18,7 @@
 )
 from scaleloom_fleet.gateway.process import make_state
 from scaleloom_fleet.http1.callers import CallerConnection
+from scaleloom_fleet.utils import listening
 from scaleloom_standins.ports import free_port
 from tests.fixtures import stub_targets
 from tests.fixtures.fleets import runs_on_paused_clock
@@ -35,6 +36,8 @@
 from tests.fixtures.stub_server import free_listener, port_of, serve_http
 from tests.fixtures.stub_targets import StubTarget
 
+WAITING_CALLERS = 5
+
 
 @runs_on_paused_clock
 async def test_a_stopping_gateway_is_not_ready_and_keeps_serving():
@@ -258,3 +261,48 @@
                 answer = await ask_on(stream, data[-4:], "GET")
         await gateway.stopped.wait()
     assert (answer.status, answer.is_complete) == (503, True)
+
+
+@params(0.0, 0.2)
+@runs_on_paused_clock
+async def test_callers_that_wait_at_the_port_at_the_end_of_a_stop_are_answered(
+    notice_s,
+):
+    """Stop a gateway whose accept loop does not get its turn before the end."""
+    stop = GatewayStopSection(notice_s=notice_s, grace_s=3.0)
+    answers: list[Answer] = []
+
+    async def accept_never(state, listener, nursery) -> None:
+        await trio.sleep_forever()
+
+    async with running_site(stop=stop) as site:
+        with mock.patch.object(accepting, "accept_forever", accept_never):
+            gateway = site.start_gateway(site.store_port, stop=stop)
+            await gateway.wait_ready()
+
+        async def ask(number: int) -> None:
+            answers.append(await gateway.ask(request_bytes("/safe/1", f"r-{number}")))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(WAITING_CALLERS):
+                nursery.start_soon(ask, number)
+            await trio.testing.wait_all_tasks_blocked()
+            gateway.stop.set()
+        await gateway.stopped.wait()
+    assert [answer.is_complete for answer in answers] == [True] * WAITING_CALLERS
+    assert {answer.status for answer in answers} <= {200, 503}
+
+
+@runs_on_paused_clock
+async def test_a_connection_counts_before_its_task_has_run():
+    state = make_state(gateway_settings("127.0.0.1", 1, free_port()))
+    with listening.open_listener("127.0.0.1", 0) as listener:
+        async with trio.open_nursery() as nursery:
+            state.may_accept_callers.set()
+            state.config_and_targets_loaded.set()
+            async with await trio.open_tcp_stream(*listener.getsockname()):
+                await accepting.accept_rest(state, listener, nursery)
+                assert len(state.connections) == 1
+                assert listener.fileno() < 0
+                nursery.cancel_scope.cancel()
+    assert not state.connections
