--- /dev/null
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
@@ -0,0 +1,88 @@
+"""Requests of callers: their parts, their limits, and the checks of their heads."""
+
+import h11
+import msgspec
+
+from scaleloom_fleet.http1.answers import HeaderList
+
+
+class CallerDisconnected(Exception):
+    """Raised when the caller disconnected or sent no complete request."""
+
+
+class RequestRejected(Exception):
+    """
+    Raised when the bytes that the caller sent are not an acceptable request.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status to answer with.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"request rejected; answering with status {status}")
+        self.status = status
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """Limits on the size of a request and on the time to receive it."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+    body_timeout_s: float
+
+
+class CallerRequest(msgspec.Struct):
+    """
+    A completely received request.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        In the order and the spelling in which they were sent.
+    values : dict of bytes to bytes
+        The first value of each header, by its lower-case name.
+    received_s : float
+        When the first byte of the request was seen, on trio's clock.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    values: dict[bytes, bytes]
+    body: bytes
+    received_s: float
+
+
+def first_values(head: h11.Request) -> dict[bytes, bytes]:
+    """Return the first value of each header, by name."""
+    values: dict[bytes, bytes] = {}
+    for name, value in head.headers:
+        values.setdefault(name, value)
+    return values
+
+
+def check_line_ends(head: bytes) -> None:
+    """Reject a head with bare CR or LF characters or with folded header lines."""
+    line_ends = head.count(b"\r\n")
+    if head.count(b"\n") != line_ends or head.count(b"\r") != line_ends:
+        raise RequestRejected(400)
+    if b"\r\n " in head or b"\r\n\t" in head:
+        raise RequestRejected(400)
+
+
+def check_framing(
+    head: h11.Request, values: dict[bytes, bytes], limits: CallerLimits
+) -> None:
+    """Reject a request with ambiguous body length or host, or too long a body."""
+    length = values.get(b"content-length")
+    if length is not None and b"transfer-encoding" in values:
+        raise RequestRejected(400)
+    if length is not None and int(length) > limits.body_bytes:
+        raise RequestRejected(413)
+    hosts = [value for name, value in head.headers if name == b"host"]
+    if len(hosts) > 1:
+        raise RequestRejected(400)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -1,87 +1,37 @@
 """Client side of HTTP/1.1: connections to servers, one request at a time."""
 
 import socket
-from enum import Enum
 
 import h11
 import msgspec
 import trio
 
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.answers import (
+    AnswerHead,
+    AnswerProtocolError,
+    BodyDelimiter,
+    HeaderList,
+    answer_head,
+    body_delimiter,
+)
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
-HeaderList = list[tuple[bytes, bytes]]
+__all__ = [
+    "AnswerHead",
+    "AnswerProtocolError",
+    "BodyDelimiter",
+    "HeaderList",
+    "Link",
+    "OutgoingRequest",
+    "body_delimiter",
+    "exchange",
+    "open_link",
+    "read_while_sending",
+]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
-
-
-class AnswerProtocolError(Exception):
-    """Raised when an answer is truncated or violates HTTP/1.1."""
-
-
-class BodyDelimiter(Enum):
-    """What tells where the body of an answer ends (RFC 9112, section 6.3)."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "connection"
-    NO_BODY = "no_body"
-
-
-class AnswerHead(msgspec.Struct, frozen=True):
-    """
-    The status and headers of an answer.
-
-    Parameters
-    ----------
-    headers : list of tuple of bytes
-        In the order and the spelling in which they were sent.
-    delimiter : BodyDelimiter
-        What tells where the body ends.
-    """
-
-    status: int
-    reason: bytes
-    headers: HeaderList
-    delimiter: BodyDelimiter
-
-    @property
-    def has_known_end(self) -> bool:
-        """
-        Return whether the answer itself tells where its body ends.
-
-        Otherwise the end of the connection does, as it does behind a body that the
-        server broke off.
-        """
-        return self.delimiter is not BodyDelimiter.CONNECTION
-
-    def find(self, name: bytes) -> bytes | None:
-        """Return the first value of the header `name`, given in lower case, or None."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
-def _answer_head(event: h11.Response, method: bytes) -> AnswerHead:
-    """Return the head of an answer to a request with `method`."""
-    headers = event.headers.raw_items()
-    delimiter = body_delimiter(event, method)
-    return AnswerHead(event.status_code, event.reason, headers, delimiter)
-
-
-def body_delimiter(event: h11.Response, method: bytes) -> BodyDelimiter:
-    """Return what tells where the body ends that follows the head `event`."""
-    if method == b"HEAD" or event.status_code in STATUSES_WITHOUT_BODY:
-        return BodyDelimiter.NO_BODY
-    names = {name for name, _ in event.headers}
-    if b"transfer-encoding" in names:
-        return BodyDelimiter.CHUNKS
-    if b"content-length" in names:
-        return BodyDelimiter.LENGTH
-    return BodyDelimiter.CONNECTION
 
 
 class OutgoingRequest(msgspec.Struct, frozen=True):
@@ -201,7 +151,7 @@
                     "connection ended before the head of the answer"
                 )
             self._record_keep_alive(event)
-            self.head = _answer_head(event, self._method)
+            self.head = answer_head(event, self._method)
             self.body_bytes = 0
             return self.head
 
@@ -218,7 +168,7 @@
                     return None
         except (h11.RemoteProtocolError, AnswerProtocolError):
             return None
-        return _answer_head(event, self._method)
+        return answer_head(event, self._method)
 
     async def read_data(self) -> bytes | None:
         """
