Send a request's long body without a copy of its own

Cause: a link joined the head and the body of each request to new bytes, and kept them for as long as the target didn't read; the request kept the body as well, for a retry. Change: the head is serialised by h11, and the body is passed through; a longer one than 16 KiB is sent from the request's own bytes.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -32,6 +32,8 @@
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
+# A longer body is sent by a write of its own, which costs less than a copy.
+MAX_COPIED_BYTES = 16_384
 
 
 class OutgoingRequest(msgspec.Struct, frozen=True):
@@ -65,7 +67,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._unsent = memoryview(b"")
+        self._unsent: list[memoryview] = []
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -87,24 +89,33 @@
         self.started_s = self.received_s = trio.current_time()
         self._method = request.method
         self.head = None
-        data = self._serialise(request)
-        sent = sockets.send_nowait(self._connection, data)
-        self._unsent = memoryview(data)[sent:]
+        self._unsent = self._serialise(request)
+        while self._unsent and self._send_nowait():
+            pass
 
-    def _serialise(self, request: OutgoingRequest) -> bytes:
-        """Return `request` in its wire format."""
-        protocol = self._protocol
+    def _serialise(self, request: OutgoingRequest) -> list[memoryview]:
+        """Return the parts of `request` in its wire format; a long body is shared."""
+        protocol, body = self._protocol, request.body
         headers = request.headers
-        if request.body:
-            length = str(len(request.body)).encode()
-            headers = [*headers, (b"Content-Length", length)]
+        if body:
+            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
         data = protocol.send(head)
-        if request.body:
-            data += protocol.send(h11.Data(data=request.body))
-        return data + protocol.send(h11.EndOfMessage())
+        if body:
+            protocol.send_with_data_passthrough(h11.Data(data=body))
+        protocol.send(h11.EndOfMessage())
+        if len(body) <= MAX_COPIED_BYTES:
+            return [memoryview(data + body)]
+        return [memoryview(data), memoryview(body)]
+
+    def _send_nowait(self) -> bool:
+        """Send from the first unsent part; return whether the kernel took all of it."""
+        part = self._unsent[0]
+        sent = sockets.send_nowait(self._connection, part)
+        self._record_sent(sent)
+        return sent == len(part)
 
     @property
     def has_unsent(self) -> bool:
@@ -125,13 +136,17 @@
         that was cancelled may be repeated.
         """
         try:
-            await sockets.send_all(self._connection, self._unsent, self._record_sent)
+            while self._unsent:
+                await sockets.send_all(
+                    self._connection, self._unsent[0], self._record_sent
+                )
         except ConnectionLost:
             return
 
     def _record_sent(self, size: int) -> None:
-        """Record that the kernel has accepted `size` more bytes of the request."""
-        self._unsent = self._unsent[size:]
+        """Record that the kernel has accepted `size` bytes of the first unsent part."""
+        rest = self._unsent[0][size:]
+        self._unsent[:1] = [rest] if rest else []
 
     async def read_head(self) -> AnswerHead:
         """
--- a/tests/http1/test_links.py
+++ b/tests/http1/test_links.py
@@ -1,13 +1,16 @@
 """Tests of connections to servers: each answer belongs to its request."""
 
 import socket
+import tracemalloc
 
 import trio
 import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from nose2.tools import params
 
 from scaleloom_fleet.http1.links import (
+    MAX_COPIED_BYTES,
     AnswerProtocolError,
     Link,
     OutgoingRequest,
@@ -19,6 +22,7 @@
 REQUEST = OutgoingRequest(b"GET", b"/a/", [(b"Host", b"x")])
 SURPLUS_ANSWER = b"HTTP/1.1 200 OK\r\nName: other\r\nContent-Length: 3\r\n\r\nnot"
 ANSWER = b"HTTP/1.1 200 OK\r\nName: own\r\nTransfer-Encoding: chunked\r\n\r\n"
+LONG_BYTES = 4_000_000
 ANSWER += b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
 
 
@@ -135,3 +139,45 @@
         link.close()
         return
     raise AssertionError("a truncated answer was read as complete")
+
+
+@params(0, 1, MAX_COPIED_BYTES, MAX_COPIED_BYTES + 1, LONG_BYTES)
+def test_a_request_arrives_whole_whatever_the_length_of_its_body(length):
+    body = bytes(range(256)) * (length // 256 + 1)
+    request = OutgoingRequest(b"POST", b"/a/", [(b"Host", b"x")], body[:length])
+    received = bytearray()
+
+    @runs_in_trio
+    async def run() -> None:
+        link, theirs = _pair()
+        theirs.setblocking(False)
+        link.start(request)
+        reader = trio.socket.from_stdlib_socket(theirs)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.send_remaining)
+            while not received.endswith(body[:length]) or b"\r\n\r\n" not in received:
+                received.extend(await reader.recv(65536))
+        link.close()
+        theirs.close()
+
+    run()
+    head, _, received_body = bytes(received).partition(b"\r\n\r\n")
+    assert received_body == body[:length]
+    assert (b"Content-Length: %d" % length in head) == bool(length)
+
+
+@runs_in_trio
+async def test_a_long_body_is_not_copied_while_its_server_does_not_read():
+    link, theirs = _pair()
+    request = OutgoingRequest(b"POST", b"/a/", [(b"Host", b"x")], bytes(LONG_BYTES))
+    tracemalloc.start()
+    try:
+        link.start(request)
+        held_bytes, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert link.has_unsent
+    assert held_bytes < LONG_BYTES / 10
+    assert peak_bytes < LONG_BYTES / 10
+    link.close()
+    theirs.close()
