Bound what the store and peers may send by what documents take

Cause: an answer of the store could hold 64 MiB, a topic 1000 pages of it, a peer's documents were read to the end of its connection, and compressed documents grew to any size; a store that sent garbage took a start to 256 of 300 MB. Short parts of a body were kept as objects of their own, forty times their bytes.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/document_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/document_copies.py
@@ -12,6 +12,7 @@
 from scaleloom_core.ids import DataCentreName
 from scaleloom_core.rollouts.orders import RolloutOrder, RolloutOrders
 from scaleloom_fleet.gateway.documents import (
+    MAX_TARGETS_BYTES,
     apply_config_document,
     apply_evacuations,
     apply_rollouts,
@@ -20,6 +21,7 @@
 from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
+from scaleloom_fleet.utils.decompression import decompress
 
 # Under frequent changes this takes half the calls of an interval of 0.5 s. It is
 # also how stale the copies may be after a power loss of the whole fleet.
@@ -159,7 +161,7 @@
     def _apply(self, record: StoredRecord) -> None:
         """Apply one copy, or log why it cannot be decoded."""
         try:
-            document = zlib.decompress(record.value)
+            document = decompress(record.value, MAX_TARGETS_BYTES)
             if record.key == CONFIG_KEY:
                 apply_config_document(self._state, document)
             elif record.key == EVACUATIONS_KEY:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/documents.py
@@ -11,6 +11,10 @@
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_fleet.gateway.state import GatewayState
 
+# The store's limit for a record is an eighth of that.
+MAX_CONFIG_BYTES = 1 << 21
+# An entry takes 0.2 kB with its key, so that a list of 12,000 takes 2.4 MB.
+MAX_TARGETS_BYTES = 1 << 23
 _logger = logging.getLogger("scaleloom.store")
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -9,19 +9,25 @@
 
 from scaleloom_core.catch_up import DocumentVersions
 from scaleloom_fleet.gateway.documents import (
+    MAX_CONFIG_BYTES,
+    MAX_TARGETS_BYTES,
     apply_config_document,
     apply_target_documents,
 )
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_fleet.gateway.state import GatewayState, compress_entries
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.body_parts import BodyParts
 from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
 from scaleloom_fleet.utils.addresses import Address
+from scaleloom_fleet.utils.decompression import decompress
 
 CONNECT_TIMEOUT_S = 0.4
 FETCH_TIMEOUT_S = 1.5
 SILENCE_TIMEOUT_MS = 600
 MAX_QUERY_BYTES = 256
+# Documents are sent compressed.
+MAX_TRANSFER_BYTES = 1 << 22
 # More transfers at once over a low-bandwidth link would all time out.
 MAX_TRANSFERS = 4
 _decoder = msgspec.msgpack.Decoder(PeerDocuments)
@@ -44,7 +50,7 @@
         data = await _query_peer(peer, msgspec.msgpack.encode(query))
     try:
         documents = _decoder.decode(data)
-        config = zlib.decompress(documents.config) if documents.config else b""
+        config = _decompress_config(documents)
     except (msgspec.DecodeError, zlib.error):
         _logger.info("peer sent no documents", extra={"peer": str(peer)})
         return
@@ -56,6 +62,13 @@
     _logger.info("documents received from peer", extra=fields)
 
 
+def _decompress_config(documents: PeerDocuments) -> bytes:
+    """Return the configuration that a peer sent, or empty bytes."""
+    if not documents.config:
+        return b""
+    return decompress(documents.config, MAX_CONFIG_BYTES)
+
+
 def _apply_targets(
     state: GatewayState, documents: PeerDocuments, queried_with: DocumentVersions
 ) -> None:
@@ -68,7 +81,9 @@
         What the query said that this router has: the base of a delta.
     """
     try:
-        entries = _entries_decoder.decode(zlib.decompress(documents.targets))
+        entries = _entries_decoder.decode(
+            decompress(documents.targets, MAX_TARGETS_BYTES)
+        )
     except (msgspec.DecodeError, zlib.error) as error:
         _logger.error("cannot decode target list from peer", extra={"why": str(error)})
         return
@@ -86,7 +101,7 @@
 
 
 async def _query_peer(peer: Address, query: bytes) -> bytes:
-    """Return the peer's response to `query`; empty if the connection fails."""
+    """Return the peer's response to `query`; empty if it fails or is too long."""
     try:
         connection = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_MS)
     except OutOfDescriptors as error:
@@ -96,16 +111,18 @@
         return b""
     if connection is None:
         return b""
-    parts: list[bytes] = []
+    parts = BodyParts()
     try:
         await sockets.send_all(connection, query)
         while data := await sockets.receive(connection):
-            parts.append(data)
+            parts.add(data)
+            if parts.size_bytes > MAX_TRANSFER_BYTES:
+                return b""
     except ConnectionLost:
         return b""
     finally:
         sockets.close(connection)
-    return b"".join(parts)
+    return parts.join()
 
 
 class DocumentServer:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/prefix_holder_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/prefix_holder_copies.py
@@ -11,6 +11,7 @@
 from scaleloom_fleet.gateway.interfaces import Topic
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
+from scaleloom_fleet.utils.decompression import decompress
 
 HOLDERS_KEY = "holders"
 # A power loss of the whole fleet loses at most what was learned in this time.
@@ -19,6 +20,8 @@
 MAX_RATE_BYTES_PER_S = 9_000
 # At 11 bytes a row, the document stays below the store's limit for a record.
 MAX_ROWS = 10_000
+# A row takes less than 100 bytes before it is compressed, unless names are long.
+MAX_DOCUMENT_BYTES = 1 << 22
 READ_ATTEMPTS = 4
 READ_RETRY_S = 0.5
 _decoder = msgspec.msgpack.Decoder(list[HoldingAge])
@@ -76,7 +79,7 @@
     def _apply(self, document: bytes) -> None:
         """Apply one document, or log why it cannot be decoded."""
         try:
-            rows = _decoder.decode(zlib.decompress(document))
+            rows = _decoder.decode(decompress(document, MAX_DOCUMENT_BYTES))
         except (zlib.error, msgspec.DecodeError) as error:
             _logger.error(
                 "cannot decode prefix holders copy", extra={"why": str(error)}
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_access.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.catch_up import FOLLOWERS
+from scaleloom_fleet.gateway.documents import MAX_TARGETS_BYTES
 from scaleloom_fleet.gateway.interfaces import (
     KeyedValue,
     NewestPage,
@@ -85,6 +86,7 @@
         records: list[StoredRecord] = []
         after: str | None = None
         end: int | None = None
+        size_bytes = 0
         for _ in range(MAX_PAGES):
             page = await self.read_page(client, topic, after)
             if isinstance(page, Failure):
@@ -92,12 +94,15 @@
                 return page
             part: NewestPage = page.unwrap()
             records += part.records
+            size_bytes += sum(len(r.key) + len(r.value) for r in part.records)
             end = part.end if end is None else end
             if not part.has_more or not part.records:
                 self.mark_read(topic)
                 return Success(NewestPage(records, False, end))
+            if size_bytes > MAX_TARGETS_BYTES:
+                break
             after = part.records[-1].key
-        return Failure("the topic has too many pages")
+        return Failure("the topic is too large")
 
     async def read_page(
         self, client: StoreClient, topic: Topic, after: str | None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
@@ -16,7 +16,9 @@
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
-MAX_RESPONSE_BYTES = 1 << 26
+# A page of newest records, the longest answer, holds 1 MB of them and one of 256 KiB
+# at most; in base64 and with the keys of 500 records, less than 2 MiB.
+MAX_RESPONSE_BYTES = 1 << 21
 OUTCOME_ANSWERED = "answered"
 OUTCOME_FAILED = "failed"
 OUTCOME_TIMED_OUT = "late"
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -15,6 +15,7 @@
     answer_head,
     body_delimiter,
 )
+from scaleloom_fleet.http1.body_parts import BodyParts
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
@@ -213,14 +214,12 @@
         AnswerProtocolError
             If the body is truncated or longer than `limit_bytes`.
         """
-        parts: list[bytes] = []
-        size = 0
+        parts = BodyParts()
         while (part := await self.read_data()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > limit_bytes:
+            parts.add(part)
+            if parts.size_bytes > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
-        return b"".join(parts)
+        return parts.join()
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
         """
