Refuse requests whose long body does not fit in the memory, unread

Change: the account is filled by callers (64 kB each) and by bodies longer than 16 KiB, from Content-Length before a byte of the body is read, in steps of 64 KiB for chunks; one that doesn't fit is refused as not run by limit memory, its connection ends, and 100-continue isn't sent. Unread input of a caller is bounded by 16 KiB beside a request and 64 KiB within a body. A caller that is refused itself has no long body read. The rest of a refused body is discarded for 1 s, as a caller that is refused had before.

--- a/packages/scaleloom-core/scaleloom_core/memory_account.py
+++ b/packages/scaleloom-core/scaleloom_core/memory_account.py
@@ -14,8 +14,8 @@
 STEP_BYTES = 65_536
 # The rest is kept for callers, so that long messages keep no short request out.
 LONG_MESSAGE_SHARE = 0.5
-# Resident bytes for each reserved one: while the parts of a message are joined, both
-# are held, and freed parts leave gaps between others.
+# Resident bytes for each byte of a long message: a buffer grows with room to spare,
+# and what others have freed can't always be used again.
 RESIDENT_RATIO = 1.25
 
 
@@ -57,13 +57,15 @@
         """
         if not isfinite(self.limit_bytes):
             return True
-        total = self.total_bytes + size_bytes
+        callers_bytes = self.reserved[MemoryUse.CALLERS]
+        long_bytes = self.total_bytes - callers_bytes
         if use is MemoryUse.CALLERS:
-            return not self.reserved[use] or total <= self.limit_bytes
-        long_bytes = self.total_bytes - self.reserved[MemoryUse.CALLERS]
-        limit_bytes = LONG_MESSAGE_SHARE * self.limit_bytes
-        fits = long_bytes + size_bytes <= limit_bytes and total <= self.limit_bytes
-        return fits or not long_bytes
+            total_bytes = callers_bytes + size_bytes + RESIDENT_RATIO * long_bytes
+            return not callers_bytes or total_bytes <= self.limit_bytes
+        resident_bytes = RESIDENT_RATIO * (long_bytes + size_bytes)
+        free_bytes = self.limit_bytes - callers_bytes
+        most_bytes = min(free_bytes, LONG_MESSAGE_SHARE * self.limit_bytes)
+        return not long_bytes or resident_bytes <= most_bytes
 
     def reserve(self, use: MemoryUse, size_bytes: int) -> None:
         """Reserve `size_bytes` bytes that are held in any case."""
--- a/packages/scaleloom-core/scaleloom_core/process_limits.py
+++ b/packages/scaleloom-core/scaleloom_core/process_limits.py
@@ -28,6 +28,7 @@
 BASE_MEMORY_MB = 64.0
 # Twice the use of a caller with a request of 4 kB in flight.
 CALLER_MEMORY_MB = 0.064
+CALLER_MEMORY_BYTES = int(CALLER_MEMORY_MB * 1e6)
 # A process with a CPU quota is throttled for up to 0.1 s at a time. Only lateness
 # that lasts over several such pauses indicates overload.
 LATENESS_WINDOW_S = 0.5
@@ -78,6 +79,13 @@
         """Return the number of descriptors for callers and connections to targets."""
         return max(2, self.descriptors - RESERVED_DESCRIPTORS)
 
+    @property
+    def free_memory_bytes(self) -> float:
+        """Return the memory for callers and messages, in bytes; maybe infinity."""
+        if not self.memory_mb:
+            return float("inf")
+        return max(0.0, self.memory_mb - BASE_MEMORY_MB) * 1e6
+
     @property
     def callers(self) -> dict[Resource, int]:
         """Return the maximum number of callers by limited resource, at least 1 each."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -6,6 +6,8 @@
 import trio
 
 from scaleloom_core.errors import ErrorKind, FleetError
+from scaleloom_core.memory_account import MemoryUse
+from scaleloom_core.process_limits import CALLER_MEMORY_BYTES, Resource
 from scaleloom_fleet.gateway.attempts import serve
 from scaleloom_fleet.gateway.error_responses import send_error, send_rejection
 from scaleloom_fleet.gateway.overload_refusals import (
@@ -24,6 +26,7 @@
     CallerConnection,
     CallerDisconnected,
     CallerRequest,
+    MemoryExhausted,
     RequestRejected,
 )
 
@@ -71,8 +74,9 @@
 
 async def serve_connection(state: GatewayState, connection: socket.socket) -> None:
     """Serve the requests of one connection until either side closes it."""
-    caller = CallerConnection(connection, state.record_sent_bytes)
+    caller = CallerConnection(connection, state.record_sent_bytes, state.memory)
     state.connections.add(caller)
+    state.memory.reserve(MemoryUse.CALLERS, CALLER_MEMORY_BYTES)
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.read_forever)
@@ -81,6 +85,7 @@
             nursery.cancel_scope.cancel()
     finally:
         state.connections.discard(caller)
+        state.memory.release(MemoryUse.CALLERS, CALLER_MEMORY_BYTES)
         caller.close()
 
 
@@ -89,25 +94,38 @@
     try:
         while True:
             request = await caller.read_request(state.caller_limits)
-            limit = exceeded_by_request(state)
-            if limit is not None:
-                await refuse(state, caller, limit)
-                return
-            state.record_sent_bytes(len(request.body))
-            state.requests_in_progress += 1
             try:
-                await _serve_one(state, caller, request)
+                is_refused = await _serve_or_refuse(state, caller, request)
             finally:
-                state.requests_in_progress -= 1
-            if not caller.finish():
+                request.release_body()
+            if is_refused or not caller.finish():
                 return
     except CallerDisconnected:
         return
+    except MemoryExhausted:
+        await refuse(state, caller, Resource.MEMORY)
     except RequestRejected as rejection:
         record_malformed(state)
         await _reject(caller, rejection.status)
 
 
+async def _serve_or_refuse(
+    state: GatewayState, caller: CallerConnection, request: CallerRequest
+) -> bool:
+    """Serve one request unless it exceeds a limit; return whether it was refused."""
+    limit = exceeded_by_request(state)
+    if limit is not None:
+        await refuse(state, caller, limit)
+        return True
+    state.record_sent_bytes(len(request.body))
+    state.requests_in_progress += 1
+    try:
+        await _serve_one(state, caller, request)
+    finally:
+        state.requests_in_progress -= 1
+    return False
+
+
 async def _serve_one(
     state: GatewayState, caller: CallerConnection, request: CallerRequest
 ) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -6,12 +6,14 @@
 import trio
 
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
-from scaleloom_core.process_limits import Resource
+from scaleloom_core.memory_account import MemoryAccount, MemoryUse
+from scaleloom_core.process_limits import CALLER_MEMORY_BYTES, Resource
 from scaleloom_fleet.gateway.error_responses import send_error
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
     CallerDisconnected,
+    MemoryExhausted,
     RequestRejected,
 )
 
@@ -77,7 +79,11 @@
     # The kernel assigns the lowest free number, so all lower ones are in use.
     in_use = connection.fileno() + 1
     callers = len(state.connections) + admitted
-    return state.process_limits.find_exhausted_for_caller(callers, in_use)
+    exhausted = state.process_limits.find_exhausted_for_caller(callers, in_use)
+    size_bytes = (admitted + 1) * CALLER_MEMORY_BYTES
+    if exhausted is None and not state.memory.has_room(MemoryUse.CALLERS, size_bytes):
+        return Resource.MEMORY
+    return exhausted
 
 
 def exceeded_by_request(state: GatewayState) -> Resource | None:
@@ -95,7 +101,7 @@
 
     The task that starts this has counted the refusal in `state.refusals_in_progress`.
     """
-    caller = CallerConnection(connection)
+    caller = CallerConnection(connection, memory=_without_room())
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.read_forever)
@@ -108,12 +114,19 @@
         caller.close()
 
 
+def _without_room() -> MemoryAccount:
+    """Return an account in which no long message fits."""
+    account = MemoryAccount(0.0)
+    account.reserve(MemoryUse.REQUESTS, 1)
+    return account
+
+
 async def _read_request(state: GatewayState, caller: CallerConnection) -> None:
-    """Wait until a request has arrived or none is expected any more."""
+    """Wait until a request, or the head of a long one, has arrived or none is due."""
     try:
         with trio.move_on_after(READ_TIMEOUT_S):
             await caller.read_request(state.caller_limits)
-    except (CallerDisconnected, RequestRejected):
+    except (CallerDisconnected, MemoryExhausted, RequestRejected):
         return
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -11,6 +11,7 @@
 from scaleloom_core.ids import EntryKey
 from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.list_history import ListHistory
+from scaleloom_core.memory_account import MemoryAccount
 from scaleloom_core.origin_tables import OriginTables
 from scaleloom_core.precedence import capacity_shortfall
 from scaleloom_core.process_limits import ProcessLimits
@@ -112,6 +113,8 @@
         Announces streams to other routers, and queries them; None until connected.
     outcomes : OutcomeCounts
         Outcomes of this router's requests, to be reported to peers.
+    memory : MemoryAccount
+        The memory that is reserved for callers and long messages.
     unreadable_entry_count : int
         How many entries of the list of targets cannot be decoded.
     has_live_peers : bool
@@ -143,6 +146,7 @@
     statsd: StatsdMetrics
     freshness: ListFreshness
     process_limits: ProcessLimits
+    memory: MemoryAccount = msgspec.field(default_factory=MemoryAccount)
     stream_origins: OriginTables = msgspec.field(default_factory=OriginTables)
     origin_exchange: OriginExchange | None = None
     outcomes: OutcomeCounts = msgspec.field(default_factory=OutcomeCounts)
@@ -184,6 +188,7 @@
 
     def __post_init__(self) -> None:
         """Configure the parts, and connect them to the view and to reports."""
+        self.memory.limit_bytes = self.settings.process_resources.free_memory_bytes
         self.rollouts.configure(self.settings.rollouts)
         own = str(self.settings.peer_address)
         self.rollouts.connect(own, self.view, self.request_report)
@@ -217,6 +222,7 @@
         """Apply changed settings, except the addresses at which the process listens."""
         if settings.process_resources != self.settings.process_resources:
             self.process_limits = ProcessLimits(settings.process_resources)
+            self.memory.limit_bytes = settings.process_resources.free_memory_bytes
         self.settings = settings
         bounds = settings.bounds
         self.chooser.bound_multiple = bounds.load_multiple
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -6,11 +6,18 @@
 import h11
 import trio
 
+from scaleloom_core.memory_account import (
+    SHORT_MESSAGE_BYTES,
+    MemoryAccount,
+    MemoryUse,
+    MessageReservation,
+)
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.caller_requests import (
     CallerDisconnected,
     CallerLimits,
     CallerRequest,
+    MemoryExhausted,
     RequestRejected,
     check_framing,
     check_line_ends,
@@ -19,7 +26,8 @@
 from scaleloom_fleet.http1.sockets import ConnectionLost
 
 HEAD_TERMINATOR = b"\r\n\r\n"
-CHUNK_MARGIN_BYTES = 65536
+# What a caller sends before its turn, beside the request that is served.
+MAX_EARLY_INPUT_BYTES = SHORT_MESSAGE_BYTES
 # An answer to HEAD has no body, whatever its Content-Length.
 HEAD_METHOD = b"HEAD"
 
@@ -37,20 +45,24 @@
         Accepted and non-blocking.
     on_sent : callable or None
         Called with the number of bytes sent after each write.
+    memory : MemoryAccount or None
+        Where the memory for the bodies of requests is reserved.
     """
 
     def __init__(
         self,
         connection: socket.socket,
         on_sent: Callable[[int], None] | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
+        self._memory = memory or MemoryAccount()
         self._connection = connection
         self._on_sent = on_sent
         self._protocol = h11.Connection(h11.SERVER)
         self._inbox = bytearray()
         self._input_changed = trio.Event()
         self._inbox_has_room = trio.Event()
-        self._inbox_limit_bytes = 1 << 20
+        self._inbox_limit_bytes = MAX_EARLY_INPUT_BYTES
         self._is_disconnected = False
         self._is_closed = False
         self._request_scope: trio.CancelScope | None = None
@@ -65,16 +77,14 @@
         """Receive into the input buffer until the caller disconnects."""
         try:
             while True:
-                data = await sockets.receive(self._connection)
+                size_bytes = await self._wait_for_room()
+                data = await sockets.receive(self._connection, size_bytes)
                 if not data:
                     break
                 if self._is_discarding:
                     continue
                 self._inbox += data
                 self._notify_reader()
-                while len(self._inbox) > self._inbox_limit_bytes:
-                    self._inbox_has_room = trio.Event()
-                    await self._inbox_has_room.wait()
         except (ConnectionLost, trio.ClosedResourceError):
             pass
         self._is_disconnected = True
@@ -82,6 +92,18 @@
         if self._request_scope is not None:
             self._request_scope.cancel()
 
+    async def _wait_for_room(self) -> int:
+        """Wait until bytes may be received; return how many at most."""
+        while (room_bytes := self._inbox_limit_bytes - len(self._inbox)) <= 0:
+            self._inbox_has_room = trio.Event()
+            await self._inbox_has_room.wait()
+        return min(room_bytes, sockets.READ_BYTES)
+
+    def _limit_inbox(self, limit_bytes: int) -> None:
+        """Set how many bytes may wait to be parsed."""
+        self._inbox_limit_bytes = limit_bytes
+        self._inbox_has_room.set()
+
     @property
     def has_unread(self) -> bool:
         """Return whether received bytes have not been parsed yet."""
@@ -136,13 +158,15 @@
             If the caller sent no further complete request.
         RequestRejected
             If the request is malformed, too large or too slow.
+        MemoryExhausted
+            If its body does not fit in the memory; a part of it may have been read.
         """
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
         await self._wait_for_first_byte(find_limits)
         limits = find_limits()
-        self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
+        self._limit_inbox(limits.header_bytes + MAX_EARLY_INPUT_BYTES)
         self.is_idle = False
         received_s = trio.current_time()
         await self._wait_for_head(limits)
@@ -153,12 +177,17 @@
         headers = head.headers.raw_items()
         values = first_values(head)
         check_framing(head, values, limits)
-        if self._protocol.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            await self._send(self._protocol.send(interim))
-        body = await self._read_body(limits)
+        reservation = MessageReservation(self._memory, MemoryUse.REQUESTS)
+        try:
+            _reserve(reservation, int(values.get(b"content-length", 0)))
+            body = await self._read_body(limits, reservation)
+        except BaseException:
+            reservation.release()
+            raise
+        finally:
+            self._limit_inbox(MAX_EARLY_INPUT_BYTES)
         return CallerRequest(
-            head.method, head.target, headers, values, body, received_s
+            head.method, head.target, headers, values, body, received_s, reservation
         )
 
     async def _wait_for_first_byte(
@@ -199,23 +228,32 @@
             raise RequestRejected(error.error_status_hint) from error
         return event
 
-    async def _read_body(self, limits: CallerLimits) -> bytes:
-        """Return the request's whole body."""
+    async def _ask_for_body(self) -> None:
+        """Ask the caller to send the body if it waits for that."""
+        if self._protocol.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(self._protocol.send(interim))
+
+    async def _read_body(
+        self, limits: CallerLimits, reservation: MessageReservation
+    ) -> bytes:
+        """Return the request's whole body, which `reservation` grows with."""
+        await self._ask_for_body()
+        self._limit_inbox(sockets.READ_BYTES)
         deadline_s = trio.current_time() + limits.body_timeout_s
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
                 if not await self._wait_for_input_until(deadline_s):
                     raise RequestRejected(408)
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise RequestRejected(413)
+                _reserve(reservation, len(body))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             else:
                 raise RequestRejected(400)
 
@@ -225,3 +263,9 @@
             await sockets.send_all(self._connection, data, self._on_sent)
         except (ConnectionLost, trio.ClosedResourceError) as error:
             raise CallerDisconnected from error
+
+
+def _reserve(reservation: MessageReservation, size_bytes: int) -> None:
+    """Reserve memory for a body of `size_bytes`, or raise `MemoryExhausted`."""
+    if not reservation.try_hold(size_bytes):
+        raise MemoryExhausted
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
@@ -3,6 +3,7 @@
 import h11
 import msgspec
 
+from scaleloom_core.memory_account import MessageReservation
 from scaleloom_fleet.http1.answers import HeaderList
 
 
@@ -25,6 +26,10 @@
         self.status = status
 
 
+class MemoryExhausted(Exception):
+    """Raised when the body of a request does not fit in the memory that is left."""
+
+
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size of a request and on the time to receive it."""
 
@@ -47,6 +52,8 @@
         The first value of each header, by its lower-case name.
     received_s : float
         When the first byte of the request was seen, on trio's clock.
+    reservation : MessageReservation or None
+        The memory that is reserved for the body.
     """
 
     method: bytes
@@ -55,6 +62,13 @@
     values: dict[bytes, bytes]
     body: bytes
     received_s: float
+    reservation: MessageReservation | None = None
+
+    def release_body(self) -> None:
+        """Drop the body and release its memory, since nobody needs it any more."""
+        self.body = b""
+        if self.reservation is not None:
+            self.reservation.release()
 
 
 def first_values(head: h11.Request) -> dict[bytes, bytes]:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -10,6 +10,7 @@
     CallerDisconnected,
     CallerLimits,
     CallerRequest,
+    MemoryExhausted,
     RequestRejected,
 )
 
@@ -18,10 +19,13 @@
     "CallerDisconnected",
     "CallerLimits",
     "CallerRequest",
+    "MemoryExhausted",
     "RequestRejected",
 ]
 # A caller that was answered early has noticed it by then, unless its link is slow.
 DISCARD_LIMIT_S = 0.5
+# One whose long body is refused may send most of it before it reads the answer.
+BODY_DISCARD_LIMIT_S = 1.0
 _WHOLE_REQUEST_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 VERSION_WITHOUT_CHUNKS = b"1.0"
 CHUNKS_SINCE_VERSION = b"1.1"
@@ -193,11 +197,17 @@
         sockets.end_sending(self._connection)
         self._is_discarding = True
         self._inbox.clear()
-        self._inbox_has_room.set()
-        with trio.move_on_after(DISCARD_LIMIT_S):
+        self._limit_inbox(sockets.READ_BYTES)
+        with trio.move_on_after(self._discard_limit_s):
             while not self._is_disconnected:
                 await self._wait_for_input()
 
+    @property
+    def _discard_limit_s(self) -> float:
+        """Return for how long to discard what follows the last answer, in seconds."""
+        is_body_unread = self._protocol.their_state is h11.SEND_BODY
+        return BODY_DISCARD_LIMIT_S if is_body_unread else DISCARD_LIMIT_S
+
     def _may_have_unread(self) -> bool:
         """Return whether the caller may have sent more than was read."""
         is_whole = self._protocol.their_state in _WHOLE_REQUEST_STATES
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -132,10 +132,15 @@
         connection.setsockopt(level, option, value)
 
 
-async def receive(connection: socket.socket) -> bytes:
+async def receive(connection: socket.socket, size_bytes: int = READ_BYTES) -> bytes:
     """
     Return the next bytes, or empty bytes at the end of the connection.
 
+    Parameters
+    ----------
+    size_bytes : int
+        How many at most.
+
     Raises
     ------
     ConnectionLost
@@ -143,7 +148,7 @@
     """
     while True:
         try:
-            return connection.recv(READ_BYTES)
+            return connection.recv(size_bytes)
         except BlockingIOError:
             await trio.lowlevel.wait_readable(connection)
         except OSError as error:
