Count what the parser holds to the bound of unread input

Cause: each request that is read passes all waiting input to the parser, which left room for as much again: 5,000 pipelined requests were all taken in. Change: what the parser holds beyond the request counts to the bound; the unused property has_unread became unread_bytes.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -104,10 +104,16 @@
         self._inbox_limit_bytes = limit_bytes
         self._inbox_has_room.set()
 
+    def _limit_early_input(self) -> None:
+        """Limit what the caller sends early, with what the parser holds of it."""
+        surplus, _ = self._protocol.trailing_data
+        self._limit_inbox(MAX_EARLY_INPUT_BYTES - len(surplus))
+
     @property
-    def has_unread(self) -> bool:
-        """Return whether received bytes have not been parsed yet."""
-        return bool(self._inbox)
+    def unread_bytes(self) -> int:
+        """Return how many received bytes have not been parsed yet."""
+        surplus, _ = self._protocol.trailing_data
+        return len(self._inbox) + len(surplus)
 
     def _notify_reader(self) -> None:
         """Wake the task that waits for input."""
@@ -185,7 +191,7 @@
             reservation.release()
             raise
         finally:
-            self._limit_inbox(MAX_EARLY_INPUT_BYTES)
+            self._limit_early_input()
         return CallerRequest(
             head.method, head.target, headers, values, body, received_s, reservation
         )
--- a/tests/http1/test_callers.py
+++ b/tests/http1/test_callers.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 from nose2.tools import params
 
+from scaleloom_fleet.http1.caller_input import MAX_EARLY_INPUT_BYTES
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
     CallerDisconnected,
@@ -27,6 +28,9 @@
 # More than the kernel buffers for a peer that reads nothing.
 LONG_BODY_BYTES = 4_000_000
 READ_BYTES = 65536
+PIPELINED_REQUESTS = 5000
+# Beside what the parser holds, which may be as much again.
+MAX_UNREAD_BYTES = 2 * (MAX_EARLY_INPUT_BYTES + LIMITS.header_bytes)
 
 
 async def _read(pieces: list[bytes], is_disconnected: bool = False):
@@ -252,3 +256,25 @@
     caller.close()
     theirs.close()
     assert request.body == body
+
+
+@runs_in_trio
+async def test_what_a_caller_sends_before_its_turn_is_bounded_and_kept():
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    theirs.setblocking(False)
+    caller = CallerConnection(ours)
+    sender = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
+    request = b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.read_forever)
+        nursery.start_soon(sender.send_all, request * PIPELINED_REQUESTS)
+        for _ in range(PIPELINED_REQUESTS):
+            assert (await caller.read_request(lambda: LIMITS)).target == b"/a/"
+            await trio.testing.wait_all_tasks_blocked()
+            assert caller.unread_bytes <= MAX_UNREAD_BYTES
+            await caller.send_answer(200, b"", [(b"Content-Length", b"0")], b"")
+            assert caller.finish()
+        nursery.cancel_scope.cancel()
+    caller.close()
+    theirs.close()
