--- a/tests/http1/test_callers.py
+++ b/tests/http1/test_callers.py
@@ -258,6 +258,12 @@
     assert request.body == body
 
 
+async def _drain(stream: trio.SocketStream) -> None:
+    """Read all that arrives."""
+    async for _ in stream:
+        pass
+
+
 @runs_in_trio
 async def test_what_a_caller_sends_before_its_turn_is_bounded_and_kept():
     ours, theirs = socket.socketpair()
@@ -269,6 +275,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(caller.read_forever)
         nursery.start_soon(sender.send_all, request * PIPELINED_REQUESTS)
+        nursery.start_soon(_drain, sender)
         for _ in range(PIPELINED_REQUESTS):
             assert (await caller.read_request(lambda: LIMITS)).target == b"/a/"
             await trio.testing.wait_all_tasks_blocked()
