--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -100,7 +100,7 @@
 
     def notify_and_leave() -> None:
         notify()
-        if caller.has_unread:
+        if caller.unread_bytes:
             caller.close_when_idle()
 
     caller._notify_reader = notify_and_leave
