Bound what one connection's input takes of the process

Cause: receiving returned at once when the kernel had bytes, and the parsers' loops above it had no checkpoint. One target, caller or store whose bytes were always there held the process: no deadline, readiness, SIGTERM or other caller had its turn. A checkpoint alone doesn't help against 64 KiB of chunks of one byte (10.4 us each in h11).

Change: http1/input_pace.py, used by every loop over bytes of links, callers and peers. A turn ends after 64 pieces or 256 KiB without a wait. Pieces under 512 bytes on average beyond a burst of 512 and 500 a second draw on a budget of the process, 16,000 a second for all connections, first come first served. In number: 64 informational heads, 16 MiB of an answer to another request, 16,384 pieces beyond the pace if they have under 4 bytes each. Beyond these an answer is broken, and a request is answered 400: its framing, not its length, is at fault. Pauses are not counted against a caller's time for its body. Bodies are collected in one bytearray. A line names the peer and the bound.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -15,6 +15,7 @@
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_fleet.gateway.state import GatewayState, compress_entries
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
 from scaleloom_fleet.utils.addresses import Address
 
@@ -96,16 +97,18 @@
         return b""
     if connection is None:
         return b""
-    parts: list[bytes] = []
+    documents = bytearray()
+    pace = InputPace(str(peer))
     try:
         await sockets.send_all(connection, query)
-        while data := await sockets.receive(connection):
-            parts.append(data)
+        while data := await sockets.receive(connection, pace):
+            pace.record_step(len(data))
+            documents += data
     except ConnectionLost:
         return b""
     finally:
         sockets.close(connection)
-    return b"".join(parts)
+    return bytes(documents)
 
 
 class DocumentServer:
@@ -184,8 +187,9 @@
 async def _read_query(connection: socket.socket) -> PeerQuery | None:
     """Return the query that a peer sends, or None if it sends no valid one."""
     data = b""
+    pace = InputPace(sockets.peer_name(connection))
     while len(data) < MAX_QUERY_BYTES:
-        part = await sockets.receive(connection)
+        part = await sockets.receive(connection, pace)
         if not part:
             return None
         data += part
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/silences.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/silences.py
@@ -41,4 +41,5 @@
 
     A router that stood still finds its timers expired although input has arrived.
     """
-    return exchange.link.is_open_and_empty()
+    link = exchange.link
+    return not link.has_unprocessed and link.is_open_and_empty()
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/answers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/answers.py
@@ -74,3 +74,15 @@
     if b"content-length" in names:
         return BodyDelimiter.LENGTH
     return BodyDelimiter.CONNECTION
+
+
+def announced_keep_alive_s(head: h11.Response, default_s: float) -> float:
+    """Return the idle timeout that the server announces in Keep-Alive, if any."""
+    timeout_s = default_s
+    for name, value in head.headers:
+        if name == b"keep-alive":
+            _, _, seconds = value.partition(b"timeout=")
+            digits = seconds.split(b",")[0].strip()
+            if digits.isdigit():
+                timeout_s = float(digits)
+    return timeout_s
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -16,6 +16,7 @@
     check_line_ends,
     first_values,
 )
+from scaleloom_fleet.http1.input_pace import InputBoundExceeded, InputPace
 from scaleloom_fleet.http1.sockets import ConnectionLost
 
 HEAD_TERMINATOR = b"\r\n\r\n"
@@ -47,6 +48,10 @@
         self._connection = connection
         self._on_sent = on_sent
         self._protocol = h11.Connection(h11.SERVER)
+        peer = sockets.peer_name(connection)
+        # One for each task: the one that receives, and the one that parses.
+        self._receiving_pace = InputPace(peer)
+        self._parsing_pace = InputPace(peer)
         self._inbox = bytearray()
         self._input_changed = trio.Event()
         self._inbox_has_room = trio.Event()
@@ -65,9 +70,10 @@
         """Receive into the input buffer until the caller disconnects."""
         try:
             while True:
-                data = await sockets.receive(self._connection)
+                data = await sockets.receive(self._connection, self._receiving_pace)
                 if not data:
                     break
+                self._receiving_pace.record_step(len(data))
                 if self._is_discarding:
                     continue
                 self._inbox += data
@@ -103,6 +109,7 @@
         if self._is_disconnected:
             raise CallerDisconnected
         self._input_changed = trio.Event()
+        self._parsing_pace.rest()
         await self._input_changed.wait()
 
     async def _wait_for_input_until(self, deadline_s: float) -> bool:
@@ -140,12 +147,15 @@
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
+        await self._give_way()
+        self._parsing_pace.begin_message()
         await self._wait_for_first_byte(find_limits)
         limits = find_limits()
         self._inbox_limit_bytes = limits.body_bytes + 2 * CHUNK_MARGIN_BYTES
         self.is_idle = False
         received_s = trio.current_time()
         await self._wait_for_head(limits)
+        self._parsing_pace.record_step()
         head = self._next_event()
         if not isinstance(head, h11.Request):
             raise RequestRejected(400)
@@ -186,6 +196,29 @@
             raise RequestRejected(431)
         check_line_ends(bytes(self._inbox[: end + len(HEAD_TERMINATOR)]))
 
+    async def _give_way(self) -> float:
+        """
+        Let others have their turn if this connection has had its own.
+
+        Returns
+        -------
+        float
+            For how long, in seconds: that the caller isn't late by.
+
+        Raises
+        ------
+        RequestRejected
+            If the request has too many pieces for its size: no proper caller sends so.
+        """
+        if not self._parsing_pace.is_turn_over:
+            return 0.0
+        begun_s = trio.current_time()
+        try:
+            await self._parsing_pace.give_way()
+        except InputBoundExceeded as error:
+            raise RequestRejected(400) from error
+        return trio.current_time() - begun_s
+
     def _next_event(self) -> object:
         """Return the parser's next event, feeding it the input buffer."""
         try:
@@ -202,20 +235,20 @@
     async def _read_body(self, limits: CallerLimits) -> bytes:
         """Return the request's whole body."""
         deadline_s = trio.current_time() + limits.body_timeout_s
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
+            deadline_s += await self._give_way()
             event = self._next_event()
             if event is h11.NEED_DATA:
                 if not await self._wait_for_input_until(deadline_s):
                     raise RequestRejected(408)
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                self._parsing_pace.record_piece(len(event.data))
+                if len(body) > limits.body_bytes:
                     raise RequestRejected(413)
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             else:
                 raise RequestRejected(400)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -6,15 +6,17 @@
 import msgspec
 import trio
 
-from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1 import input_pace, sockets
 from scaleloom_fleet.http1.answers import (
     AnswerHead,
     AnswerProtocolError,
     BodyDelimiter,
     HeaderList,
+    announced_keep_alive_s,
     answer_head,
     body_delimiter,
 )
+from scaleloom_fleet.http1.input_pace import InputBound, InputBoundExceeded
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
@@ -32,6 +34,8 @@
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
+# A look at what has arrived must not take longer than a turn.
+MAX_STEPS_NOWAIT = 8
 
 
 class OutgoingRequest(msgspec.Struct, frozen=True):
@@ -66,6 +70,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._unsent = memoryview(b"")
+        self._pace = input_pace.InputPace(sockets.peer_name(connection))
+        self._interim_heads = 0
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -87,6 +93,8 @@
         self.started_s = self.received_s = trio.current_time()
         self._method = request.method
         self.head = None
+        self._interim_heads = 0
+        self._pace.begin_message()
         data = self._serialise(request)
         sent = sockets.send_nowait(self._connection, data)
         self._unsent = memoryview(data)[sent:]
@@ -115,7 +123,9 @@
     def awaits_head(self) -> bool:
         """Return whether a whole request was sent and no head of an answer received."""
         is_request_sent = self._protocol.our_state is h11.DONE and not self._unsent
-        return is_request_sent and self._protocol.their_state is h11.SEND_RESPONSE
+        may_come = self._interim_heads <= input_pace.MAX_INTERIM_HEADS
+        has_no_head = self._protocol.their_state is h11.SEND_RESPONSE
+        return is_request_sent and may_come and has_no_head
 
     async def send_remaining(self) -> None:
         """
@@ -145,20 +155,35 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                self._record_interim_head()
                 continue
             if not isinstance(event, h11.Response):
                 raise AnswerProtocolError(
                     "connection ended before the head of the answer"
                 )
-            self._record_keep_alive(event)
+            self.keep_alive_s = announced_keep_alive_s(event, self.keep_alive_s)
             self.head = answer_head(event, self._method)
             self.body_bytes = 0
             return self.head
 
+    def _record_interim_head(self) -> None:
+        """Count an informational head; raise `AnswerProtocolError` at the limit."""
+        self._pace.record_piece()
+        self._interim_heads += 1
+        if self._interim_heads > input_pace.MAX_INTERIM_HEADS:
+            raise self.exceed(InputBound.INTERIM_HEADS)
+
+    def exceed(self, bound: InputBound) -> AnswerProtocolError:
+        """Count and log that the server exceeds `bound`; return the error to raise."""
+        return AnswerProtocolError(str(self._pace.exceed(bound)))
+
     def read_head_nowait(self) -> AnswerHead | None:
         """Return the head of an answer if it has already arrived, else None."""
         try:
-            while not isinstance(event := self._protocol.next_event(), h11.Response):
+            for _ in range(MAX_STEPS_NOWAIT):
+                event = self._protocol.next_event()
+                if isinstance(event, h11.Response):
+                    return answer_head(event, self._method)
                 if event is h11.NEED_DATA:
                     data = sockets.receive_nowait(self._connection)
                     if not data:
@@ -168,7 +193,7 @@
                     return None
         except (h11.RemoteProtocolError, AnswerProtocolError):
             return None
-        return answer_head(event, self._method)
+        return None
 
     async def read_data(self) -> bytes | None:
         """
@@ -183,8 +208,10 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            self.body_bytes += len(event.data)
-            return bytes(event.data)
+            data = bytes(event.data)
+            self._pace.record_piece(len(data))
+            self.body_bytes += len(data)
+            return data
         if isinstance(event, h11.EndOfMessage):
             return None
         raise AnswerProtocolError("connection ended before the end of the body")
@@ -198,14 +225,12 @@
         AnswerProtocolError
             If the body is truncated or longer than `limit_bytes`.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while (part := await self.read_data()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > limit_bytes:
+            body += part
+            if len(body) > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
-        return b"".join(parts)
+        return bytes(body)
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
         """
@@ -216,10 +241,11 @@
         Raises
         ------
         AnswerProtocolError
-            If the surplus answer is truncated or ends the connection.
+            If the surplus answer is truncated, too long or ends the connection.
         """
         while await self.read_data() is not None:
-            pass
+            if self.body_bytes > input_pace.MAX_SURPLUS_BYTES:
+                raise self.exceed(InputBound.SURPLUS_ANSWER)
         if self._protocol.their_state is not h11.DONE:
             raise AnswerProtocolError("connection ended after a surplus answer")
         surplus, _ = self._protocol.trailing_data
@@ -228,24 +254,26 @@
         )
         self._serialise(request)
         self.head = None
+        self._interim_heads = 0
         # h11 takes empty data for the end of the connection.
         if surplus:
             self._feed(surplus)
 
     async def _next_event(self) -> object:
         """Return the parser's next event, receiving more bytes as needed."""
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise AnswerProtocolError(str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await sockets.receive(self._connection)
-            except ConnectionLost as error:
-                raise AnswerProtocolError(str(error)) from error
-            self._feed(data)
+        try:
+            if self._pace.is_turn_over:
+                await self._pace.give_way()
+            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+                self._feed(await sockets.receive(self._connection, self._pace))
+        except (h11.RemoteProtocolError, ConnectionLost, InputBoundExceeded) as error:
+            raise AnswerProtocolError(str(error)) from error
+        return event
+
+    @property
+    def has_unprocessed(self) -> bool:
+        """Return whether the server has sent more than was processed in its turn."""
+        return self._pace.is_turn_over
 
     def _feed(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
@@ -255,15 +283,6 @@
         except h11.RemoteProtocolError as error:
             raise AnswerProtocolError(str(error)) from error
 
-    def _record_keep_alive(self, head: h11.Response) -> None:
-        """Record the idle timeout that the server announces in Keep-Alive."""
-        for name, value in head.headers:
-            if name == b"keep-alive":
-                _, _, seconds = value.partition(b"timeout=")
-                digits = seconds.split(b",")[0].strip()
-                if digits.isdigit():
-                    self.keep_alive_s = float(digits)
-
     def finish(self) -> bool:
         """
         Prepare the connection for the next request.
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.utils import listening
 from scaleloom_fleet.utils.addresses import Address
 
@@ -132,24 +133,43 @@
         connection.setsockopt(level, option, value)
 
 
-async def receive(connection: socket.socket) -> bytes:
+async def receive(connection: socket.socket, pace: InputPace) -> bytes:
     """
     Return the next bytes, or empty bytes at the end of the connection.
 
+    Parameters
+    ----------
+    pace : InputPace
+        Counts what its reader has taken; others get their turn when it is over.
+
     Raises
     ------
     ConnectionLost
         If the connection was reset.
+    InputBoundExceeded
+        If the connection has sent too many pieces.
     """
+    if pace.is_turn_over:
+        await pace.give_way()
     while True:
         try:
             return connection.recv(READ_BYTES)
         except BlockingIOError:
+            pace.rest()
             await trio.lowlevel.wait_readable(connection)
         except OSError as error:
             raise ConnectionLost(str(error)) from error
 
 
+def peer_name(connection: socket.socket) -> str:
+    """Return the address of the other end, for the log; empty if it is unknown."""
+    try:
+        name = connection.getpeername()
+    except OSError:
+        return ""
+    return ":".join(map(str, name)) if isinstance(name, tuple) else str(name)
+
+
 def receive_nowait(connection: socket.socket) -> bytes:
     """Return the bytes that have already arrived, or empty bytes."""
     try:
