Soak: neighbours that send without end, and judged stops, readiness and memory

Change: the kind `send_without_end` (interim heads, chunks of one byte, one event, a body, an answer to another request, surplus bytes; bodies of requests in chunks of one byte) at a service of its own, with stops beside it. Promises: callers beside endless senders are served as before, readiness is answered within 1 s, a stop ends in time, a process exits with the code of its cause and no other, memory, starts, answers of one run.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -10,6 +10,7 @@
     ran_undisturbed,
     was_path_undisturbed,
 )
+from soak.long_routes import is_long_kind
 from soak.mixed_streams import EVENT_COUNT as MIXED_EVENT_COUNT
 from soak.mixed_streams import MIXED, find_order_problem, whole_events
 from soak.site import SoakSite
@@ -39,7 +40,8 @@
     answer = result.answer
     if answer.status in GATEWAY_ERROR_STATUSES and "response-seal" in answer.headers:
         return "a target's seal on an error of the gateway"
-    if answer.status != 200 or not answer.is_complete:
+    is_judged_apart = is_long_kind(result.kind)
+    if answer.status != 200 or not answer.is_complete or is_judged_apart:
         return None
     if "response-seal" not in answer.headers:
         return "status 200 without a target's seal"
--- a/soak/arrivals.py
+++ b/soak/arrivals.py
@@ -1,7 +1,7 @@
 """What reached the targets of a seed."""
 
+from soak.arrival_records import Arrival
 from soak.site import SoakSite
-from soak.targets import Arrival
 
 
 def sorted_arrivals(site: SoakSite) -> list[Arrival]:
--- a/soak/crash_checks.py
+++ b/soak/crash_checks.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 
+from soak.arrival_records import Arrival
 from soak.arrivals import ready_count, sorted_arrivals
 from soak.callers import CHAT, CallerResult, Observations
 from soak.disturbances import RECOVERY_S, is_undisturbed, was_gateway_undisturbed
 from soak.processes import GatewayProcess
 from soak.site import PLAIN, TARGETS_PER_SERVICE, SoakSite
-from soak.targets import CRASHING_BODY, Arrival
+from soak.targets import CRASHING_BODY
 
 CRASHES_TO_QUARANTINE = 3
 CRASHES_TO_QUARANTINE_PART = 5
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 from soak.callers import CHAT, PROMPT_COUNT
 from soak.mixed_streams import MIXED, VERSIONS
+from soak.neighbour_faults import NEIGHBOUR_FAULTS
 from soak.relays import Relay, RelayMode
 from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
@@ -349,4 +350,5 @@
     send_crashing_part,
     steer_callers,
     *SILENCES,
+    *NEIGHBOUR_FAULTS,
 )
--- /dev/null
+++ b/soak/neighbour_faults.py
@@ -0,0 +1,5 @@
+"""Faults in which a neighbour takes much of the gateways, or meets their starts."""
+
+from soak.endless_senders import send_without_end
+
+NEIGHBOUR_FAULTS = (send_without_end,)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -18,7 +18,30 @@
 RETRY_RATIO = 0.05
 RETRY_EXTRA = 5
 SHOWN_LOG_LINES = 12
-EXIT_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
+EXIT_BAD_SETTINGS = 78
+WAIT_POLL_S = 0.005
+BYTES_PER_KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessEnd:
+    """
+    The end of one process of a gateway. Times are on trio's clock.
+
+    Parameters
+    ----------
+    stop_s : float or None
+        When it was first asked to stop, if it was.
+    last_line : str
+        What it logged last.
+    """
+
+    incarnation: int
+    exit_code: int
+    stop_s: float | None
+    ended_s: float
+    is_expected: bool
+    last_line: str
 
 
 @dataclass
@@ -38,8 +61,18 @@
         When SIGTERM and SIGHUP were sent; the latter are also disturbances.
     stopping_s : list of float
         When the process was told to stop, then at every poll until its restart.
-    unexpected_exits : list of int
-        Exit codes of exits that no signal of the soak caused.
+    memory_mb : int
+        The memory that the process may use, in millions of bytes; 0 sets no limit.
+    ends : list of ProcessEnd
+        The ends of its processes.
+    started_s : float
+        When the process was started last.
+    stop_s : float or None
+        When the process that runs was first asked to stop, if it was.
+    is_held : bool
+        Whether the process is not started again for now.
+    settings_restored_s : float
+        Until when the settings could not be read.
     """
 
     name: str
@@ -56,9 +89,14 @@
     stops_s: list[float] = field(default_factory=list)
     hangups_s: list[float] = field(default_factory=list)
     stopping_s: list[float] = field(default_factory=list)
-    unexpected_exits: list[int] = field(default_factory=list)
+    memory_mb: int = 0
+    ends: list[ProcessEnd] = field(default_factory=list)
+    started_s: float = 0.0
+    stop_s: float | None = None
+    is_held: bool = False
+    settings_restored_s: float = float("-inf")
     _popen: subprocess.Popen | None = None
-    _is_exit_expected: bool = False
+    _may_end_anyhow: bool = False
 
     @property
     def settings_path(self) -> Path:
@@ -70,13 +108,32 @@
         """Return the path of the log file."""
         return self.directory / f"{self.name}.log"
 
+    @property
+    def process_id(self) -> int:
+        """Return the id of the process that was started last."""
+        return self._popen.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process was started and has not ended."""
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def unexpected_ends(self) -> list[ProcessEnd]:
+        """Return the ends that no signal of the soak caused."""
+        return [end for end in self.ends if not end.is_expected]
+
     def describe(self) -> str:
         """Return the number of starts, unexpected exit codes and the end of the log."""
-        text = self.log_path.read_text(encoding="utf-8", errors="replace")
-        last_lines = "\n".join(text.splitlines()[-SHOWN_LOG_LINES:])
-        exits = self.unexpected_exits
+        last_lines = "\n".join(self._last_log_lines())
+        exits = [end.exit_code for end in self.unexpected_ends]
         return f"{self.name}: start {self.incarnation}, exits {exits}\n{last_lines}"
 
+    def _last_log_lines(self) -> list[str]:
+        """Return the end of the log."""
+        text = self.log_path.read_text(encoding="utf-8", errors="replace")
+        return text.splitlines()[-SHOWN_LOG_LINES:]
+
     def write_settings(self, seeds: str) -> None:
         """Write the settings file, with `seeds` as the addresses of the first peers."""
         parser = configparser.ConfigParser(interpolation=None)
@@ -96,6 +153,8 @@
             "retry_extra": str(RETRY_EXTRA),
         }
         parser["stop"] = {"notice_s": str(NOTICE_S), "grace_s": str(GRACE_S)}
+        if self.memory_mb:
+            parser["limits"] = {"memory_mb": str(self.memory_mb)}
         with self.settings_path.open("w", encoding="utf-8") as file:
             parser.write(file)
 
@@ -103,7 +162,8 @@
         """Start the process."""
         self.incarnation += 1
         self.is_stopping = False
-        self._is_exit_expected = False
+        self.stop_s = None
+        self._may_end_anyhow = False
         module = ["-m", "scaleloom_fleet"]
         if self.disabled_mechanism is not None:
             module = ["-m", "soak.switched_off", self.disabled_mechanism]
@@ -114,29 +174,34 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        self.started_s = trio.current_time()
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """
         Send a signal to the process, if it is running, and record when.
 
         SIGHUP is not sent before the interpreter runs the gateway's first line: until
-        then no program can keep its default action from ending the process.
+        then no program can keep its default action from ending the process. How the
+        process ends isn't judged if another signal ends it so early.
         """
-        if self._popen is None or self._popen.poll() is not None:
+        if not self.is_running:
             return
-        if signal_number is signal.SIGHUP and not self._handles_sighup():
+        has_begun = self._handles_sighup()
+        if signal_number is signal.SIGHUP and not has_begun:
             return
         now_s = trio.current_time()
         if signal_number is signal.SIGTERM:
             self.is_stopping = True
+            self.stop_s = self.stop_s or now_s
+            self._may_end_anyhow |= not has_begun
             self.stops_s.append(now_s)
             self.stopping_s.append(now_s)
         else:
             self.disturbances_s.append(now_s)
         if signal_number is signal.SIGHUP:
             self.hangups_s.append(now_s)
-        if signal_number in EXIT_SIGNALS:
-            self._is_exit_expected = True
+        if signal_number is signal.SIGKILL:
+            self._may_end_anyhow = True
         self._popen.send_signal(signal_number)
 
     def _handles_sighup(self) -> bool:
@@ -161,15 +226,46 @@
             await trio.sleep(POLL_INTERVAL_S)
             if self.is_stopping:
                 self.stopping_s.append(trio.current_time())
-            exit_code = self._popen.poll()
-            if exit_code is None:
+            if self.is_running:
                 continue
-            if not self._is_exit_expected:
-                self.unexpected_exits.append(exit_code)
+            self._record_end()
             await trio.sleep(RESTART_DELAY_S)
+            while self.is_held:
+                await trio.sleep(WAIT_POLL_S)
             self.stopping_s.append(trio.current_time())
             self.start()
 
+    def _record_end(self) -> None:
+        """Record how the process ended."""
+        end = ProcessEnd(
+            self.incarnation,
+            self._popen.returncode,
+            self.stop_s,
+            trio.current_time(),
+            self._is_exit_expected(self._popen.returncode),
+            "".join(self._last_log_lines()[-1:]),
+        )
+        self.ends.append(end)
+
+    def _is_exit_expected(self, exit_code: int) -> bool:
+        """Return whether the soak's signals account for the end of the process."""
+        if self._may_end_anyhow:
+            return True
+        if exit_code == EXIT_BAD_SETTINGS and self.started_s < self.settings_restored_s:
+            return True
+        return self.stop_s is not None and exit_code == 0
+
+    def resident_mb(self) -> float:
+        """Return the memory that the process has, 0 if it doesn't run."""
+        try:
+            status = Path(f"/proc/{self.process_id}/status").read_text(encoding="ascii")
+        except (FileNotFoundError, ProcessLookupError):
+            return 0.0
+        for line in status.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * BYTES_PER_KIB / 1e6
+        return 0.0
+
     def kill_and_wait(self) -> None:
         """Kill the process, also when it is suspended, and wait for its exit."""
         if self._popen is not None and self._popen.poll() is None:
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -23,7 +23,16 @@
     was_gateway_undisturbed,
     was_path_undisturbed,
 )
+from soak.long_routes import FILE_KINDS, LONG, LONG_AT_MOST_ONCE_KINDS, LONG_KINDS
 from soak.mixed_streams import MIXED
+from soak.neighbour_checks import (
+    check_beside_endless,
+    check_long_answers,
+    check_memory,
+    check_readiness,
+    check_starts,
+    check_stops_in_time,
+)
 from soak.processes import RETRY_EXTRA, RETRY_RATIO, GatewayProcess
 from soak.resumption_checks import (
     check_resumed_share,
@@ -39,8 +48,12 @@
 from soak.site import ENGINE, PLAIN, SoakSite
 from soak.steering_checks import check_steered_callers
 
-AT_MOST_ONCE_KINDS = ("once", "stream-once", "chat")
-SERVICES_BY_KIND = {"chat": ENGINE, MIXED: MIXED}
+AT_MOST_ONCE_KINDS = ("once", "stream-once", "chat", *LONG_AT_MOST_ONCE_KINDS)
+SERVICES_BY_KIND = {
+    "chat": ENGINE,
+    MIXED: MIXED,
+    **dict.fromkeys((*LONG_KINDS, *FILE_KINDS), LONG),
+}
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAX_CONFIG_DELAY_S = 2.5
 MAX_DRAINING_DELAY_S = 2.0
@@ -315,9 +328,10 @@
 def check_exits(site: SoakSite, observations: Observations) -> list[str]:
     """Return the gateways that exited without a signal of the soak."""
     return [
-        f"{gateway.name} exited with {code}"
+        f"{gateway.name} exited with {end.exit_code} at {end.ended_s:.2f},"
+        f" after {end.last_line!r}"
         for gateway in site.gateways
-        for code in gateway.unexpected_exits
+        for end in gateway.unexpected_ends
     ]
 
 
@@ -346,4 +360,10 @@
     "a stream holds events of one version": check_stream_versions,
     "streams that are taken up go on": check_resumed_share,
     "no gateway exits unexpectedly": check_exits,
+    "callers beside endless senders are served as before": check_beside_endless,
+    "readiness is answered in time": check_readiness,
+    "a stop ends in time": check_stops_in_time,
+    "no gateway exceeds its memory": check_memory,
+    "a start succeeds soon after its trouble": check_starts,
+    "an answer consists of one run's bytes": check_long_answers,
 }
--- a/soak/rollout_checks.py
+++ b/soak/rollout_checks.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from soak.arrival_records import Arrival
 from soak.disturbances import RECOVERY_S, is_undisturbed
 from soak.rollout_run import FINAL_STATES, NO_FAULTS, RolloutRun
 from soak.site import PLAIN
-from soak.targets import Arrival
 from soak.version_defects import DefectKind
 
 EXPOSURE_SHARE = 0.1
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -23,6 +23,16 @@
     draw_faults,
     inject_faults,
 )
+from soak.long_callers import (
+    FILE_CALLER_COUNT,
+    LONG_CALLER_COUNT,
+    ask_for_long_answers,
+    send_bodies_in_surges,
+)
+from soak.neighbour_checks import describe_neighbours
+from soak.neighbour_faults import NEIGHBOUR_FAULTS
+from soak.neighbour_watch import probe_readiness, watch_memory
+from soak.neighbours import NeighbourRecord
 from soak.patient_callers import PATIENT_CALLER_COUNT, send_slow_requests
 from soak.processes import GatewayProcess
 from soak.promise_checks import PROMISES
@@ -105,8 +115,11 @@
     observations = Observations()
     has_mixed_service = change_versions in kinds
     has_slow_routes = any(kind in SILENCES for kind in kinds)
+    has_neighbours = any(kind in NEIGHBOUR_FAULTS for kind in kinds)
+    services = (has_mixed_service, has_slow_routes)
+    neighbours = NeighbourRecord() if has_neighbours else None
     arguments = (seed, directory, gateway_count, disabled_mechanism)
-    async with running_soak(*arguments, has_mixed_service, has_slow_routes) as site:
+    async with running_soak(*arguments, *services, neighbours) as site:
         await wait_until_ready(site)
         async with trio.open_nursery() as nursery:
             for number in range(CALLER_COUNT):
@@ -117,6 +130,8 @@
                 nursery.start_soon(take_streams_up, site, observations, number)
             for number in range(PATIENT_CALLER_COUNT if has_slow_routes else 0):
                 nursery.start_soon(send_slow_requests, site, observations, number)
+            if has_neighbours:
+                _start_neighbours(site, observations, nursery)
             for gateway in site.gateways:
                 nursery.start_soon(probe_config_versions, site, observations, gateway)
             for number in range(sequence_count):
@@ -125,9 +140,23 @@
             await trio.sleep(length_s)
             nursery.cancel_scope.cancel()
         await trio.sleep(SETTLE_S)
+        site.judged_until_s = trio.current_time()
         return _evaluate(seed, site, observations)
 
 
+def _start_neighbours(
+    site: SoakSite, observations: Observations, nursery: trio.Nursery
+) -> None:
+    """Start callers with long messages, and watch the gateways beside them."""
+    for number in range(LONG_CALLER_COUNT):
+        nursery.start_soon(ask_for_long_answers, site, observations, number)
+    for number in range(FILE_CALLER_COUNT):
+        nursery.start_soon(send_bodies_in_surges, site, observations, number)
+    for gateway in site.gateways:
+        nursery.start_soon(probe_readiness, site, gateway)
+    nursery.start_soon(watch_memory, site)
+
+
 def _evaluate(seed: int, site: SoakSite, observations: Observations) -> SoakResult:
     """Return the result, with the promises that were broken."""
     cases_by_promise = {
@@ -146,6 +175,8 @@
             f"the soak itself paused {len(lengths_s)} times,"
             f" {max(lengths_s, default=0.0):.2f} s at most"
         )
+    if site.neighbours is not None:
+        counts.append(describe_neighbours(site, observations))
     sent_count = len(observations.results)
     return SoakResult(seed, sent_count, served_count, broken, "\n  ".join(counts))
 
--- a/soak/silence_checks.py
+++ b/soak/silence_checks.py
@@ -4,12 +4,13 @@
 from itertools import pairwise
 
 from soak.answer_checks import EVENT_KINDS, begins_whole_answer
+from soak.arrival_records import Arrival
 from soak.arrivals import sorted_arrivals
 from soak.callers import CallerResult, Observations
 from soak.disturbances import RECOVERY_S, is_undisturbed
 from soak.processes import GRACE_S, GatewayProcess
 from soak.site import SoakSite
-from soak.targets import Arrival, SoakTarget
+from soak.targets import SoakTarget
 
 # A request that wasn't passed on may have crossed the close of its connection.
 LOSS_SLACK_S = 0.2
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,7 +9,10 @@
 import trio
 
 from scaleloom_standins.ports import free_port
+from soak.long_answers import LongAnswers
+from soak.long_routes import LONG, LONG_MAX_BODY_BYTES, long_routes
 from soak.mixed_streams import MIXED, VERSIONS
+from soak.neighbours import NeighbourRecord
 from soak.processes import GatewayProcess
 from soak.relays import Relay
 from soak.slow_routes import MAX_BODY_BYTES, slow_routes
@@ -21,6 +24,8 @@
 PLAIN, ENGINE = "plain", "llm"
 TARGETS_PER_SERVICE = 4
 TARGETS_PER_VERSION = 3
+# Of each gateway, where neighbours take much of it; it uses 30 MB without them.
+MEMORY_MB = 120
 UNTOLD_VERSION_SHARE = 0.15
 FIRST_BORN_MS = 1_764_721_000_000
 START_TIMEOUT_S = 20.0
@@ -66,8 +71,12 @@
         Whether there is a service whose targets run several versions.
     has_slow_routes : bool
         Whether there are routes whose answers take long, with time for silences.
+    neighbours : NeighbourRecord or None
+        What neighbours of gateways do that takes much of them, if such kinds are drawn.
     pauses : list of tuple of float
         From when to when the soak itself did not run, on a busy machine.
+    judged_until_s : float
+        When the soak ended.
     """
 
     rng: random.Random
@@ -86,7 +95,9 @@
     steered_periods: list[SteeredPeriod] = field(default_factory=list)
     has_mixed_service: bool = False
     has_slow_routes: bool = False
+    neighbours: NeighbourRecord | None = None
     pauses: list[tuple[float, float]] = field(default_factory=list)
+    judged_until_s: float = float("inf")
     _started_count: int = 0
 
     def newest_version_at(self, at_s: float) -> int:
@@ -110,6 +121,10 @@
         if self.has_slow_routes:
             document["routes"] += slow_routes()
             document["limits"]["max-body-bytes"] = MAX_BODY_BYTES
+        if self.neighbours is not None:
+            document["services"].append({"name": LONG})
+            document["routes"] += long_routes()
+            document["limits"]["max-body-bytes"] = LONG_MAX_BODY_BYTES
         self.store.put(CONFIG_TOPIC, "config", document)
         self.config_written_s[version] = trio.current_time()
 
@@ -131,6 +146,9 @@
         if service == MIXED:
             target.tells_version = self.rng.random() >= UNTOLD_VERSION_SHARE
             target.born_ms = FIRST_BORN_MS + self._started_count
+        if service == LONG:
+            rng = random.Random(self.rng.random())
+            target.long_answers = LongAnswers(rng, target.broken_off_ids)
         target.record_disturbance()
         self.targets.append(target)
         self.store.put(TARGETS_TOPIC, name, target.entry())
@@ -238,6 +256,7 @@
             store_port=relay.port,
             directory=directory,
             disabled_mechanism=disabled_mechanism,
+            memory_mb=0 if self.neighbours is None else MEMORY_MB,
         )
         self.gateways.append(gateway)
         return gateway
@@ -251,6 +270,7 @@
     disabled_mechanism: str | None,
     has_mixed_service: bool = False,
     has_slow_routes: bool = False,
+    neighbours: NeighbourRecord | None = None,
 ) -> AsyncIterator[SoakSite]:
     """Yield a site with started gateways; kill their processes at the end."""
     store = StoreStandin()
@@ -259,12 +279,15 @@
         site = SoakSite(random.Random(seed), nursery, store, port_of(listener))
         nursery.start_soon(serve_http, listener, store.answer)
         site.has_slow_routes = has_slow_routes
+        site.neighbours = neighbours
         if has_mixed_service:
             site.add_mixed_service()
         site.write_config()
         for service in (PLAIN, ENGINE):
             for _ in range(TARGETS_PER_SERVICE):
                 site.add_target(service)
+        for _ in range(0 if neighbours is None else TARGETS_PER_SERVICE):
+            site.add_target(LONG)
         for _ in range(gateway_count):
             site.start_gateway(directory, disabled_mechanism)
         seeds = ",".join(f"{g.host}:{g.peer_port}" for g in site.gateways[:3])
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from soak.arrival_records import Arrival
+from soak.long_answers import LongAnswers
 from soak.mixed_streams import (
     EVENT_PAUSE_RANGE_S,
     MIXED,
@@ -66,45 +68,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """
-    One request that reached a target.
-
-    Parameters
-    ----------
-    gateway : str
-        Name of the gateway that sent the request; empty if it named none.
-    arrived_s, ended_s : float
-        When the request arrived and when the target was done with it, on trio's clock.
-    has_run : bool
-        Whether the target ran the request.
-    prompt : str
-        The parts of its prompt, as listed in its header.
-    closed_s : float
-        When the gateway closed the connection before the target was done.
-    outcome : str
-        What the target did, by the name of the function that did it.
-    """
-
-    request_id: str
-    gateway: str
-    target: str
-    service: str
-    arrived_s: float
-    ended_s: float
-    has_run: bool
-    body: bytes = b""
-    prompt: str = ""
-    closed_s: float = float("inf")
-    outcome: str = ""
-
-    @property
-    def was_closed(self) -> bool:
-        """Return whether the gateway closed the connection before the answer's end."""
-        return self.closed_s < float("inf")
-
-
 @dataclass
 class SoakTarget:
     """
@@ -156,6 +119,8 @@
         When the target or the path to it was silent.
     reached_ids : set of str
         The requests that reached the target, also while it stood still.
+    long_answers : LongAnswers or None
+        How the target answers, if it is of the service with long messages.
     """
 
     stub: StubTarget
@@ -189,6 +154,7 @@
     stillness: Stillness = field(default_factory=Stillness)
     silences: list[Silence] = field(default_factory=list)
     reached_ids: set[str] = field(default_factory=set)
+    long_answers: LongAnswers | None = None
 
     def record_disturbance(self) -> None:
         """Record that a fault begins or ends now."""
@@ -276,9 +242,12 @@
             behave = self._answer_mixed if is_mixed else self._answer_normally
             if is_slow_path(request.target):
                 behave = self._answer_slowly
+            if self.long_answers is not None:
+                behave = self.long_answers.answer
+            is_judged_apart = is_mixed or self.long_answers is not None
             if self.rng.random() < self.bad_answer_share:
-                behave = self.rng.choice(BAD_MIXED if is_mixed else BAD_ANSWERS)
-            elif not is_mixed and self.rng.random() < self.unframed_share:
+                behave = self.rng.choice(BAD_MIXED if is_judged_apart else BAD_ANSWERS)
+            elif not is_judged_apart and self.rng.random() < self.unframed_share:
                 behave = self._answer_unframed
             if is_slow or is_failing:
                 self.bad_answers_s.append(trio.current_time())
--- a/tests/test_soak_answers.py
+++ b/tests/test_soak_answers.py
@@ -7,10 +7,11 @@
 
 from scaleloom_fleet.http1.links import BodyDelimiter
 from soak.answer_checks import check_answers, check_whole_answers
+from soak.arrival_records import Arrival
 from soak.callers import CallerResult, Observations
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
-from soak.targets import Arrival, SoakTarget
+from soak.targets import SoakTarget
 from tests.fixtures.cut_answers import Cut, Ending, PlannedAnswer, cut_pieces
 from tests.fixtures.gateways import Answer
 from tests.fixtures.stub_targets import StubTarget, event
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -7,13 +7,17 @@
 import trio
 from nose2.tools import params
 
-from soak import faults, silences
+from soak import faults, neighbour_faults, silences
 from soak.seed_run import SoakResult, run_seed
 
 LENGTH_S = 14.0
 # Long enough for three crashes, the recovery time after them, and later requests.
 CRASH_LENGTH_S = 12.0
 SIGNAL_LENGTH_S = 7.0
+# Long enough for the usual share that is served, and for most of a time beside that.
+ENDLESS_LENGTH_S = 9.0
+# Long enough for the time in which a configuration must come into force after a loss.
+LOSS_LENGTH_S = 10.0
 FAULT_COUNT = 10
 
 
@@ -127,3 +131,9 @@
     result = _run(7002, CRASH_LENGTH_S, "crash-trials", kinds)
     promise = "requests that crash nothing are not quarantined"
     assert promise in result.broken, result.describe()
+
+
+@params(7802, 7804)
+def test_neighbours_that_send_without_end_hold_no_gateway(seed):
+    kinds = [neighbour_faults.send_without_end]
+    _assert_kept(_run(seed, ENDLESS_LENGTH_S, kinds=kinds))
--- a/tests/test_soak_silences.py
+++ b/tests/test_soak_silences.py
@@ -8,6 +8,7 @@
 from trio.testing import memory_stream_pair
 
 from soak import faults, silences
+from soak.arrival_records import Arrival
 from soak.callers import CallerResult, Observations
 from soak.processes import GatewayProcess
 from soak.relays import Relay, RelayMode
@@ -19,7 +20,7 @@
 )
 from soak.site import SoakSite
 from soak.stillness import CloseWatch, Silence, Stillness, StillStream
-from soak.targets import Arrival, SoakTarget
+from soak.targets import SoakTarget
 from tests.fixtures.cut_answers import reset
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer
@@ -242,7 +243,8 @@
 
 def test_seeds_of_the_earlier_kinds_draw_no_silence():
     earlier = faults.FAULTS[:KIND_COUNT_BEFORE]
-    assert faults.FAULTS[KIND_COUNT_BEFORE:] == silences.SILENCES
+    kind_count = KIND_COUNT_BEFORE + len(silences.SILENCES)
+    assert faults.FAULTS[KIND_COUNT_BEFORE:kind_count] == silences.SILENCES
     assert not set(earlier) & set(silences.SILENCES)
     modes = ["delay", "reset", "silent", "one_way"]
     assert [mode.value for mode in faults.DISRUPTIVE_MODES] == modes
