Soak: surges of long bodies, within a memory of 120 MB

Cause: bodies were of 400 kB at most and no gateway had a limit of memory. Change: the kind `send_long_bodies`: 40 callers send bodies of 0.2 to 4 MiB, with a length or in chunks, to one or all gateways; VmRSS is read every 30 ms. The promise: no gateway exceeds its memory.

--- a/soak/neighbour_faults.py
+++ b/soak/neighbour_faults.py
@@ -1,5 +1,9 @@
 """Faults in which a neighbour takes much of the gateways, or meets their starts."""
 
+from soak.body_surges import send_long_bodies
 from soak.endless_senders import send_without_end
 
-NEIGHBOUR_FAULTS = (send_without_end,)
+NEIGHBOUR_FAULTS = (
+    send_without_end,
+    send_long_bodies,
+)
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -137,3 +137,9 @@
 def test_neighbours_that_send_without_end_hold_no_gateway(seed):
     kinds = [neighbour_faults.send_without_end]
     _assert_kept(_run(seed, ENDLESS_LENGTH_S, kinds=kinds))
+
+
+@params(7811)
+def test_a_surge_of_long_bodies_stays_within_the_memory(seed):
+    kinds = [neighbour_faults.send_long_bodies]
+    _assert_kept(_run(seed, SIGNAL_LENGTH_S, kinds=kinds))
