Soak: ports in use, early signals and spoiled settings beside starts

Cause: gateways of the soak started without any trouble, and any end after a SIGTERM passed as its effect.

--- a/soak/neighbour_faults.py
+++ b/soak/neighbour_faults.py
@@ -2,8 +2,10 @@
 
 from soak.body_surges import send_long_bodies
 from soak.endless_senders import send_without_end
+from soak.start_troubles import trouble_start
 
 NEIGHBOUR_FAULTS = (
     send_without_end,
     send_long_bodies,
+    trouble_start,
 )
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -143,3 +143,9 @@
 def test_a_surge_of_long_bodies_stays_within_the_memory(seed):
     kinds = [neighbour_faults.send_long_bodies]
     _assert_kept(_run(seed, SIGNAL_LENGTH_S, kinds=kinds))
+
+
+@params(7821, 7823)
+def test_troubles_of_starts_end_no_gateway(seed):
+    kinds = [neighbour_faults.trouble_start]
+    _assert_kept(_run(seed, ENDLESS_LENGTH_S, kinds=kinds))
