Soak: long answers that break off, whose parts name their run

Cause: answers of the soak's targets were short, so that none was sent on before it broke off. The promise: an answer consists of one run's bytes.

--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -149,3 +149,9 @@
 def test_troubles_of_starts_end_no_gateway(seed):
     kinds = [neighbour_faults.trouble_start]
     _assert_kept(_run(seed, ENDLESS_LENGTH_S, kinds=kinds))
+
+
+@params(7832, 7836)
+def test_long_answers_that_break_off_are_of_one_run(seed):
+    kinds = [neighbour_faults.break_off_long_answers]
+    _assert_kept(_run(seed, ENDLESS_LENGTH_S, kinds=kinds))
