Soak: a store that loses the answers that tell of a configuration

Cause: a fault of the store that loses answers closes their connections, and so ends no wait. Change: the kind `lose_waiting_answers`: at once on all gateways, the answers to reads that wait are lost as a configuration is written, and their connections say nothing more.

--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -155,3 +155,9 @@
 def test_long_answers_that_break_off_are_of_one_run(seed):
     kinds = [neighbour_faults.break_off_long_answers]
     _assert_kept(_run(seed, ENDLESS_LENGTH_S, kinds=kinds))
+
+
+@params(7841)
+def test_lost_answers_of_the_store_delay_no_configuration(seed):
+    kinds = [neighbour_faults.lose_waiting_answers]
+    _assert_kept(_run(seed, LOSS_LENGTH_S, kinds=kinds))
