--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -9,6 +9,8 @@
 
 from scaleloom_core.catch_up import DocumentVersions
 from scaleloom_fleet.gateway.documents import (
+    MAX_CONFIG_BYTES,
+    MAX_TARGETS_BYTES,
     apply_config_document,
     apply_target_documents,
 )
@@ -17,11 +19,14 @@
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
 from scaleloom_fleet.utils.addresses import Address
+from scaleloom_fleet.utils.decompression import decompress
 
 CONNECT_TIMEOUT_S = 0.4
 FETCH_TIMEOUT_S = 1.5
 SILENCE_TIMEOUT_MS = 600
 MAX_QUERY_BYTES = 256
+# Documents are sent compressed.
+MAX_TRANSFER_BYTES = 1 << 22
 # More transfers at once over a low-bandwidth link would all time out.
 MAX_TRANSFERS = 4
 _decoder = msgspec.msgpack.Decoder(PeerDocuments)
@@ -39,25 +44,36 @@
     """Request newer documents from `peer` and apply them."""
     own = own_document_versions(state)
     query = PeerQuery(own.config_version, own.list_position, own.list_digest)
+    queried_s = trio.current_time()
     data = b""
     with trio.move_on_after(FETCH_TIMEOUT_S):
         data = await _query_peer(peer, msgspec.msgpack.encode(query))
     try:
         documents = _decoder.decode(data)
-        config = zlib.decompress(documents.config) if documents.config else b""
+        config = _decompress_config(documents)
     except (msgspec.DecodeError, zlib.error):
         _logger.info("peer sent no documents", extra={"peer": str(peer)})
         return
     if config:
         apply_config_document(state, config)
     if documents.targets:
-        _apply_targets(state, documents, own)
+        _apply_targets(state, documents, own, queried_s)
     fields = {"peer": str(peer), "bytes": len(data)}
     _logger.info("documents received from peer", extra=fields)
 
 
+def _decompress_config(documents: PeerDocuments) -> bytes:
+    """Return the configuration that a peer sent, or empty bytes."""
+    if not documents.config:
+        return b""
+    return decompress(documents.config, MAX_CONFIG_BYTES)
+
+
 def _apply_targets(
-    state: GatewayState, documents: PeerDocuments, queried_with: DocumentVersions
+    state: GatewayState,
+    documents: PeerDocuments,
+    queried_with: DocumentVersions,
+    queried_s: float,
 ) -> None:
     """
     Apply a peer's list of targets, or a delta to this router's list.
@@ -66,9 +82,14 @@
     ----------
     queried_with : DocumentVersions
         What the query said that this router has: the base of a delta.
+    queried_s : float
+        When the peer was queried. It told its list's age later, and its response may
+        have been long on its way.
     """
     try:
-        entries = _entries_decoder.decode(zlib.decompress(documents.targets))
+        entries = _entries_decoder.decode(
+            decompress(documents.targets, MAX_TARGETS_BYTES)
+        )
     except (msgspec.DecodeError, zlib.error) as error:
         _logger.error("cannot decode target list from peer", extra={"why": str(error)})
         return
@@ -81,12 +102,12 @@
         entries = {**state.listed_documents, **entries}
         for key in documents.removed_keys:
             entries.pop(key, None)
-    confirmed_s = trio.current_time() - documents.list_age_ms / 1000.0
+    confirmed_s = queried_s - documents.list_age_ms / 1000.0
     apply_target_documents(state, entries, documents.list_position, confirmed_s)
 
 
 async def _query_peer(peer: Address, query: bytes) -> bytes:
-    """Return the peer's response to `query`; empty if the connection fails."""
+    """Return the peer's response to `query`; empty if it fails or is too long."""
     try:
         connection = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_MS)
     except OutOfDescriptors as error:
@@ -96,16 +117,18 @@
         return b""
     if connection is None:
         return b""
-    parts: list[bytes] = []
+    documents = bytearray()
     try:
         await sockets.send_all(connection, query)
         while data := await sockets.receive(connection):
-            parts.append(data)
+            documents += data
+            if len(documents) > MAX_TRANSFER_BYTES:
+                return b""
     except ConnectionLost:
         return b""
     finally:
         sockets.close(connection)
-    return b"".join(parts)
+    return bytes(documents)
 
 
 class DocumentServer:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -1,6 +1,7 @@
 """The gateway process: its tasks and its graceful stop."""
 
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -41,6 +42,8 @@
 from scaleloom_fleet.gateway.target_selection import backoff_until_s
 from scaleloom_fleet.gateway.wait_queue import WaitQueue
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.binding import open_when_free
+from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.exposition import MetricRegistry
 from scaleloom_fleet.utils.logs import write_lines
 from scaleloom_fleet.utils.statsd_metrics import FLUSH_INTERVAL_S, make_statsd_metrics
@@ -81,14 +84,20 @@
     decisions = RolloutDecider(state, access)
     crash_log = CrashLog(state, access)
     state.crashes.begin_trial = crash_log.begin_trial
-    front = sockets.listen(settings.front_address)
-    ready = sockets.listen(settings.ready_address)
-    documents = peers.bind()
-    _logger.info("started")
-    async with trio.open_nursery() as nursery:
+
+    front: socket.socket | None = None
+
+    async def begin(nursery: trio.Nursery) -> None:
+        """Open the ports as they become free, and start the tasks."""
+        nonlocal front
+        front = await _listen(settings.front_address, "callers")
         nursery.start_soon(accepting.accept_forever, state, front, nursery)
+        ready = await _listen(settings.ready_address, "readiness page")
         nursery.start_soon(readiness.answer_forever, state, ready, nursery)
+        documents = await peers.bind()
         nursery.start_soon(peers.serve_documents, documents, nursery)
+        state.may_accept_callers.set()
+        _logger.info("started")
         for task in (
             targets.follow,
             config.follow,
@@ -114,21 +123,34 @@
         ):
             nursery.start_soon(task)
         nursery.start_soon(record_start_time, state)
-        nursery.start_soon(write_lines)
         if settings.metrics_address is not None:
             add_collectors(state)
             nursery.start_soon(serve_page, state, settings.metrics_address, nursery)
         if settings.statsd_address is not None:
             nursery.start_soon(_report_metrics, state)
+
+    async def accept_rest() -> None:
+        """Accept the callers that wait at the port, and close it."""
+        if front is not None:
+            await accepting.accept_rest(state, front, nursery)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(begin, nursery)
+        nursery.start_soon(write_lines)
         if settings_path is not None:
             nursery.start_soon(reload_on_sighup, state, settings_path)
         await wait_stop()
-        await _drain(state)
+        await _drain(state, accept_rest)
         nursery.cancel_scope.cancel()
     state.link_pools.close()
     _logger.info("stopped")
 
 
+async def _listen(address: Address, purpose: str) -> socket.socket:
+    """Return a listener at `address`, as soon as its port is free."""
+    return await open_when_free(partial(sockets.listen, address), address, purpose)
+
+
 def make_state(settings: GatewaySettings) -> GatewayState:
     """Return the state of a process that has just started."""
     view = TargetView()
@@ -179,15 +201,26 @@
         metrics.flush()
 
 
-async def _drain(state: GatewayState) -> None:
+async def _drain(
+    state: GatewayState, accept_rest: Callable[[], Awaitable[None]]
+) -> None:
     """
     Drain the process.
 
     Readiness is withdrawn first. After the notice time idle connections are closed,
-    and requests that could outlast the grace period are refused. Those that are still
-    in flight at its end are answered as at their deadlines.
+    and requests that could outlast the grace period are refused. When no connection
+    is left, the port is closed, and who waited there is served or refused. Requests
+    that are still in flight at the end of the grace period are answered as at their
+    deadlines.
+
+    Parameters
+    ----------
+    accept_rest : callable
+        Accepts the callers that wait at the port, and closes it.
     """
     state.is_stopping = True
+    # Callers that wait at the port are served or refused also if the start is not over.
+    state.may_accept_callers.set()
     _logger.info("stopping", extra={"connections": len(state.connections)})
     stop = state.settings.stop
     stopped_s = trio.current_time() + stop.grace_s - STOP_MARGIN_S
@@ -195,10 +228,13 @@
         await trio.sleep(stop.notice_s)
         state.shutdown_deadline_s = stopped_s
         await _close_connections(state, IDLE_CHECK_INTERVAL_S)
+        await accept_rest()
+        await _close_connections(state, IDLE_CHECK_INTERVAL_S)
     state.shutdown_deadline_s = stopped_s
     for connection in list(state.connections):
         connection.end_request()
     with trio.move_on_after(LAST_ANSWERS_S):
+        await accept_rest()
         await _close_connections(state, LAST_ANSWERS_CHECK_S)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -1,87 +1,39 @@
 """Client side of HTTP/1.1: connections to servers, one request at a time."""
 
 import socket
-from enum import Enum
 
 import h11
 import msgspec
 import trio
 
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.answers import (
+    AnswerHead,
+    AnswerProtocolError,
+    BodyDelimiter,
+    HeaderList,
+    answer_head,
+    body_delimiter,
+)
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
-HeaderList = list[tuple[bytes, bytes]]
+__all__ = [
+    "AnswerHead",
+    "AnswerProtocolError",
+    "BodyDelimiter",
+    "HeaderList",
+    "Link",
+    "OutgoingRequest",
+    "body_delimiter",
+    "exchange",
+    "open_link",
+    "read_while_sending",
+]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
-
-
-class AnswerProtocolError(Exception):
-    """Raised when an answer is truncated or violates HTTP/1.1."""
-
-
-class BodyDelimiter(Enum):
-    """What tells where the body of an answer ends (RFC 9112, section 6.3)."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "connection"
-    NO_BODY = "no_body"
-
-
-class AnswerHead(msgspec.Struct, frozen=True):
-    """
-    The status and headers of an answer.
-
-    Parameters
-    ----------
-    headers : list of tuple of bytes
-        In the order and the spelling in which they were sent.
-    delimiter : BodyDelimiter
-        What tells where the body ends.
-    """
-
-    status: int
-    reason: bytes
-    headers: HeaderList
-    delimiter: BodyDelimiter
-
-    @property
-    def has_known_end(self) -> bool:
-        """
-        Return whether the answer itself tells where its body ends.
-
-        Otherwise the end of the connection does, as it does behind a body that the
-        server broke off.
-        """
-        return self.delimiter is not BodyDelimiter.CONNECTION
-
-    def find(self, name: bytes) -> bytes | None:
-        """Return the first value of the header `name`, given in lower case, or None."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
-def _answer_head(event: h11.Response, method: bytes) -> AnswerHead:
-    """Return the head of an answer to a request with `method`."""
-    headers = event.headers.raw_items()
-    delimiter = body_delimiter(event, method)
-    return AnswerHead(event.status_code, event.reason, headers, delimiter)
-
-
-def body_delimiter(event: h11.Response, method: bytes) -> BodyDelimiter:
-    """Return what tells where the body ends that follows the head `event`."""
-    if method == b"HEAD" or event.status_code in STATUSES_WITHOUT_BODY:
-        return BodyDelimiter.NO_BODY
-    names = {name for name, _ in event.headers}
-    if b"transfer-encoding" in names:
-        return BodyDelimiter.CHUNKS
-    if b"content-length" in names:
-        return BodyDelimiter.LENGTH
-    return BodyDelimiter.CONNECTION
+# A longer body is sent by a write of its own, which costs less than a copy.
+MAX_COPIED_BYTES = 16_384
 
 
 class OutgoingRequest(msgspec.Struct, frozen=True):
@@ -115,7 +67,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._unsent = memoryview(b"")
+        self._unsent: list[memoryview] = []
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -137,24 +89,33 @@
         self.started_s = self.received_s = trio.current_time()
         self._method = request.method
         self.head = None
-        data = self._serialise(request)
-        sent = sockets.send_nowait(self._connection, data)
-        self._unsent = memoryview(data)[sent:]
+        self._unsent = self._serialise(request)
+        while self._unsent and self._send_nowait():
+            pass
 
-    def _serialise(self, request: OutgoingRequest) -> bytes:
-        """Return `request` in its wire format."""
-        protocol = self._protocol
+    def _serialise(self, request: OutgoingRequest) -> list[memoryview]:
+        """Return the parts of `request` in its wire format; a long body is shared."""
+        protocol, body = self._protocol, request.body
         headers = request.headers
-        if request.body:
-            length = str(len(request.body)).encode()
-            headers = [*headers, (b"Content-Length", length)]
+        if body:
+            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
         data = protocol.send(head)
-        if request.body:
-            data += protocol.send(h11.Data(data=request.body))
-        return data + protocol.send(h11.EndOfMessage())
+        if body:
+            protocol.send_with_data_passthrough(h11.Data(data=body))
+        protocol.send(h11.EndOfMessage())
+        if len(body) <= MAX_COPIED_BYTES:
+            return [memoryview(data + body)]
+        return [memoryview(data), memoryview(body)]
+
+    def _send_nowait(self) -> bool:
+        """Send from the first unsent part; return whether the kernel took all of it."""
+        part = self._unsent[0]
+        sent = sockets.send_nowait(self._connection, part)
+        self._record_sent(sent)
+        return sent == len(part)
 
     @property
     def has_unsent(self) -> bool:
@@ -175,13 +136,17 @@
         that was cancelled may be repeated.
         """
         try:
-            await sockets.send_all(self._connection, self._unsent, self._record_sent)
+            while self._unsent:
+                await sockets.send_all(
+                    self._connection, self._unsent[0], self._record_sent
+                )
         except ConnectionLost:
             return
 
     def _record_sent(self, size: int) -> None:
-        """Record that the kernel has accepted `size` more bytes of the request."""
-        self._unsent = self._unsent[size:]
+        """Record that the kernel has accepted `size` bytes of the first unsent part."""
+        rest = self._unsent[0][size:]
+        self._unsent[:1] = [rest] if rest else []
 
     async def read_head(self) -> AnswerHead:
         """
@@ -201,7 +166,7 @@
                     "connection ended before the head of the answer"
                 )
             self._record_keep_alive(event)
-            self.head = _answer_head(event, self._method)
+            self.head = answer_head(event, self._method)
             self.body_bytes = 0
             return self.head
 
@@ -218,7 +183,7 @@
                     return None
         except (h11.RemoteProtocolError, AnswerProtocolError):
             return None
-        return _answer_head(event, self._method)
+        return answer_head(event, self._method)
 
     async def read_data(self) -> bytes | None:
         """
@@ -248,14 +213,12 @@
         AnswerProtocolError
             If the body is truncated or longer than `limit_bytes`.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while (part := await self.read_data()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > limit_bytes:
+            body += part
+            if len(body) > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
-        return b"".join(parts)
+        return bytes(body)
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
         """
