A task that fails is started again and does not end the process

Cause: all tasks of a gateway ran in one nursery, so that any exception that one of them did not expect, from what a neighbour sent or the system returned, ended the process, with all requests in flight. One connection of a caller, of a page or of a peer, one probe or one datagram sufficed.

Change: `gateway.task_guard` is the one place. A connection that fails is given up alone, and so is a datagram that can't be applied. The requests that wait for a probe are told also if it fails. The socket for datagrams is closed with the process and not with the task that reads it.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -19,6 +19,7 @@
 )
 from scaleloom_fleet.gateway.request_metrics import record_malformed, record_unserved
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.task_guard import run_once
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
@@ -99,9 +100,12 @@
     limit = exceeded_by_caller(state, connection)
     if limit is not None:
         state.refusals_in_progress += 1
-        nursery.start_soon(refuse_caller, state, connection, limit)
+        nursery.start_soon(
+            run_once, state, "refusal", refuse_caller, state, connection, limit
+        )
         return
-    nursery.start_soon(_serve_caller, state, _register(state, connection))
+    caller = _register(state, connection)
+    nursery.start_soon(run_once, state, "caller", _serve_caller, state, caller)
 
 
 def _register(state: GatewayState, connection: socket.socket) -> CallerConnection:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -104,6 +104,13 @@
     ("outcome",),
     DURATION_BOUNDS_S,
 )
+TASK_FAILURES = MetricDefinition(
+    "scaleloom_task_failures_total",
+    _COUNTER,
+    "Unexpected failures of the process's tasks, which were started again, and of"
+    " single connections and datagrams, which were given up.",
+    ("task",),
+)
 REQUESTS_WAITING = MetricDefinition(
     "scaleloom_requests_waiting", _GAUGE, "Requests that wait for a free target slot."
 )
@@ -300,6 +307,7 @@
     LOG_LINES,
     LOG_WAITING_BYTES,
     LABEL_SETS_FOLDED,
+    TASK_FAILURES,
     TARGETS_CRASHED,
     SUSPECTED_REQUESTS,
     SUSPECTED_PARTS,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metrics_page.py
@@ -67,7 +67,9 @@
     listener = await _listen(address)
     if listener is not None:
         page = MetricsPage(state)
-        await page_server.serve_pages(page.respond, listener, nursery, MAX_CONNECTIONS)
+        await page_server.serve_pages(
+            state, page.respond, listener, nursery, MAX_CONNECTIONS
+        )
 
 
 async def _listen(address: Address) -> socket.socket | None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/page_server.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/page_server.py
@@ -6,6 +6,8 @@
 import msgspec
 import trio
 
+from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.task_guard import run_once
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
@@ -41,6 +43,7 @@
 
 
 async def serve_pages(
+    state: GatewayState,
     handler: PageHandler,
     listener: socket.socket,
     nursery: trio.Nursery,
@@ -70,7 +73,7 @@
             connection.close()
             continue
         open_connections.add(connection)
-        nursery.start_soon(answer, connection)
+        nursery.start_soon(run_once, state, "page", answer, connection)
 
 
 async def _serve_connection(handler: PageHandler, connection: socket.socket) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -14,6 +14,7 @@
 )
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_fleet.gateway.state import GatewayState, compress_entries
+from scaleloom_fleet.gateway.task_guard import run_once
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
 from scaleloom_fleet.utils.addresses import Address
@@ -128,7 +129,9 @@
         """Accept connections of peers at `listener`."""
         while True:
             connection = await sockets.accept(listener)
-            nursery.start_soon(self._serve, connection)
+            nursery.start_soon(
+                run_once, self._state, "document", self._serve, connection
+            )
 
     async def _serve(self, connection: socket.socket) -> None:
         """Respond to one peer, or close the connection at `MAX_TRANSFERS`."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -30,6 +30,7 @@
 from scaleloom_fleet.gateway.rollout_reports import RolloutReporter
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
+from scaleloom_fleet.gateway.task_guard import record_failure
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.binding import open_when_free
 from scaleloom_fleet.utils.addresses import Address
@@ -124,18 +125,19 @@
             return
 
     async def receive_forever(self) -> None:
-        """Receive messages of peers and apply them; close the socket at the end."""
-        try:
-            while True:
-                await trio.lowlevel.wait_readable(self._socket)
-                for _ in range(READ_BATCH):
-                    if not self._receive_one():
-                        break
-        finally:
-            self._socket.close()
+        """Receive messages of peers and apply them."""
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            for _ in range(READ_BATCH):
+                if not self._receive_one():
+                    break
+
+    def close(self) -> None:
+        """Close the datagram socket."""
+        self._socket.close()
 
     def _receive_one(self) -> bool:
-        """Receive and apply one report; return False if none is pending."""
+        """Receive and apply one message; return False if none is pending."""
         try:
             data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
         except BlockingIOError:
@@ -143,17 +145,31 @@
         except OSError:
             return True
         try:
-            if is_origin_message(data):
-                self._origins.receive(data, InstanceId(str(Address(*sender))))
-                return True
-            report = self._decoder.decode(data)
-            for member in (report.sender, *report.others):
-                self._record_member(member, report)
+            self._apply_message(data, InstanceId(str(Address(*sender))))
         except (msgspec.DecodeError, ValueError):
             return True
-        self._apply(report)
+        except Exception as error:
+            # One message that can't be applied must not keep the others from it.
+            record_failure(self._state, "datagram", error)
         return True
 
+    def _apply_message(self, data: bytes, sender: InstanceId) -> None:
+        """
+        Apply one message.
+
+        Raises
+        ------
+        ValueError, msgspec.DecodeError
+            If it cannot be read.
+        """
+        if is_origin_message(data):
+            self._origins.receive(data, sender)
+            return
+        report = self._decoder.decode(data)
+        for member in (report.sender, *report.others):
+            self._record_member(member, report)
+        self._apply(report)
+
     def _record_member(self, member: FleetMember, report: PeerReport) -> None:
         """
         Record that a router is alive.
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -40,6 +40,7 @@
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.gateway.target_selection import backoff_until_s
+from scaleloom_fleet.gateway.task_guard import keep_running
 from scaleloom_fleet.gateway.wait_queue import WaitQueue
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.binding import open_when_free
@@ -49,6 +50,7 @@
 from scaleloom_fleet.utils.statsd_metrics import FLUSH_INTERVAL_S, make_statsd_metrics
 from scaleloom_fleet.utils.stop_signals import wait_for_stop_signal
 
+Task = Callable[..., Awaitable[None]]
 IDLE_CHECK_INTERVAL_S = 0.1
 STOP_MARGIN_S = 0.3
 # Part of the margin; the rest is for the end of the process.
@@ -87,47 +89,52 @@
 
     front: socket.socket | None = None
 
+    def start(nursery: trio.Nursery, name: str, task: Task, *arguments) -> None:
+        """Start a task that is started again if it fails."""
+        nursery.start_soon(keep_running, state, name, partial(task, *arguments))
+
     async def begin(nursery: trio.Nursery) -> None:
         """Open the ports as they become free, and start the tasks."""
         nonlocal front
         front = await _listen(settings.front_address, "callers")
-        nursery.start_soon(accepting.accept_forever, state, front, nursery)
+        start(nursery, "accept", accepting.accept_forever, state, front, nursery)
         ready = await _listen(settings.ready_address, "readiness page")
-        nursery.start_soon(readiness.answer_forever, state, ready, nursery)
+        start(nursery, "readiness", readiness.answer_forever, state, ready, nursery)
         documents = await peers.bind()
-        nursery.start_soon(peers.serve_documents, documents, nursery)
+        start(nursery, "documents", peers.serve_documents, documents, nursery)
         state.may_accept_callers.set()
         _logger.info("started")
-        for task in (
-            targets.follow,
-            config.follow,
-            peers.receive_forever,
-            peers.report_forever,
-            peers.announce_origins_forever,
-            peers.fetch_forever,
-            peers.register_forever,
-            copies.read_until_loaded,
-            copies.write_forever,
-            holder_copies.read,
-            holder_copies.write_forever,
-            decisions.decide_forever,
-            crash_log.follow,
-            crash_log.write_forever,
-            crash_log.prune_forever,
-            state.crashes.prober.probe_forever,
-            state.abandoned_links.drain_forever,
-            state.link_pools.sweep_forever,
-            partial(watch_links, state.link_pools),
-            state.wait_queue.dispatch_forever,
-            partial(watch_lateness, state),
-        ):
-            nursery.start_soon(task)
-        nursery.start_soon(record_start_time, state)
+        for name, task in {
+            "targets": targets.follow,
+            "configuration": config.follow,
+            "datagrams": peers.receive_forever,
+            "reports": peers.report_forever,
+            "origins": peers.announce_origins_forever,
+            "fetches": peers.fetch_forever,
+            "registration": peers.register_forever,
+            "copy_reads": copies.read_until_loaded,
+            "copy_writes": copies.write_forever,
+            "holder_reads": holder_copies.read,
+            "holder_writes": holder_copies.write_forever,
+            "rollouts": decisions.decide_forever,
+            "crash_reads": crash_log.follow,
+            "crash_writes": crash_log.write_forever,
+            "crash_pruning": crash_log.prune_forever,
+            "probes": state.crashes.prober.probe_forever,
+            "abandoned_links": state.abandoned_links.drain_forever,
+            "idle_links": state.link_pools.sweep_forever,
+            "silent_links": partial(watch_links, state.link_pools),
+            "wait_queue": state.wait_queue.dispatch_forever,
+            "lateness": partial(watch_lateness, state),
+            "start_time": partial(record_start_time, state),
+        }.items():
+            start(nursery, name, task)
         if settings.metrics_address is not None:
             add_collectors(state)
-            nursery.start_soon(serve_page, state, settings.metrics_address, nursery)
+            address = settings.metrics_address
+            start(nursery, "metrics", serve_page, state, address, nursery)
         if settings.statsd_address is not None:
-            nursery.start_soon(_report_metrics, state)
+            start(nursery, "statsd", _report_metrics, state)
 
     async def accept_rest() -> None:
         """Accept the callers that wait at the port, and close it."""
@@ -136,12 +143,15 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(begin, nursery)
-        nursery.start_soon(write_lines)
+        start(nursery, "log", write_lines)
         if settings_path is not None:
-            nursery.start_soon(reload_on_sighup, state, settings_path)
-        await wait_stop()
-        await _drain(state, accept_rest)
-        nursery.cancel_scope.cancel()
+            start(nursery, "settings", reload_on_sighup, state, settings_path)
+        try:
+            await wait_stop()
+            await _drain(state, accept_rest)
+        finally:
+            nursery.cancel_scope.cancel()
+            peers.close()
     state.link_pools.close()
     _logger.info("stopped")
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/readiness.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/readiness.py
@@ -19,4 +19,4 @@
             return Page(404)
         return Page(200 if state.is_ready else 503)
 
-    await page_server.serve_pages(make_page, listener, nursery)
+    await page_server.serve_pages(state, make_page, listener, nursery)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -190,8 +190,15 @@
 
     async def _run_probe(self, probe: TargetProbe) -> None:
         """Find out whether a target accepts connections, and report the result."""
-        await trio.sleep_until(probe.begins_s)
-        is_running = await self._is_running(probe.target)
+        try:
+            await trio.sleep_until(probe.begins_s)
+            self._apply_result(probe, await self._is_running(probe.target))
+        finally:
+            # Requests wait for the end of the probe, whatever it is.
+            probe.is_done.set()
+
+    def _apply_result(self, probe: TargetProbe, is_running: bool | None) -> None:
+        """Report whether the target accepts connections; None if it is not known."""
         probe.has_crashed = is_running is False
         if probe.has_crashed:
             self.crash_count += 1
@@ -203,7 +210,6 @@
             self._on_running(probe.answered)
         probe.broken.clear()
         probe.answered.clear()
-        probe.is_done.set()
 
     def _abandoned_causes(self, probe: TargetProbe) -> list[CauseDigest]:
         """Return the causes in requests that a target may have run when it crashed."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -18,6 +18,7 @@
 RETRY_RATIO = 0.05
 RETRY_EXTRA = 5
 SHOWN_LOG_LINES = 12
+TASK_FAILED = '"message": "task failed"'
 EXIT_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 
 
@@ -77,6 +78,13 @@
         exits = self.unexpected_exits
         return f"{self.name}: start {self.incarnation}, exits {exits}\n{last_lines}"
 
+    def read_task_failures(self) -> list[str]:
+        """Return the lines of the log that tell of a task that failed."""
+        if not self.log_path.exists():
+            return []
+        text = self.log_path.read_text(encoding="utf-8", errors="replace")
+        return [line for line in text.splitlines() if TASK_FAILED in line]
+
     def write_settings(self, seeds: str) -> None:
         """Write the settings file, with `seeds` as the addresses of the first peers."""
         parser = configparser.ConfigParser(interpolation=None)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -313,12 +313,18 @@
 
 
 def check_exits(site: SoakSite, observations: Observations) -> list[str]:
-    """Return the gateways that exited without a signal of the soak."""
-    return [
+    """Return the gateways that exited unasked, and those of which a task failed."""
+    exits = [
         f"{gateway.name} exited with {code}"
         for gateway in site.gateways
         for code in gateway.unexpected_exits
     ]
+    failures = [
+        f"a task of {gateway.name} failed: {line}"
+        for gateway in site.gateways
+        for line in gateway.read_task_failures()
+    ]
+    return exits + failures
 
 
 PROMISES: dict[str, Callable[[SoakSite, Observations], list[str]]] = {
--- a/tests/test_soak_answers.py
+++ b/tests/test_soak_answers.py
@@ -1,7 +1,10 @@
 """Tests that the soak tells broken-off answers from whole ones."""
 
 import random
+import tempfile
 from collections.abc import Sequence
+from pathlib import Path
+from types import SimpleNamespace
 
 from nose2.tools import params
 
@@ -9,6 +12,7 @@
 from soak.answer_checks import check_answers, check_whole_answers
 from soak.callers import CallerResult, Observations
 from soak.processes import GatewayProcess
+from soak.promise_checks import check_exits
 from soak.site import SoakSite
 from soak.targets import Arrival, SoakTarget
 from tests.fixtures.cut_answers import Cut, Ending, PlannedAnswer, cut_pieces
@@ -133,3 +137,15 @@
             sent = b"".join(cut_pieces(EVENTS, cut, rng))
             assert STREAM.startswith(sent) and sent != STREAM
             assert sent.endswith(b"\n\n") is (cut is Cut.BETWEEN_PIECES) or not sent
+
+
+def test_a_task_that_failed_is_noticed():
+    with tempfile.TemporaryDirectory() as directory:
+        gateway = GatewayProcess(
+            "g-1", "127.0.0.1", 1, 2, Path(directory), front_port=3, ready_port=4
+        )
+        site = SimpleNamespace(gateways=[gateway])
+        assert check_exits(site, Observations()) == []
+        line = '{"level": "ERROR", "message": "task failed", "task": "reports"}'
+        gateway.log_path.write_text(f'{{"message": "started"}}\n{line}\n')
+        assert check_exits(site, Observations()) == [f"a task of g-1 failed: {line}"]
