--- a/soak/processes.py
+++ b/soak/processes.py
@@ -21,6 +21,7 @@
 EXIT_BAD_SETTINGS = 78
 WAIT_POLL_S = 0.005
 BYTES_PER_KIB = 1024
+TASK_FAILED = '"message": "task failed"'
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +135,13 @@
         text = self.log_path.read_text(encoding="utf-8", errors="replace")
         return text.splitlines()[-SHOWN_LOG_LINES:]
 
+    def read_task_failures(self) -> list[str]:
+        """Return the lines of the log that tell of a task that failed."""
+        if not self.log_path.exists():
+            return []
+        text = self.log_path.read_text(encoding="utf-8", errors="replace")
+        return [line for line in text.splitlines() if TASK_FAILED in line]
+
     def write_settings(self, seeds: str) -> None:
         """Write the settings file, with `seeds` as the addresses of the first peers."""
         parser = configparser.ConfigParser(interpolation=None)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -326,13 +326,19 @@
 
 
 def check_exits(site: SoakSite, observations: Observations) -> list[str]:
-    """Return the gateways that exited without a signal of the soak."""
-    return [
+    """Return the gateways that exited unasked, and those of which a task failed."""
+    exits = [
         f"{gateway.name} exited with {end.exit_code} at {end.ended_s:.2f},"
         f" after {end.last_line!r}"
         for gateway in site.gateways
         for end in gateway.unexpected_ends
     ]
+    failures = [
+        f"a task of {gateway.name} failed: {line}"
+        for gateway in site.gateways
+        for line in gateway.read_task_failures()
+    ]
+    return exits + failures
 
 
 PROMISES: dict[str, Callable[[SoakSite, Observations], list[str]]] = {
