Give a silent target up only if nothing from it waits to be read

A caller got no success: its request was at a silent target and, for 0.25 s, at another one; the first one's answer and the end of that time came to notice in the same step, the first was given up, and the other one never answered.

Cause: the time was a deadline of the scope that reads, and an expired deadline can't be taken back. Now a task of its own gives the target up, after a look at its socket; what has arrived gets 0.02 s to be read.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedges.py
@@ -33,8 +33,12 @@
     silent : Exchange
         The exchange with the silent target.
     silent_scope, others_scope : trio.CancelScope
-        Enclose the reading from the silent target, and the attempts at others. While
-        another target has the request, the former has a deadline.
+        Enclose the reading from the silent target, and the attempts at others.
+    give_up_s : float
+        When the silent target is given up, on the runtime's clock; infinity unless
+        another target has the request.
+    is_limit_changed : trio.Event
+        Set when `give_up_s` changes.
     is_kept : trio.Event
         Set when no other target has the request any more.
     result : AttemptResult or None
@@ -57,6 +61,8 @@
     silent_since_s: float
     silent_scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
     others_scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
+    give_up_s: float = UNLIMITED_S
+    is_limit_changed: trio.Event = msgspec.field(default_factory=trio.Event)
     is_kept: trio.Event = msgspec.field(default_factory=trio.Event)
     result: AttemptResult | None = None
     is_decided: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -68,7 +74,12 @@
     @property
     def may_be_replaced(self) -> bool:
         """Return whether another target has the request and may run it."""
-        return self.silent_scope.deadline < UNLIMITED_S
+        return self.give_up_s < UNLIMITED_S
+
+    def limit(self, give_up_s: float) -> None:
+        """Have the silent target given up at `give_up_s`, or keep it if that is inf."""
+        self.give_up_s = give_up_s
+        self.is_limit_changed.set()
 
     @property
     def silence_end(self) -> SilenceEnd:
@@ -84,7 +95,7 @@
     """Have the silent targets given up soon after another one was sent the request."""
     until_s = trio.current_time() + OVERLAP_S
     for hedge in hedges:
-        hedge.silent_scope.deadline = until_s
+        hedge.limit(until_s)
 
 
 def keep_silent_targets(hedges: Sequence[Hedge], exchange: Exchange) -> None:
@@ -93,5 +104,5 @@
         if hedge.silent is exchange:
             return
         if not hedge.is_taken_over:
-            hedge.silent_scope.deadline = UNLIMITED_S
+            hedge.limit(UNLIMITED_S)
             hedge.is_kept.set()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedging.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/hedging.py
@@ -13,11 +13,14 @@
 from scaleloom_fleet.gateway.hedges import UNLIMITED_S, Hedge
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.request_metrics import record_silence, record_silence_end
+from scaleloom_fleet.gateway.silences import has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1.callers import CallerDisconnected
 
 # A slot, the retry budget or a target may have become available by then.
 ATTEMPT_INTERVAL_S = 1.0
+# What has arrived is read within this time, unless the process is very late.
+READ_TIME_S = 0.02
 
 AttemptOthers = Callable[[], Awaitable[FleetError | None]]
 ReadAnswer = Callable[[], Awaitable[AttemptResult]]
@@ -56,6 +59,7 @@
         async with trio.open_nursery() as nursery:
             read_on = partial(_read_on, state, context, hedge, read_answer)
             nursery.start_soon(read_on, nursery.cancel_scope)
+            nursery.start_soon(_give_up_in_time, hedge)
             await _attempt_until_decided(hedge, attempt_others)
             _complete_if_answered(context, nursery.cancel_scope)
     finally:
@@ -83,10 +87,30 @@
             hedge.others_scope.cancel()
         _complete_if_answered(context, scope)
     hedge.is_decided.set()
+    hedge.limit(UNLIMITED_S)
     if hedge.silent_scope.cancelled_caught and not hedge.is_disconnected:
         _take_over(state, context, hedge)
 
 
+async def _give_up_in_time(hedge: Hedge) -> None:
+    """
+    Give the silent target up at `give_up_s`, unless it goes on before.
+
+    After a pause of the process that time and what the target has sent meanwhile come
+    to notice at once, and the task that reads may run after this one.
+    """
+    while not hedge.is_decided.is_set():
+        hedge.is_limit_changed = trio.Event()
+        with trio.move_on_at(hedge.give_up_s):
+            await hedge.is_limit_changed.wait()
+            continue
+        if not has_fallen_silent(hedge.silent):
+            await trio.sleep(READ_TIME_S)
+        if trio.current_time() >= hedge.give_up_s:
+            hedge.silent_scope.cancel()
+            return
+
+
 def _complete_if_answered(context: RequestContext, scope: trio.CancelScope) -> None:
     """Let no disconnect of a caller that has its answer cancel what is left to do."""
     scope.shield = context.connection.is_answer_complete
@@ -121,7 +145,7 @@
     for hedge in context.hedges:
         if hedge.silent is exchange:
             hedge.has_gone_on = True
-            hedge.silent_scope.deadline = UNLIMITED_S
+            hedge.limit(UNLIMITED_S)
             record_silence_end(state, context, hedge)
             hedge.others_scope.cancel()
             return
