Bound an event without an end, and search it once

Cause: the splitter of a resumable stream searched the whole partial event again at each part, without a bound on its length, and copied it. Parts of a buffered answer were kept as one object each.

Change: the search goes on 3 bytes before the new part; an event above 1 MiB (as a buffered answer) ends as a broken answer, with the line and the count of the bound "event". A buffered answer is one bytearray.

Tests: with the search from the start again test_an_event_in_many_pieces_is_searched_once fails. With the bound off the case ("event", "/stream/1") did not end within 15 s of real time (stopped by hand); with it on it passes.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -7,12 +7,16 @@
 _ENDS_OF_EVENTS = (b"\n\n", b"\n\r\n", b"\n\r", b"\r\r", b"\r\r\n")
 _LONGEST_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# What may precede the last byte of `_EVENT_END`.
+_UNDECIDED_BYTES = 3
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
 class EventBoundary:
     """Passes a stream on as it arrives, and tells whether it ends inside an event."""
 
+    partial_bytes = 0
+
     def __init__(self) -> None:
         self._last_bytes = b""
 
@@ -32,6 +36,7 @@
     """Passes a body on that is no stream of events."""
 
     has_partial = False
+    partial_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return `data` unchanged."""
@@ -42,16 +47,20 @@
     """Holds back incomplete events of a stream, and remembers the last event id."""
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.last_id: bytes | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events that `data` finishes."""
-        buffered = self._partial + data
+        searched_bytes = max(0, len(self._partial) - _UNDECIDED_BYTES)
+        self._partial += data
         end = 0
-        for boundary in _EVENT_END.finditer(buffered):
+        for boundary in _EVENT_END.finditer(self._partial, searched_bytes):
             end = boundary.end()
-        complete, self._partial = buffered[:end], buffered[end:]
+        if not end:
+            return b""
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         ids = _ID_LINE.findall(complete)
         if ids:
             self.last_id = ids[-1]
@@ -59,7 +68,7 @@
 
     def drop_partial(self) -> None:
         """Discard an event that its target never finished."""
-        self._partial = b""
+        self._partial.clear()
 
     def go_back_to(self, last_id: bytes | None) -> None:
         """Discard what came after the event `last_id`, the last that was passed on."""
@@ -70,3 +79,8 @@
     def has_partial(self) -> bool:
         """Return whether an event is incomplete."""
         return bool(self._partial)
+
+    @property
+    def partial_bytes(self) -> int:
+        """Return how much of an incomplete event is held back."""
+        return len(self._partial)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from scaleloom_fleet.gateway.silences import event_timeout_s, has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import record_first_event
+from scaleloom_fleet.http1.input_pace import InputBound
 from scaleloom_fleet.http1.links import (
     AnswerHead,
     AnswerProtocolError,
@@ -24,6 +25,8 @@
 )
 
 BUFFERED_ANSWER_LIMIT_BYTES = 1 << 20
+# An incomplete event is held back, as a short answer is.
+MAX_EVENT_BYTES = 1 << 20
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
@@ -32,17 +35,15 @@
 ) -> AttemptResult:
     """Forward an answer that is short enough to be buffered first."""
     link = exchange.link
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while (part := await link.read_data()) is not None:
-        parts.append(part)
-        size += len(part)
-        if size > BUFFERED_ANSWER_LIMIT_BYTES:
-            return await _forward_long(state, context, exchange, b"".join(parts))
+        body += part
+        if len(body) > BUFFERED_ANSWER_LIMIT_BYTES:
+            return await _forward_long(state, context, exchange, bytes(body))
     if exchange.observation is not None:
         exchange.observation.record_body_complete(trio.current_time())
     _record_first_byte(state, context)
-    await forward_answer(state, context, link.head, b"".join(parts))
+    await forward_answer(state, context, link.head, bytes(body))
     return AttemptResult.ANSWERED
 
 
@@ -154,6 +155,8 @@
             record_first_data()
         record_body_part(exchange, len(part))
         ready = events.feed(part)
+        if events.partial_bytes > MAX_EVENT_BYTES:
+            raise link.exceed(InputBound.EVENT)
         if not ready:
             continue
         if context.answering is not exchange:
--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/test_event_splitter.py
@@ -1,12 +1,41 @@
 """Tests of splitting a stream into complete events."""
 
+import re
+from unittest import mock
+
 from hypothesis import given
 from hypothesis import strategies as st
 
+from scaleloom_fleet.gateway import event_splitter
 from scaleloom_fleet.gateway.event_splitter import EventSplitter
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 3\ndata: c\n\n"
 
+PIECE_BYTES = 64
+
+
+class CountingPattern:
+    """A pattern that counts the bytes that it searches."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def finditer(self, data: bytes, start: int = 0):
+        """Return the matches from `start` on."""
+        self.searched_bytes += len(data) - start
+        return self._pattern.finditer(data, start)
+
+
+def test_an_event_in_many_pieces_is_searched_once():
+    counting = CountingPattern(event_splitter._EVENT_END)
+    splitter = EventSplitter()
+    with mock.patch.object(event_splitter, "_EVENT_END", counting):
+        for _ in range(1000):
+            splitter.feed(b"a" * PIECE_BYTES)
+    assert splitter.partial_bytes == 1000 * PIECE_BYTES
+    assert counting.searched_bytes < 1.1 * splitter.partial_bytes
+
 
 @given(st.lists(st.integers(0, len(STREAM)), max_size=12))
 def test_any_cutting_gives_the_same_bytes_and_the_last_id(cuts):
--- a/tests/gateway/test_input_without_end.py
+++ b/tests/gateway/test_input_without_end.py
@@ -70,7 +70,7 @@
         runner.behaviour = behave
 
 
-@params(*ENDED)
+@params(*ENDED, ("event", "/stream/1"))
 @runs_on_paused_clock
 async def test_an_answer_without_end_ends_in_time_and_others_are_served(kind, path):
     async with running_site(runner_count=1) as site:
