Tell an operator who slowed the process, and that it stood still

Cause: no line and no metric told that a process stood still, for how long, or whose input did it.

Change: counters of slowed messages, of exceeded bounds by bound, and of stalls above 0.1 s with their time; a line "process stood still" from the watch of lateness. Without lateness_s the watch ticks once a second as before, so that a stall is seen by its part after the tick was due.

Tests: with the watch's record and the collector off, all 6 new cases fail; with them on tests.gateway.test_metrics_page passes (31 tests).

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
@@ -12,6 +12,7 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway import metric_definitions
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.http1.input_pace import process_budget
 from scaleloom_fleet.utils import process_info
 from scaleloom_fleet.utils.logs import find_line_handler
 
@@ -30,6 +31,7 @@
 
     async def collect_process() -> None:
         _set_process(state)
+        _set_input(state)
         _set_logs(state)
 
     async def collect_targets() -> None:
@@ -125,6 +127,14 @@
         )
 
 
+def _set_input(state: GatewayState) -> None:
+    """Set the counters of input that was slowed or broken off."""
+    registry, budget = state.metrics_registry, process_budget()
+    registry.set(metric_definitions.INPUTS_SLOWED, budget.slowed_count)
+    for bound, count in budget.exceeded_counts.items():
+        registry.set(metric_definitions.INPUT_BOUNDS_EXCEEDED, count, bound.value)
+
+
 def _set_logs(state: GatewayState) -> None:
     """Set the metrics of log lines and of dropped label sets."""
     registry = state.metrics_registry
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -207,6 +207,27 @@
 LOG_WAITING_BYTES = MetricDefinition(
     "scaleloom_log_waiting_bytes", _GAUGE, "Size of the log lines not yet read."
 )
+INPUTS_SLOWED = MetricDefinition(
+    "scaleloom_inputs_slowed_total",
+    _COUNTER,
+    "Messages whose many small pieces were read more slowly than they came.",
+)
+INPUT_BOUNDS_EXCEEDED = MetricDefinition(
+    "scaleloom_input_bounds_exceeded_total",
+    _COUNTER,
+    "Messages that exceeded a bound on input, and were broken off.",
+    ("bound",),
+)
+STALLS = MetricDefinition(
+    "scaleloom_stalls_total",
+    _COUNTER,
+    "How often the process stood still for more than 0.1 s.",
+)
+STALLED_SECONDS = MetricDefinition(
+    "scaleloom_stalled_seconds_total",
+    _COUNTER,
+    "Total time of these stalls.",
+)
 LABEL_SETS_FOLDED = MetricDefinition(
     "scaleloom_label_sets_folded_total",
     _COUNTER,
@@ -299,6 +320,10 @@
     START_TO_READY_SECONDS,
     LOG_LINES,
     LOG_WAITING_BYTES,
+    INPUTS_SLOWED,
+    INPUT_BOUNDS_EXCEEDED,
+    STALLS,
+    STALLED_SECONDS,
     LABEL_SETS_FOLDED,
     TARGETS_CRASHED,
     SUSPECTED_REQUESTS,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/overload_refusals.py
@@ -8,6 +8,7 @@
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.process_limits import Resource
 from scaleloom_fleet.gateway.error_responses import send_error
+from scaleloom_fleet.gateway.metric_definitions import STALLED_SECONDS, STALLS
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
@@ -24,6 +25,8 @@
 MAX_CONCURRENT_REFUSALS = 16
 # A tenth of the time after which lateness counts.
 TICK_S = 0.05
+# Callers begin to feel a pause as long as this.
+STALL_S = 0.1
 # A reload of the settings may set a limit where none was set.
 SETTINGS_CHECK_S = 1.0
 _logger = logging.getLogger("scaleloom.limits")
@@ -32,13 +35,26 @@
 async def watch_lateness(state: GatewayState) -> None:
     """Measure the delay of the process's timers for as long as the process runs."""
     while True:
-        if not state.settings.limits.lateness_s:
-            await trio.sleep(SETTINGS_CHECK_S)
-            continue
-        due_s = trio.current_time() + TICK_S
+        is_limited = bool(state.settings.limits.lateness_s)
+        due_s = trio.current_time() + (TICK_S if is_limited else SETTINGS_CHECK_S)
         await trio.sleep_until(due_s)
         now_s = trio.current_time()
-        state.process_limits.lateness.record(now_s - due_s, now_s)
+        if is_limited:
+            state.process_limits.lateness.record(now_s - due_s, now_s)
+        if now_s - due_s > STALL_S:
+            _record_stall(state, now_s - due_s)
+
+
+def _record_stall(state: GatewayState, stalled_s: float) -> None:
+    """Count and log that the process stood still for `stalled_s`."""
+    state.metrics_registry.add(STALLS)
+    state.metrics_registry.add(STALLED_SECONDS, amount=stalled_s)
+    fields = {
+        "stalled_ms": int(stalled_s * 1000),
+        "connections": len(state.connections),
+        "in_flight": sum(state.load.local.values()),
+    }
+    _logger.warning("process stood still", extra=fields)
 
 
 def may_accept(state: GatewayState) -> bool:
--- a/tests/gateway/test_metrics_page.py
+++ b/tests/gateway/test_metrics_page.py
@@ -12,6 +12,7 @@
 from scaleloom_fleet.conf.gateway_schema import (
     FleetBoundsSection,
     GatewayObserveSection,
+    LimitsSection,
 )
 from scaleloom_fleet.gateway import accepting, metric_definitions
 from scaleloom_fleet.gateway.metrics_page import MAX_CONNECTIONS, PAGE_TTL_S
@@ -24,6 +25,7 @@
 )
 from scaleloom_standins.ports import free_port
 from tests.fixtures import stub_targets
+from tests.fixtures.endless_inputs import ENDLESS_TARGETS
 from tests.fixtures.expositions import ParsedPage, parse_page
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import (
@@ -46,6 +48,7 @@
 WORK_S = 1.0
 REQUEST_COUNT = 40
 INVALID_PORT = 65536
+STALLED_S = 0.3
 
 
 @asynccontextmanager
@@ -125,6 +128,41 @@
     assert logged == ([] if end == "whole" else [(delimiter, end)])
 
 
+@params(
+    ("interim heads", "/once/1", "interim_heads"),
+    ("tiny chunks", "/once/1", "tiny_pieces"),
+    ("surplus answer", "/once/1", "surplus_answer"),
+    ("event", "/stream/1", "event"),
+)
+@runs_on_paused_clock
+async def test_input_that_exceeds_a_bound_is_counted(kind, path, bound):
+    async with _site_with_page() as (site, port):
+        for target in site.runners:
+            target.behaviour = ENDLESS_TARGETS[kind]
+        await site.ask(path)
+        page = await _fetch(port)
+    name = "scaleloom_input_bounds_exceeded_total"
+    assert page.value(name, bound=bound) == page.total(name) > 0
+    slowed = page.value("scaleloom_inputs_slowed_total")
+    assert (slowed > 0) == (kind == "tiny chunks")
+
+
+@params(({"lateness_s": 0.2}, 0.05), ({}, 1.0))
+@runs_on_paused_clock
+async def test_a_process_that_stands_still_is_logged_and_counted(limits, tick_s):
+    limited = LimitsSection(**limits)
+    with FieldsHandler.capture("scaleloom.limits", "process stood still") as lines:
+        async with _site_with_page(limits=limited) as (_, port):
+            await trio.sleep(3.0)
+            assert not lines
+            # At most a tick of it has been slept anyway.
+            trio.lowlevel.current_clock().jump(STALLED_S + tick_s)
+            page = await _fetch(port)
+    assert [line["stalled_ms"] >= STALLED_S * 1000 for line in lines] == [True]
+    assert page.value("scaleloom_stalls_total") == 1
+    assert page.value("scaleloom_stalled_seconds_total") >= STALLED_S
+
+
 @runs_on_paused_clock
 async def test_an_unhandled_exception_is_counted_as_internal():
     async def fail(*_) -> None:
