Take the pace of input off the normal path

Cause: a reader that waited for input settled its pace and read the clock each time, also with nothing to settle or to refill.

Change: both are left out then; a request gives way only if its turn is over.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -147,7 +147,8 @@
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
-        await self._give_way()
+        if self._parsing_pace.is_turn_over:
+            await self._give_way()
         self._parsing_pace.begin_message()
         await self._wait_for_first_byte(find_limits)
         limits = find_limits()
@@ -198,7 +199,7 @@
 
     async def _give_way(self) -> float:
         """
-        Let others have their turn if this connection has had its own.
+        Let others have their turn.
 
         Returns
         -------
@@ -210,8 +211,6 @@
         RequestRejected
             If the request has too many pieces for its size: no proper caller sends so.
         """
-        if not self._parsing_pace.is_turn_over:
-            return 0.0
         begun_s = trio.current_time()
         try:
             await self._parsing_pace.give_way()
@@ -237,7 +236,8 @@
         deadline_s = trio.current_time() + limits.body_timeout_s
         body = bytearray()
         while True:
-            deadline_s += await self._give_way()
+            if self._parsing_pace.is_turn_over:
+                deadline_s += await self._give_way()
             event = self._next_event()
             if event is h11.NEED_DATA:
                 if not await self._wait_for_input_until(deadline_s):
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/input_pace.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/input_pace.py
@@ -173,8 +173,16 @@
 
     def rest(self) -> None:
         """Begin a new turn, since all input was processed and more is waited for."""
-        self._settle()
+        if self._turn_pieces:
+            self._settle()
         self.is_turn_over = False
+        if self._credit_pieces < BURST_PIECES:
+            self._refill()
+        else:
+            self._refilled_s = None
+
+    def _refill(self) -> None:
+        """Let the connection have the pieces of the time since its last wait."""
         now_s = trio.current_time()
         if self._refilled_s is not None:
             gained = (now_s - self._refilled_s) * OWN_PIECES_PER_S
