Count answers that are buffered or wait for a caller

Cause: an answer of up to 1 MiB for each request was buffered without a count, copied twice more when it was sent, and so was a failure kept for forwarding; a body that is never sent again was kept for as long as its answer went on.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
 from scaleloom_core.hashing import HASH_SPAN, hash_text
+from scaleloom_core.memory_account import MemoryUse, MessageReservation
 from scaleloom_core.retry_after import RetryAfterQueue
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.target_signals import RAMP_UP_S
@@ -103,6 +104,17 @@
         await _refuse(state, connection, _STOPPING, match.route.kind.value)
         return
     context = RequestContext(connection, request, match, match.placement)
+    reservation = MessageReservation(state.memory, MemoryUse.ANSWERS)
+    context.failure_reservation = reservation
+    try:
+        await _serve_matched(state, context)
+    finally:
+        reservation.release()
+
+
+async def _serve_matched(state: GatewayState, context: RequestContext) -> None:
+    """Answer a request whose route is known."""
+    connection, match = context.connection, context.match
     if match.route.is_resumable:
         context.splitter = EventSplitter()
     state.retry_windows.get(match.service).record_request(trio.current_time())
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -2,10 +2,12 @@
 
 import logging
 
+import msgspec
 import trio
 
 from scaleloom_core.fleet_load import target_key
 from scaleloom_core.ids import TargetId
+from scaleloom_core.memory_account import SHORT_MESSAGE_BYTES
 from scaleloom_core.routing import RequestKind
 from scaleloom_core.target_delays import PERCENT
 from scaleloom_core.target_entries import ListedTarget
@@ -221,12 +223,23 @@
         return await _read_failure(state, context, exchange, head)
     await claim_answer(state, context, exchange)
     exchange.has_succeeded = True
+    _release_request_body(context, exchange)
     _record_cached_prompt(state, context, exchange)
     if context.match.route.kind is not RequestKind.STREAM:
         _record_first_byte(state, context, exchange)
     return None
 
 
+def _release_request_body(context: RequestContext, exchange: Exchange) -> None:
+    """Drop a long body that was sent whole, if the request is not sent again."""
+    if context.match.route.is_retryable or exchange.link.has_unsent:
+        return
+    if len(context.request.body) > SHORT_MESSAGE_BYTES:
+        context.keep_digest()
+        context.request.release_body()
+        exchange.outgoing = msgspec.structs.replace(exchange.outgoing, body=b"")
+
+
 def _record_not_run(context: RequestContext, exchange: Exchange) -> None:
     """Record that the target has not run the request this time."""
     context.send_count -= 1
@@ -249,7 +262,9 @@
     state: GatewayState, context: RequestContext, exchange: Exchange, head: AnswerHead
 ) -> AttemptResult:
     """Read an answer that is no success, to be forwarded if none follows."""
-    body = await exchange.link.read_body(BUFFERED_ANSWER_LIMIT_BYTES)
+    body = await exchange.link.read_body(
+        BUFFERED_ANSWER_LIMIT_BYTES, context.failure_reservation
+    )
     if head.status >= 500 or context.is_answer_started:
         context.failure = context.failure or (head, body)
         return AttemptResult.FAILED
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -4,6 +4,11 @@
 
 import trio
 
+from scaleloom_core.memory_account import (
+    SHORT_MESSAGE_BYTES,
+    MemoryUse,
+    MessageReservation,
+)
 from scaleloom_fleet.gateway.attempt_results import AttemptResult
 from scaleloom_fleet.gateway.error_responses import closing_headers
 from scaleloom_fleet.gateway.event_splitter import EventBoundary, UnsplitBody
@@ -30,20 +35,34 @@
 async def forward_complete(
     state: GatewayState, context: RequestContext, exchange: Exchange
 ) -> AttemptResult:
-    """Forward an answer that is short enough to be buffered first."""
-    link = exchange.link
-    parts: list[bytes] = []
-    size = 0
+    """Forward an answer, which is buffered first if it is short and fits."""
+    reservation = MessageReservation(state.memory, MemoryUse.ANSWERS)
+    try:
+        body, is_whole = await _read_buffered(exchange.link, reservation)
+        if not is_whole:
+            reservation.release()
+            return await _forward_long(state, context, exchange, body)
+        if exchange.observation is not None:
+            exchange.observation.record_body_complete(trio.current_time())
+        _record_first_byte(state, context)
+        await forward_answer(state, context, exchange.link.head, body)
+        return AttemptResult.ANSWERED
+    finally:
+        reservation.release()
+
+
+async def _read_buffered(
+    link: Link, reservation: MessageReservation
+) -> tuple[bytes, bool]:
+    """Return the body, and whether it is whole; the rest is not to be buffered."""
+    body = bytearray()
     while (part := await link.read_data()) is not None:
-        parts.append(part)
-        size += len(part)
-        if size > BUFFERED_ANSWER_LIMIT_BYTES:
-            return await _forward_long(state, context, exchange, b"".join(parts))
-    if exchange.observation is not None:
-        exchange.observation.record_body_complete(trio.current_time())
-    _record_first_byte(state, context)
-    await forward_answer(state, context, link.head, b"".join(parts))
-    return AttemptResult.ANSWERED
+        body += part
+        if len(body) > BUFFERED_ANSWER_LIMIT_BYTES:
+            return bytes(body), False
+        if not reservation.try_hold(len(body)):
+            return bytes(body), False
+    return bytes(body), True
 
 
 async def forward_answer(
@@ -108,6 +127,9 @@
     """
     observation = exchange.observation
     started_s = trio.current_time() if observation is not None else 0.0
+    # It is held until the caller has taken it, whether it fits or not.
+    long_bytes = len(part) if len(part) > SHORT_MESSAGE_BYTES else 0
+    state.memory.reserve(MemoryUse.ANSWERS, long_bytes)
     try:
         if not context.is_answer_started:
             record_first_event(state, context, exchange)
@@ -117,6 +139,7 @@
             context.last_event_id = context.splitter.last_id
         await context.connection.send_data(part)
     finally:
+        state.memory.release(MemoryUse.ANSWERS, long_bytes)
         if observation is not None:
             observation.record_backpressure(trio.current_time() - started_s)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -4,6 +4,7 @@
 
 from scaleloom_core.cause_digests import part_digest, request_digest
 from scaleloom_core.ids import CauseDigest, TargetId
+from scaleloom_core.memory_account import MessageReservation
 from scaleloom_core.placement_key import PlacementKey
 from scaleloom_core.rollouts.state import RolloutState
 from scaleloom_core.rollouts.versions import Track
@@ -51,6 +52,8 @@
         That of the service's roll-out when the target was chosen.
     failure : tuple of AnswerHead and bytes, or None
         A target's own failure, forwarded if no other target succeeds.
+    failure_reservation : MessageReservation or None
+        The memory for it.
     bound : StreamBound or None
         The targets that the stream may go on at; None if it has not begun.
     is_on_trial : bool
@@ -75,6 +78,7 @@
     is_answer_started: bool = False
     rollout_state: RolloutState | None = None
     failure: tuple[AnswerHead, bytes] | None = None
+    failure_reservation: MessageReservation | None = None
     bound: StreamBound | None = None
     is_on_trial: bool = False
     trials: dict[CauseDigest, int] = msgspec.field(default_factory=dict)
@@ -117,6 +121,10 @@
             )
         return self._digest
 
+    def keep_digest(self) -> None:
+        """Compute the digest, since the body it is made from will be dropped."""
+        self._digest = self.digest
+
     @property
     def part_digests(self) -> tuple[CauseDigest, ...]:
         """Return the digests of the prompt parts that other requests may share."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -22,6 +22,8 @@
     "MemoryExhausted",
     "RequestRejected",
 ]
+# A longer message is sent in several writes, which cost less than a copy.
+MAX_COPIED_BYTES = 65_536
 # A caller that was answered early has noticed it by then, unless its link is slow.
 DISCARD_LIMIT_S = 0.5
 # One whose long body is refused may send most of it before it reads the answer.
@@ -89,7 +91,8 @@
 
     async def send_data(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._send(self._protocol.send(h11.Data(data=data)))
+        event = h11.Data(data=data)
+        await self._send_parts(self._protocol.send_with_data_passthrough(event))
 
     async def send_end(self) -> None:
         """End the body and mark the answer as complete."""
@@ -107,7 +110,7 @@
         has_known_end: bool = True,
     ) -> None:
         """
-        Send an answer in one write, without its body for a HEAD request.
+        Send an answer, in one write if it is short; to HEAD without its body.
 
         Parameters
         ----------
@@ -116,13 +119,21 @@
         """
         self._begin_answer(has_known_end)
         response = h11.Response(status_code=status, reason=reason, headers=headers)
-        data = self._protocol.send(response)
+        parts = [self._protocol.send(response)]
         if body and self._answer_may_have_body:
-            data += self._protocol.send(h11.Data(data=body))
-        data += self._protocol.send(h11.EndOfMessage())
-        await self._send(data)
+            event = h11.Data(data=body)
+            parts += self._protocol.send_with_data_passthrough(event)
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        await self._send_parts(parts)
         self._complete_answer()
 
+    async def _send_parts(self, parts: list[bytes]) -> None:
+        """Send `parts` in order, without a copy of long ones."""
+        if sum(map(len, parts)) <= MAX_COPIED_BYTES:
+            parts = [b"".join(parts)]
+        for part in filter(None, parts):
+            await self._send(part)
+
     @property
     def is_disconnected(self) -> bool:
         """Return whether the end of the connection has been read."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from scaleloom_core.memory_account import STEP_BYTES, MessageReservation
 from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.answers import (
     AnswerHead,
@@ -204,20 +205,30 @@
             return None
         raise AnswerProtocolError("connection ended before the end of the body")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(
+        self, limit_bytes: int, reservation: MessageReservation | None = None
+    ) -> bytes:
         """
         Return the whole body.
 
+        Parameters
+        ----------
+        reservation : MessageReservation or None
+            The memory for the body, which grows with it.
+
         Raises
         ------
         AnswerProtocolError
-            If the body is truncated or longer than `limit_bytes`.
+            If the body is truncated, longer than `limit_bytes`, or longer than a step
+            and does not fit in the memory.
         """
         body = bytearray()
         while (part := await self.read_data()) is not None:
             body += part
             if len(body) > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
+            if reservation is not None:
+                _reserve(reservation, len(body))
         return bytes(body)
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
@@ -325,6 +336,14 @@
             sockets.close(self._connection)
 
 
+def _reserve(reservation: MessageReservation, size_bytes: int) -> None:
+    """Reserve memory for a body, the first step of it in any case."""
+    if size_bytes <= STEP_BYTES:
+        reservation.hold(size_bytes)
+    elif not reservation.try_hold(size_bytes):
+        raise AnswerProtocolError("body of the answer does not fit in the memory")
+
+
 async def open_link(
     address: Address, timeout_s: float, unacked_timeout_ms: int
 ) -> Link | None:
--- a/tests/gateway/test_memory_limits.py
+++ b/tests/gateway/test_memory_limits.py
@@ -3,7 +3,6 @@
 import trio
 from nose2.tools import params
 
-from scaleloom_core.memory_account import MemoryUse
 from scaleloom_fleet.conf.gateway_schema import LimitsSection
 from tests.fixtures import stub_targets
 from tests.fixtures.fleets import runs_on_paused_clock
@@ -35,16 +34,6 @@
     assert answer.headers["connection"] == "close"
 
 
-def _fill(memory: MemorySite) -> None:
-    """Use up the memory for long messages."""
-    memory.state.memory.reserve(MemoryUse.ANSWERS, int(memory.state.memory.limit_bytes))
-
-
-def _empty(memory: MemorySite) -> None:
-    """Release what `_fill` used."""
-    memory.state.memory.release(MemoryUse.ANSWERS, int(memory.state.memory.limit_bytes))
-
-
 @params(*((path, is_chunked) for path in PATHS for is_chunked in (False, True)))
 def test_bodies_that_do_not_fit_are_refused_and_all_others_served(path, is_chunked):
     @runs_on_paused_clock
@@ -76,7 +65,7 @@
 async def test_a_body_that_does_not_fit_is_refused_unread():
     head, _, _ = long_request("/once/1", "r-1").partition(b"\r\n\r\n")
     async with memory_site() as memory:
-        _fill(memory)
+        memory.fill()
         asked_s = trio.current_time()
         await memory.ask("r-1", head + b"\r\n\r\n")
         _check_refusal(memory.answers["r-1"])
@@ -101,7 +90,7 @@
     head, _, _ = data.partition(b"\r\n\r\n")
     async with memory_site() as memory:
         assert (await _first_line(memory, head + b"\r\n\r\n")).startswith(CONTINUE)
-        _fill(memory)
+        memory.fill()
         assert (await _first_line(memory, head + b"\r\n\r\n")).startswith(REFUSED)
 
 
@@ -122,9 +111,9 @@
 async def test_a_caller_whose_long_body_was_refused_is_served_later():
     async with memory_site() as memory:
         memory.may_go_on.set()
-        _fill(memory)
+        memory.fill()
         await memory.ask("r-1", long_request("/once/1", "r-1"))
-        _empty(memory)
+        memory.empty()
         await memory.ask("r-2", long_request("/once/1", "r-2"))
         assert memory.with_status(200) == ["r-2"]
         await memory.wait_released()
