--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -17,6 +17,7 @@
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_fleet.gateway.state import GatewayState, compress_entries
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
 from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.decompression import decompress
@@ -111,9 +112,11 @@
     if connection is None:
         return b""
     documents = bytearray()
+    pace = InputPace(str(peer))
     try:
         await sockets.send_all(connection, query)
-        while data := await sockets.receive(connection):
+        while data := await sockets.receive(connection, pace):
+            pace.record_step(len(data))
             documents += data
             if len(documents) > MAX_TRANSFER_BYTES:
                 return b""
@@ -200,8 +203,9 @@
 async def _read_query(connection: socket.socket) -> PeerQuery | None:
     """Return the query that a peer sends, or None if it sends no valid one."""
     data = b""
+    pace = InputPace(sockets.peer_name(connection))
     while len(data) < MAX_QUERY_BYTES:
-        part = await sockets.receive(connection)
+        part = await sockets.receive(connection, pace)
         if not part:
             return None
         data += part
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/answers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/answers.py
@@ -5,6 +5,8 @@
 import h11
 import msgspec
 
+from scaleloom_core.memory_account import STEP_BYTES, MessageReservation
+
 HeaderList = list[tuple[bytes, bytes]]
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -74,3 +76,23 @@
     if b"content-length" in names:
         return BodyDelimiter.LENGTH
     return BodyDelimiter.CONNECTION
+
+
+def announced_keep_alive_s(head: h11.Response, default_s: float) -> float:
+    """Return the idle timeout that the server announces in Keep-Alive, if any."""
+    timeout_s = default_s
+    for name, value in head.headers:
+        if name == b"keep-alive":
+            _, _, seconds = value.partition(b"timeout=")
+            digits = seconds.split(b",")[0].strip()
+            if digits.isdigit():
+                timeout_s = float(digits)
+    return timeout_s
+
+
+def reserve_answer(reservation: MessageReservation, size_bytes: int) -> None:
+    """Reserve memory for a body, the first step of it in any case."""
+    if size_bytes <= STEP_BYTES:
+        reservation.hold(size_bytes)
+    elif not reservation.try_hold(size_bytes):
+        raise AnswerProtocolError("body of the answer does not fit in the memory")
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -3,19 +3,22 @@
 import socket
 
 import h11
-import msgspec
 import trio
 
-from scaleloom_core.memory_account import STEP_BYTES, MessageReservation
-from scaleloom_fleet.http1 import sockets
+from scaleloom_core.memory_account import MessageReservation
+from scaleloom_fleet.http1 import input_pace, sockets
 from scaleloom_fleet.http1.answers import (
     AnswerHead,
     AnswerProtocolError,
     BodyDelimiter,
     HeaderList,
+    announced_keep_alive_s,
     answer_head,
     body_delimiter,
+    reserve_answer,
 )
+from scaleloom_fleet.http1.input_pace import InputBound, InputBoundExceeded
+from scaleloom_fleet.http1.outgoing_requests import OutgoingRequest, serialise
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
@@ -33,17 +36,8 @@
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
-# A longer body is sent by a write of its own, which costs less than a copy.
-MAX_COPIED_BYTES = 16_384
-
-
-class OutgoingRequest(msgspec.Struct, frozen=True):
-    """A request to a server, with its whole body."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes = b""
+# A look at what has arrived must not take longer than a turn.
+MAX_STEPS_NOWAIT = 8
 
 
 class Link:
@@ -69,6 +63,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._unsent: list[memoryview] = []
+        self._pace = input_pace.InputPace(sockets.peer_name(connection))
+        self._interim_heads = 0
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -90,27 +86,12 @@
         self.started_s = self.received_s = trio.current_time()
         self._method = request.method
         self.head = None
-        self._unsent = self._serialise(request)
+        self._interim_heads = 0
+        self._pace.begin_message()
+        self._unsent = serialise(self._protocol, request)
         while self._unsent and self._send_nowait():
             pass
 
-    def _serialise(self, request: OutgoingRequest) -> list[memoryview]:
-        """Return the parts of `request` in its wire format; a long body is shared."""
-        protocol, body = self._protocol, request.body
-        headers = request.headers
-        if body:
-            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        data = protocol.send(head)
-        if body:
-            protocol.send_with_data_passthrough(h11.Data(data=body))
-        protocol.send(h11.EndOfMessage())
-        if len(body) <= MAX_COPIED_BYTES:
-            return [memoryview(data + body)]
-        return [memoryview(data), memoryview(body)]
-
     def _send_nowait(self) -> bool:
         """Send from the first unsent part; return whether the kernel took all of it."""
         part = self._unsent[0]
@@ -127,7 +108,9 @@
     def awaits_head(self) -> bool:
         """Return whether a whole request was sent and no head of an answer received."""
         is_request_sent = self._protocol.our_state is h11.DONE and not self._unsent
-        return is_request_sent and self._protocol.their_state is h11.SEND_RESPONSE
+        may_come = self._interim_heads <= input_pace.MAX_INTERIM_HEADS
+        has_no_head = self._protocol.their_state is h11.SEND_RESPONSE
+        return is_request_sent and may_come and has_no_head
 
     async def send_remaining(self) -> None:
         """
@@ -161,20 +144,35 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                self._record_interim_head()
                 continue
             if not isinstance(event, h11.Response):
                 raise AnswerProtocolError(
                     "connection ended before the head of the answer"
                 )
-            self._record_keep_alive(event)
+            self.keep_alive_s = announced_keep_alive_s(event, self.keep_alive_s)
             self.head = answer_head(event, self._method)
             self.body_bytes = 0
             return self.head
 
+    def _record_interim_head(self) -> None:
+        """Count an informational head; raise `AnswerProtocolError` at the limit."""
+        self._pace.record_piece()
+        self._interim_heads += 1
+        if self._interim_heads > input_pace.MAX_INTERIM_HEADS:
+            raise self.exceed(InputBound.INTERIM_HEADS)
+
+    def exceed(self, bound: InputBound) -> AnswerProtocolError:
+        """Count and log that the server exceeds `bound`; return the error to raise."""
+        return AnswerProtocolError(str(self._pace.exceed(bound)))
+
     def read_head_nowait(self) -> AnswerHead | None:
         """Return the head of an answer if it has already arrived, else None."""
         try:
-            while not isinstance(event := self._protocol.next_event(), h11.Response):
+            for _ in range(MAX_STEPS_NOWAIT):
+                event = self._protocol.next_event()
+                if isinstance(event, h11.Response):
+                    return answer_head(event, self._method)
                 if event is h11.NEED_DATA:
                     data = sockets.receive_nowait(self._connection)
                     if not data:
@@ -184,7 +182,7 @@
                     return None
         except (h11.RemoteProtocolError, AnswerProtocolError):
             return None
-        return answer_head(event, self._method)
+        return None
 
     async def read_data(self) -> bytes | None:
         """
@@ -199,8 +197,10 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            self.body_bytes += len(event.data)
-            return bytes(event.data)
+            data = bytes(event.data)
+            self._pace.record_piece(len(data))
+            self.body_bytes += len(data)
+            return data
         if isinstance(event, h11.EndOfMessage):
             return None
         raise AnswerProtocolError("connection ended before the end of the body")
@@ -228,7 +228,7 @@
             if len(body) > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
             if reservation is not None:
-                _reserve(reservation, len(body))
+                reserve_answer(reservation, len(body))
         return bytes(body)
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
@@ -240,36 +240,39 @@
         Raises
         ------
         AnswerProtocolError
-            If the surplus answer is truncated or ends the connection.
+            If the surplus answer is truncated, too long or ends the connection.
         """
         while await self.read_data() is not None:
-            pass
+            if self.body_bytes > input_pace.MAX_SURPLUS_BYTES:
+                raise self.exceed(InputBound.SURPLUS_ANSWER)
         if self._protocol.their_state is not h11.DONE:
             raise AnswerProtocolError("connection ended after a surplus answer")
         surplus, _ = self._protocol.trailing_data
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._serialise(request)
+        serialise(self._protocol, request)
         self.head = None
+        self._interim_heads = 0
         # h11 takes empty data for the end of the connection.
         if surplus:
             self._feed(surplus)
 
     async def _next_event(self) -> object:
         """Return the parser's next event, receiving more bytes as needed."""
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise AnswerProtocolError(str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await sockets.receive(self._connection)
-            except ConnectionLost as error:
-                raise AnswerProtocolError(str(error)) from error
-            self._feed(data)
+        try:
+            if self._pace.is_turn_over:
+                await self._pace.give_way()
+            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+                self._feed(await sockets.receive(self._connection, self._pace))
+        except (h11.RemoteProtocolError, ConnectionLost, InputBoundExceeded) as error:
+            raise AnswerProtocolError(str(error)) from error
+        return event
+
+    @property
+    def has_unprocessed(self) -> bool:
+        """Return whether the server has sent more than was processed in its turn."""
+        return self._pace.is_turn_over
 
     def _feed(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
@@ -279,15 +282,6 @@
         except h11.RemoteProtocolError as error:
             raise AnswerProtocolError(str(error)) from error
 
-    def _record_keep_alive(self, head: h11.Response) -> None:
-        """Record the idle timeout that the server announces in Keep-Alive."""
-        for name, value in head.headers:
-            if name == b"keep-alive":
-                _, _, seconds = value.partition(b"timeout=")
-                digits = seconds.split(b",")[0].strip()
-                if digits.isdigit():
-                    self.keep_alive_s = float(digits)
-
     def finish(self) -> bool:
         """
         Prepare the connection for the next request.
@@ -336,14 +330,6 @@
             sockets.close(self._connection)
 
 
-def _reserve(reservation: MessageReservation, size_bytes: int) -> None:
-    """Reserve memory for a body, the first step of it in any case."""
-    if size_bytes <= STEP_BYTES:
-        reservation.hold(size_bytes)
-    elif not reservation.try_hold(size_bytes):
-        raise AnswerProtocolError("body of the answer does not fit in the memory")
-
-
 async def open_link(
     address: Address, timeout_s: float, unacked_timeout_ms: int
 ) -> Link | None:
@@ -378,8 +364,7 @@
         If no complete answer arrived.
     """
     link.start(request)
-    if link.has_unsent:
-        await link.send_remaining()
+    await link.send_remaining()
     head = await link.read_head()
     return head, await link.read_body(body_limit_bytes)
 
