--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from scaleloom_fleet.gateway.silences import event_timeout_s, has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import record_first_event
+from scaleloom_fleet.http1.input_pace import InputBound
 from scaleloom_fleet.http1.links import (
     AnswerHead,
     AnswerProtocolError,
@@ -29,6 +30,8 @@
 )
 
 BUFFERED_ANSWER_LIMIT_BYTES = 1 << 20
+# An incomplete event is held back, as a short answer is.
+MAX_EVENT_BYTES = 1 << 20
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
@@ -177,6 +180,8 @@
             record_first_data()
         record_body_part(exchange, len(part))
         ready = events.feed(part)
+        if events.partial_bytes > MAX_EVENT_BYTES:
+            raise link.exceed(InputBound.EVENT)
         if not ready:
             continue
         if context.answering is not exchange:
