Take the system's limit on descriptors if it is the smaller one

Cause: the limit came from the settings alone; a process that may open fewer descriptors accepted nobody at its true limit, and new callers waited for 6 s, neither served nor refused. Change: the limit is the smaller of the settings and RLIMIT_NOFILE, where the settings have one. Result: tests.gateway.test_process_limits passes (12); with the system's limit unread, callers of a process with settings of 4100 wait beyond 1 s.

--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -16,6 +16,7 @@
     Seconds,
 )
 from scaleloom_fleet.utils.addresses import Address, parse_address
+from scaleloom_fleet.utils.process_info import descriptor_limit
 
 
 class ListenSection(msgspec.Struct, frozen=True):
@@ -231,13 +232,20 @@
         """Return the resources of this process for `ProcessLimits`."""
         limits = self.limits
         return ProcessResources(
-            descriptors=max(0, limits.descriptors - limits.file_descriptors),
+            descriptors=self._usable_descriptors,
             memory_mb=limits.memory_mb,
             link_mbps=self.instance.link_mbps,
             link_queue_s=limits.link_queue_s,
             lateness_s=limits.lateness_s,
         )
 
+    @property
+    def _usable_descriptors(self) -> int:
+        """Return the limit of the settings, or the system's if that is smaller."""
+        granted = max(0, self.limits.descriptors - self.limits.file_descriptors)
+        allowed = descriptor_limit()
+        return granted if allowed is None else min(granted, allowed)
+
     @property
     def front_address(self) -> Address:
         """Return the address for callers."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/process_info.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/process_info.py
@@ -1,10 +1,11 @@
 """
-The age, memory and open descriptors of this process, as the system reports them.
+The age, memory and descriptors of this process, as the system reports them.
 
 Imported before everything else, so that `LOADED_AT_S` is close to the process's start.
 """
 
 import os
+import resource
 import time
 
 LOADED_AT_S = time.monotonic()
@@ -54,3 +55,12 @@
         return len(os.listdir("/proc/self/fd")) - 1
     except OSError:
         return None
+
+
+def descriptor_limit() -> int | None:
+    """Return how many descriptors the process may open, or None if it is unknown."""
+    try:
+        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except (OSError, ValueError):
+        return None
+    return None if limit == resource.RLIM_INFINITY else limit
--- a/tests/gateway/test_process_limits.py
+++ b/tests/gateway/test_process_limits.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import trio
+from nose2.tools import params
 
 from scaleloom_core.process_limits import (
     BASE_MEMORY_MB,
@@ -35,6 +36,7 @@
 # A quarter of the descriptors that the gateway does not need itself is for links.
 LINKS = 2
 DESCRIPTORS = RESERVED_DESCRIPTORS + CALLERS + LINKS
+MORE_THAN_ALLOWED = 4100
 # A refusal waits only until the request is read.
 REFUSAL_LIMIT_S = 1.0
 LATENESS_S = 0.1
@@ -80,9 +82,12 @@
     return answers
 
 
+@params(DESCRIPTORS, MORE_THAN_ALLOWED)
 @runs_in_trio
-async def test_callers_beyond_the_descriptors_are_refused_at_once_and_others_served():
-    limits = {"descriptors": str(DESCRIPTORS)}
+async def test_callers_beyond_the_descriptors_are_refused_at_once_and_others_served(
+    descriptors,
+):
+    limits = {"descriptors": str(descriptors)}
     async with running_site() as site:
         async with gateway_process(site.store_port, limits, DESCRIPTORS) as gateway:
             answers = await _ask_and_keep_connections(
