--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
@@ -119,6 +119,10 @@
     resident_bytes = process_info.resident_bytes()
     if resident_bytes is not None:
         state.metrics_registry.set(metric_definitions.RESIDENT_BYTES, resident_bytes)
+    for use, size_bytes in state.memory.reserved.items():
+        state.metrics_registry.set(
+            metric_definitions.RESERVED_BYTES, size_bytes, use.value
+        )
     if state.start is not None:
         state.metrics_registry.set(
             metric_definitions.START_TO_READY_SECONDS,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -190,6 +190,13 @@
 RESIDENT_BYTES = MetricDefinition(
     "scaleloom_resident_bytes", _GAUGE, "Resident memory of the process."
 )
+RESERVED_BYTES = MetricDefinition(
+    "scaleloom_reserved_bytes",
+    _GAUGE,
+    "Memory reserved for connected callers, for long bodies of requests, and for long"
+    " answers that are buffered or wait for their callers.",
+    ("use",),
+)
 START_TO_READY_SECONDS = MetricDefinition(
     "scaleloom_start_to_ready_seconds",
     _GAUGE,
@@ -317,6 +324,7 @@
     CONNECTIONS,
     OPEN_DESCRIPTORS,
     RESIDENT_BYTES,
+    RESERVED_BYTES,
     START_TO_READY_SECONDS,
     LOG_LINES,
     LOG_WAITING_BYTES,
