--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/answers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/answers.py
@@ -5,6 +5,8 @@
 import h11
 import msgspec
 
+from scaleloom_core.memory_account import STEP_BYTES, MessageReservation
+
 HeaderList = list[tuple[bytes, bytes]]
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -86,3 +88,11 @@
             if digits.isdigit():
                 timeout_s = float(digits)
     return timeout_s
+
+
+def reserve_answer(reservation: MessageReservation, size_bytes: int) -> None:
+    """Reserve memory for a body, the first step of it in any case."""
+    if size_bytes <= STEP_BYTES:
+        reservation.hold(size_bytes)
+    elif not reservation.try_hold(size_bytes):
+        raise AnswerProtocolError("body of the answer does not fit in the memory")
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -190,6 +190,7 @@
         await self._wait_for_head(limits)
         self._parsing_pace.record_step()
         head = self._next_event()
+        self._limit_early_input()
         if not isinstance(head, h11.Request):
             raise RequestRejected(400)
         self._answer_may_have_body = head.method != HEAD_METHOD
@@ -279,7 +280,6 @@
     ) -> bytes:
         """Return the request's whole body, which `reservation` grows with."""
         await self._ask_for_body()
-        self._limit_early_input()
         deadline_s = trio.current_time() + limits.body_timeout_s
         body = bytearray()
         while True:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -3,9 +3,9 @@
 import socket
 
 import h11
-import msgspec
 import trio
 
+from scaleloom_core.memory_account import MessageReservation
 from scaleloom_fleet.http1 import input_pace, sockets
 from scaleloom_fleet.http1.answers import (
     AnswerHead,
@@ -15,8 +15,10 @@
     announced_keep_alive_s,
     answer_head,
     body_delimiter,
+    reserve_answer,
 )
 from scaleloom_fleet.http1.input_pace import InputBound, InputBoundExceeded
+from scaleloom_fleet.http1.outgoing_requests import OutgoingRequest, serialise
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
@@ -34,21 +36,10 @@
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
-# A longer body is sent by a write of its own, which costs less than a copy.
-MAX_COPIED_BYTES = 16_384
 # A look at what has arrived must not take longer than a turn.
 MAX_STEPS_NOWAIT = 8
 
 
-class OutgoingRequest(msgspec.Struct, frozen=True):
-    """A request to a server, with its whole body."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes = b""
-
-
 class Link:
     """
     A connection to a server.
@@ -97,27 +88,10 @@
         self.head = None
         self._interim_heads = 0
         self._pace.begin_message()
-        self._unsent = self._serialise(request)
+        self._unsent = serialise(self._protocol, request)
         while self._unsent and self._send_nowait():
             pass
 
-    def _serialise(self, request: OutgoingRequest) -> list[memoryview]:
-        """Return the parts of `request` in its wire format; a long body is shared."""
-        protocol, body = self._protocol, request.body
-        headers = request.headers
-        if body:
-            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        data = protocol.send(head)
-        if body:
-            protocol.send_with_data_passthrough(h11.Data(data=body))
-        protocol.send(h11.EndOfMessage())
-        if len(body) <= MAX_COPIED_BYTES:
-            return [memoryview(data + body)]
-        return [memoryview(data), memoryview(body)]
-
     def _send_nowait(self) -> bool:
         """Send from the first unsent part; return whether the kernel took all of it."""
         part = self._unsent[0]
@@ -231,20 +205,30 @@
             return None
         raise AnswerProtocolError("connection ended before the end of the body")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(
+        self, limit_bytes: int, reservation: MessageReservation | None = None
+    ) -> bytes:
         """
         Return the whole body.
 
+        Parameters
+        ----------
+        reservation : MessageReservation or None
+            The memory for the body, which grows with it.
+
         Raises
         ------
         AnswerProtocolError
-            If the body is truncated or longer than `limit_bytes`.
+            If the body is truncated, longer than `limit_bytes`, or longer than a step
+            and does not fit in the memory.
         """
         body = bytearray()
         while (part := await self.read_data()) is not None:
             body += part
             if len(body) > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
+            if reservation is not None:
+                reserve_answer(reservation, len(body))
         return bytes(body)
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
@@ -267,7 +251,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._serialise(request)
+        serialise(self._protocol, request)
         self.head = None
         self._interim_heads = 0
         # h11 takes empty data for the end of the connection.
@@ -380,8 +364,7 @@
         If no complete answer arrived.
     """
     link.start(request)
-    if link.has_unsent:
-        await link.send_remaining()
+    await link.send_remaining()
     head = await link.read_head()
     return head, await link.read_body(body_limit_bytes)
 
