--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/document_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/document_copies.py
@@ -17,7 +17,12 @@
     apply_rollouts,
     apply_target_documents,
 )
-from scaleloom_fleet.gateway.interfaces import COPY_TOPICS, StoredRecord, Topic
+from scaleloom_fleet.gateway.interfaces import (
+    COPY_TOPICS,
+    UNREADABLE,
+    StoredRecord,
+    Topic,
+)
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 
@@ -173,5 +178,5 @@
                 apply_target_documents(
                     self._state, copy.documents, copy.position, NEVER_S
                 )
-        except (zlib.error, msgspec.DecodeError) as error:
+        except (zlib.error, *UNREADABLE) as error:
             _logger.error("cannot decode document copy", extra={"why": str(error)})
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -68,6 +68,10 @@
     reserved: frozenset[bytes]
 
 
+# What decoding raises; the last one for values nested too deeply.
+UNREADABLE = (msgspec.DecodeError, RecursionError)
+
+
 class KeyedValue(msgspec.Struct, frozen=True):
     """A record to be written; an empty value deletes its key."""
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -12,6 +12,7 @@
     apply_config_document,
     apply_target_documents,
 )
+from scaleloom_fleet.gateway.interfaces import UNREADABLE
 from scaleloom_fleet.gateway.peer_messages import PeerDocuments, PeerQuery
 from scaleloom_fleet.gateway.state import GatewayState, compress_entries
 from scaleloom_fleet.gateway.task_guard import run_once
@@ -46,7 +47,7 @@
     try:
         documents = _decoder.decode(data)
         config = zlib.decompress(documents.config) if documents.config else b""
-    except (msgspec.DecodeError, zlib.error):
+    except (*UNREADABLE, zlib.error):
         _logger.info("peer sent no documents", extra={"peer": str(peer)})
         return
     if config:
@@ -70,7 +71,7 @@
     """
     try:
         entries = _entries_decoder.decode(zlib.decompress(documents.targets))
-    except (msgspec.DecodeError, zlib.error) as error:
+    except (*UNREADABLE, zlib.error) as error:
         _logger.error("cannot decode target list from peer", extra={"why": str(error)})
         return
     if documents.is_delta:
@@ -194,7 +195,7 @@
         data += part
         try:
             return msgspec.msgpack.decode(data, type=PeerQuery)
-        except msgspec.ValidationError:
+        except (msgspec.ValidationError, RecursionError):
             return None
         except msgspec.DecodeError:
             continue
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -13,7 +13,7 @@
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway.documents import apply_evacuations, apply_rollouts
-from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.interfaces import UNREADABLE, Topic
 from scaleloom_fleet.gateway.origin_exchange import OriginExchange
 from scaleloom_fleet.gateway.origin_messages import is_origin_message
 from scaleloom_fleet.gateway.peer_documents import (
@@ -146,7 +146,7 @@
             return True
         try:
             self._apply_message(data, InstanceId(str(Address(*sender))))
-        except (msgspec.DecodeError, ValueError):
+        except (*UNREADABLE, ValueError):
             return True
         except Exception as error:
             # One message that can't be applied must not keep the others from it.
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/prefix_holder_copies.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/prefix_holder_copies.py
@@ -8,7 +8,7 @@
 
 from scaleloom_core.fleet_roster import STARTUP_SETTLE_S
 from scaleloom_core.prefix_holders import HoldingAge
-from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.interfaces import UNREADABLE, Topic
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.store_access import StoreAccess
 
@@ -77,7 +77,7 @@
         """Apply one document, or log why it cannot be decoded."""
         try:
             rows = _decoder.decode(zlib.decompress(document))
-        except (zlib.error, msgspec.DecodeError) as error:
+        except (zlib.error, *UNREADABLE) as error:
             _logger.error(
                 "cannot decode prefix holders copy", extra={"why": str(error)}
             )
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decider.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/rollout_decider.py
@@ -11,7 +11,7 @@
 from scaleloom_core.rollouts.decisions import Decision, InheritedVersions
 from scaleloom_core.rollouts.stages import RolloutSnapshot, Stage
 from scaleloom_fleet.gateway.conditional_topic import ConditionalTopic
-from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.interfaces import UNREADABLE, Topic
 from scaleloom_fleet.gateway.rollout_readiness import fleet_readiness, replaced_versions
 from scaleloom_fleet.gateway.rollout_records import Rollout
 from scaleloom_fleet.gateway.state import GatewayState
@@ -128,7 +128,7 @@
             return None
         try:
             return _decoder.decode(document)
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             fields = {"service": rollout.state.service, "why": str(error)}
             _logger.error("unreadable roll-out decision ignored", extra=fields)
             return None
