Starts with odd settings, streams and limits serve, wait, or say what is wrong

Cause and change, one row each: - no standard output: the process ended with 1; without all three streams the port of callers got the number of one of them. The null device now stands in for each that is missing, before the first port is opened. - a seed that is no address: ended with 1; now it is ignored with the line that already told of other invalid addresses. - an adapter that can't be imported, or is none: ended with 1 and a traceback; now a message with a hint and code 78. - times beyond a million seconds, or infinite: accepted; every request then got 500 (`silence_s`), or the store was never read (`timeout_s`). Refused with 78 at a start, not applied at a reload. - fewer descriptors than in the settings: callers beyond them waited unaccepted; the smaller of both numbers now holds, with a line.

--- a/packages/scaleloom-fleet/scaleloom_fleet/__main__.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/__main__.py
@@ -17,6 +17,7 @@
         process_info,
     )
 
+    listening.open_missing_streams()
     listening.open_early(sys.argv[1:])
     # Loading modules makes no garbage worth collecting; `starting` turns the collector
     # on.
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/fields.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/fields.py
@@ -11,8 +11,10 @@
 Port = Annotated[int, Meta(ge=1, le=65535)]
 IpAddress = Annotated[str, Meta(pattern=r"^[0-9.]+$|^[0-9a-fA-F:]+$")]
 HostPort = Annotated[str, Meta(pattern=r"^(\[[0-9a-fA-F:]+\]|[0-9.]+):[0-9]+$")]
-PositiveSeconds = Annotated[float, Meta(gt=0)]
-Seconds = Annotated[float, Meta(ge=0)]
+# The kernel's limits on silence are 32-bit numbers of milliseconds, up to 24 days.
+MAX_SECONDS = 1e6
+PositiveSeconds = Annotated[float, Meta(gt=0, le=MAX_SECONDS)]
+Seconds = Annotated[float, Meta(ge=0, le=MAX_SECONDS)]
 Ratio = Annotated[float, Meta(ge=0, le=1)]
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -272,6 +272,6 @@
 
     @property
     def seed_hosts(self) -> list[str]:
-        """Return the hosts of the gateways address as seeds."""
+        """Return the hosts of the gateways given as seeds, also if they are invalid."""
         seeds = [seed.strip() for seed in self.listen.seeds.split(",")]
-        return [parse_address(seed).host for seed in seeds if seed]
+        return [seed.partition(":")[0] for seed in seeds if seed]
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -13,6 +13,7 @@
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.routing import RoutingTable
 from scaleloom_core.target_entries import ListedTarget
+from scaleloom_fleet.conf.checks import CheckMessage
 from scaleloom_fleet.http1.links import OutgoingRequest
 
 
@@ -152,6 +153,17 @@
     rollout_status: Callable[[ServiceName, Version, Stage], tuple[str, bytes]]
 
 
+def check_adapter(module_name: str) -> list[CheckMessage]:
+    """Return the problem with the module `module_name` as an adapter, if any."""
+    try:
+        load_adapter(module_name)
+    except (ImportError, AttributeError) as error:
+        number, section, key = "scaleloom.E011", "platform", "adapter"
+        hint = "Name a module with an ADAPTER that the process can import."
+        return [CheckMessage(number, section, key, module_name, str(error), hint)]
+    return []
+
+
 def load_adapter(module_name: str) -> PlatformAdapter:
     """Return the ``ADAPTER`` of the module `module_name`."""
     return importlib.import_module(module_name).ADAPTER
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -12,7 +12,6 @@
 from scaleloom_core.fleet_load import FleetLoad
 from scaleloom_core.ids import DataCentreName
 from scaleloom_core.list_freshness import ListFreshness
-from scaleloom_core.process_limits import ProcessLimits
 from scaleloom_core.retry_after import RetryAfterScheduler
 from scaleloom_core.retry_windows import RetryWindows
 from scaleloom_core.target_choice import TargetChooser
@@ -37,7 +36,7 @@
 from scaleloom_fleet.gateway.settings_reload import reload_on_sighup
 from scaleloom_fleet.gateway.silent_links import watch_links
 from scaleloom_fleet.gateway.start_time import record_start_time
-from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.state import GatewayState, make_process_limits
 from scaleloom_fleet.gateway.store_access import StoreAccess
 from scaleloom_fleet.gateway.target_selection import backoff_until_s
 from scaleloom_fleet.gateway.task_guard import keep_running
@@ -184,7 +183,7 @@
         retry_after_scheduler=returns,
         link_pools=LinkPools(settings.targets),
         freshness=ListFreshness(settings.platform.list_poll_s),
-        process_limits=ProcessLimits(settings.process_resources),
+        process_limits=make_process_limits(settings),
         statsd=make_statsd_metrics(settings.statsd_address, settings.instance.name),
         metrics_registry=MetricRegistry(
             DEFINITIONS, settings.metrics_address is not None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -1,5 +1,6 @@
 """The state that the gateway's tasks share."""
 
+import logging
 import zlib
 
 import msgspec
@@ -32,9 +33,11 @@
 from scaleloom_fleet.gateway.rollout_controller import RolloutController
 from scaleloom_fleet.gateway.wait_queue import WaitQueue
 from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
+from scaleloom_fleet.utils import process_info
 from scaleloom_fleet.utils.exposition import MetricRegistry
 from scaleloom_fleet.utils.statsd_metrics import StatsdMetrics
 
+_logger = logging.getLogger("scaleloom.limits")
 _NO_LIMITS = RequestLimits()
 # About the size of the configurations of large sites.
 LARGE_CONFIG_BYTES = 500_000
@@ -75,6 +78,17 @@
     origin: str
 
 
+def make_process_limits(settings: GatewaySettings) -> ProcessLimits:
+    """Return the limits in `settings`, as far as the system allows as much."""
+    resources = settings.process_resources
+    most = process_info.descriptor_limit()
+    if most is not None and resources.descriptors > most:
+        fields = {"wanted": resources.descriptors, "allowed": most}
+        _logger.warning("fewer descriptors than in the settings", extra=fields)
+        resources = msgspec.structs.replace(resources, descriptors=most)
+    return ProcessLimits(resources)
+
+
 class GatewayState(msgspec.Struct):
     """
     The state of one gateway process.
@@ -219,7 +233,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, except the addresses at which the process listens."""
         if settings.process_resources != self.settings.process_resources:
-            self.process_limits = ProcessLimits(settings.process_resources)
+            self.process_limits = make_process_limits(settings)
         self.settings = settings
         bounds = settings.bounds
         self.chooser.bound_multiple = bounds.load_multiple
--- a/packages/scaleloom-fleet/scaleloom_fleet/starting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/starting.py
@@ -20,10 +20,12 @@
 
 def start_gateway(path: Path) -> None:
     """Run a gateway with the settings at `path` until it is asked to stop."""
+    from scaleloom_fleet.gateway.interfaces import check_adapter
     from scaleloom_fleet.gateway.process import run_gateway
     from scaleloom_fleet.utils.stop_signals import wait_for_stop_signal
 
     settings = load_or_exit(load_gateway_settings, path)
+    report_and_exit(check_adapter(settings.platform.adapter))
     set_up(settings)
     run(run_gateway, settings, wait_for_stop_signal, path)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/listening.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/listening.py
@@ -7,10 +7,13 @@
 """
 
 import configparser
+import os
 import socket
 from pathlib import Path
 
 BACKLOG = 1024
+# Standard input, output and error are 0 to 2.
+LAST_STREAM = 2
 GATEWAY_ROLE = "gateway"
 SETTINGS_FLAG = "--settings"
 _opened: dict[tuple[str, int], socket.socket] = {}
@@ -37,6 +40,17 @@
     return listener
 
 
+def open_missing_streams() -> None:
+    """
+    Open the null device for each standard stream that is closed.
+
+    Otherwise the next socket would get its number, and log lines would go to a caller.
+    """
+    while (descriptor := os.open(os.devnull, os.O_RDWR)) <= LAST_STREAM:
+        continue
+    os.close(descriptor)
+
+
 def open_early(arguments: list[str]) -> None:
     """
     Open the callers' listener if `arguments` start a gateway.
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/logs.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/logs.py
@@ -18,6 +18,7 @@
 )
 # Spans have a limit of their own, the sampling ratio in the settings.
 UNLIMITED_MESSAGES = frozenset({"span"})
+STDOUT_DESCRIPTOR = 1
 _FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 _FIELD_NAMES = {"asctime": "time", "levelname": "level", "name": "logger"}
 
@@ -112,7 +113,9 @@
     instance : str
         The name of this process, added to every line.
     """
-    handler = LineHandler(LineWriter(sys.stdout.fileno()))
+    # Without a standard output, lines go to what was opened in its place.
+    descriptor = STDOUT_DESCRIPTOR if sys.stdout is None else sys.stdout.fileno()
+    handler = LineHandler(LineWriter(descriptor))
     formatter = JsonFormatter(
         _FIELDS, rename_fields=_FIELD_NAMES, static_fields={"instance": instance}
     )
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/process_info.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/process_info.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import resource
 import time
 
 LOADED_AT_S = time.monotonic()
@@ -47,6 +48,12 @@
         return None
 
 
+def descriptor_limit() -> int | None:
+    """Return how many descriptors the process may have open, or None if any number."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if limit == resource.RLIM_INFINITY else limit
+
+
 def open_descriptor_count() -> int | None:
     """Return the number of open descriptors, or None if it is unknown."""
     try:
