--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -16,7 +16,6 @@
     Seconds,
 )
 from scaleloom_fleet.utils.addresses import Address, parse_address
-from scaleloom_fleet.utils.process_info import descriptor_limit
 
 
 class ListenSection(msgspec.Struct, frozen=True):
@@ -232,20 +231,13 @@
         """Return the resources of this process for `ProcessLimits`."""
         limits = self.limits
         return ProcessResources(
-            descriptors=self._usable_descriptors,
+            descriptors=max(0, limits.descriptors - limits.file_descriptors),
             memory_mb=limits.memory_mb,
             link_mbps=self.instance.link_mbps,
             link_queue_s=limits.link_queue_s,
             lateness_s=limits.lateness_s,
         )
 
-    @property
-    def _usable_descriptors(self) -> int:
-        """Return the limit of the settings, or the system's if that is smaller."""
-        granted = max(0, self.limits.descriptors - self.limits.file_descriptors)
-        allowed = descriptor_limit()
-        return granted if allowed is None else min(granted, allowed)
-
     @property
     def front_address(self) -> Address:
         """Return the address for callers."""
@@ -280,6 +272,6 @@
 
     @property
     def seed_hosts(self) -> list[str]:
-        """Return the hosts of the gateways address as seeds."""
+        """Return the hosts of the gateways given as seeds, also if they are invalid."""
         seeds = [seed.strip() for seed in self.listen.seeds.split(",")]
-        return [parse_address(seed).host for seed in seeds if seed]
+        return [seed.partition(":")[0] for seed in seeds if seed]
--- a/packages/scaleloom-fleet/scaleloom_fleet/utils/process_info.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/utils/process_info.py
@@ -48,6 +48,12 @@
         return None
 
 
+def descriptor_limit() -> int | None:
+    """Return how many descriptors the process may have open, or None if any number."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if limit == resource.RLIM_INFINITY else limit
+
+
 def open_descriptor_count() -> int | None:
     """Return the number of open descriptors, or None if it is unknown."""
     try:
@@ -55,12 +61,3 @@
         return len(os.listdir("/proc/self/fd")) - 1
     except OSError:
         return None
-
-
-def descriptor_limit() -> int | None:
-    """Return how many descriptors the process may open, or None if it is unknown."""
-    try:
-        limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    except (OSError, ValueError):
-        return None
-    return None if limit == resource.RLIM_INFINITY else limit
