Keep the life of streams long until those from before shorter time-outs have ended

Cause: a configuration that shortens the longest time-out of a resumable route shortened at once the time for which a list must have shown one version, and for which records are kept. A stream that began under the longer time-out, at a version that was gone for the shorter time, could be taken up and concluded to be of the version that was left.

Change: the shorter time takes effect one longer time later; more changes in between don't put that off.

--- a/packages/scaleloom-core/scaleloom_core/origin_tables.py
+++ b/packages/scaleloom-core/scaleloom_core/origin_tables.py
@@ -15,6 +15,13 @@
 from scaleloom_core.version_history import VersionHistory
 
 
+class ShorterRetention(msgspec.Struct, frozen=True):
+    """The time for which streams are remembered from `from_s` on."""
+
+    retention_s: float
+    from_s: float
+
+
 class OriginTables(msgspec.Struct):
     """
     Records of streams that have begun, and what the list proves of the others.
@@ -35,13 +42,36 @@
     unannounced: UnannouncedOrigins = msgspec.field(default_factory=UnannouncedOrigins)
     versions: VersionHistory = msgspec.field(default_factory=VersionHistory)
     retention_s: float = MIN_RETENTION_S
+    _shorter: ShorterRetention | None = None
 
-    def set_retention(self, retention_s: float) -> None:
+    def set_retention(self, retention_s: float, now_s: float) -> None:
+        """
+        Remember streams for `retention_s`.
+
+        A shorter time takes effect once the streams that began before have ended, which
+        last as long as the time-outs allowed then.
+        """
+        if retention_s >= self.retention_s:
+            self._shorter = None
+            self._apply_retention(retention_s)
+        elif self._shorter is None:
+            self._shorter = ShorterRetention(retention_s, now_s + self.retention_s)
+        else:
+            longest_s = max(retention_s, self._shorter.retention_s)
+            self._shorter = ShorterRetention(longest_s, self._shorter.from_s)
+
+    def _apply_retention(self, retention_s: float) -> None:
         """Remember streams for `retention_s` from now on."""
         self.retention_s = self.origins.retention_s = self.unannounced.retention_s = (
             retention_s
         )
 
+    def shorten_retention(self, now_s: float) -> None:
+        """Apply a shorter time that has become due."""
+        if self._shorter is not None and now_s >= self._shorter.from_s:
+            self._apply_retention(self._shorter.retention_s)
+            self._shorter = None
+
     def record_begun(
         self,
         service: ServiceName,
@@ -112,6 +142,7 @@
 
     def pop_unannounced(self, limit: int, now_s: float) -> list[UnannouncedOrigin]:
         """Return and remove up to `limit` streams that must be announced to others."""
+        self.shorten_retention(now_s)
         popped: list[UnannouncedOrigin] = []
         for service in self.unannounced.services:
             if self.must_announce(service, now_s):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -303,7 +303,6 @@
         self.routing = routing
         self.config_applied_s = trio.current_time()
         self.config_document = document
-        self.stream_origins.set_retention(
-            origin_retention_s(routing.longest_resumable_ms)
-        )
+        retention_s = origin_retention_s(routing.longest_resumable_ms)
+        self.stream_origins.set_retention(retention_s, trio.current_time())
         return True
