Wait for the list as long as it takes to be read again, also in large fleets

Cause: a take-up waited 1 s at most for its list to be confirmed. With 420 routers reports go out every 0.5 s, and when the router that reads the list is the one that was killed, the next one reads it later; so a list that proves the version could come too late. By calculation, not seen: up to 2.3 s there, 1.15 s in small fleets.

Change: the limit is computed from the poll, the interval of reports and the step between ranks.

Measured: test_a_list_is_confirmed_in_time_although_its_reader_has_ended (new; with the 1 s as limit both cases fail, by calculation 1.15 s and 2.35 s are needed); streams of one version whose router was killed 30 ms after their first events go on at both others, whichever of the three was killed (3 of 3 cases; with the poll alone as limit they pass too, so they are guards).

--- a/packages/scaleloom-core/scaleloom_core/list_freshness.py
+++ b/packages/scaleloom-core/scaleloom_core/list_freshness.py
@@ -58,6 +58,17 @@
         """Return whether the list has been unreadable for a while until now."""
         return OUTAGE_AGE_S < self.age_s(now_s) < NEVER_READ_AGE_S
 
+    @property
+    def confirmation_limit_s(self) -> float:
+        """
+        Return within what time a list that can be read is confirmed once more.
+
+        Even if the router that reads it has just ended: the next one in rank reads the
+        list later and reports it to the others.
+        """
+        report_delay_s = REPORT_DELAY_INTERVALS * self.report_interval_s
+        return self.poll_s + 2 * report_delay_s + RANK_STEP_S
+
     def due_s(self, rank: int) -> float:
         """Return when the router at `rank` among its peers must read the list."""
         due_s = max(self.confirmed_s + self.poll_s, self.not_before_s)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/origin_exchange.py
@@ -7,6 +7,7 @@
 
 from scaleloom_core.fleet_roster import FleetRoster
 from scaleloom_core.ids import InstanceId, ServiceName, StreamKey
+from scaleloom_core.list_freshness import ListFreshness
 from scaleloom_core.origin_replicas import ReplicaRing, batches_by_replica
 from scaleloom_core.origin_tables import OriginTables
 from scaleloom_core.stream_origins import (
@@ -35,8 +36,6 @@
 MAX_ANNOUNCED_AT_ONCE = 512
 # A query or its reply may be lost; together a quarter of the shortest objective.
 QUERY_PAUSES_S = (0.04, 0.06)
-# The list is read every 0.7 s, and confirmed to the other routers within 0.2 s.
-PROOF_TIMEOUT_S = 1.0
 PROOF_PAUSE_S = 0.1
 
 SendDatagram = Callable[[InstanceId, bytes], None]
@@ -54,6 +53,8 @@
         What this router knows.
     roster : FleetRoster
         The other routers.
+    freshness : ListFreshness
+        Tells within what time the list of targets is confirmed.
     send_datagram : callable
         Sends a datagram to a router, from the address by which others know this one.
     """
@@ -63,11 +64,13 @@
         own: InstanceId,
         tables: OriginTables,
         roster: FleetRoster,
+        freshness: ListFreshness,
         send_datagram: SendDatagram,
     ) -> None:
         self._own = own
         self._tables = tables
         self._roster = roster
+        self._freshness = freshness
         self._send_datagram = send_datagram
         self._ring = ReplicaRing([own])
         self._searches: dict[StreamKey, list[OriginSearch]] = {}
@@ -169,7 +172,7 @@
         self, key: StreamKey, service: ServiceName, search: OriginSearch
     ) -> None:
         """Wait until a list that may prove the version is confirmed once more."""
-        end_s = search.broken_s + PROOF_TIMEOUT_S
+        end_s = search.broken_s + self._freshness.confirmation_limit_s
         while self._found(key, service, search).source is OriginSource.UNKNOWN:
             own = self._tables.only_listed(service, search.broken_s)
             now_s = trio.current_time()
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -64,7 +64,11 @@
             self._own_id, state, access, self._roster, self._rollouts, self._socket
         )
         self._origins = state.origin_exchange = OriginExchange(
-            self._own_id, state.stream_origins, self._roster, self._send_datagram
+            self._own_id,
+            state.stream_origins,
+            self._roster,
+            state.freshness,
+            self._send_datagram,
         )
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
--- a/tests/core/test_list_freshness.py
+++ b/tests/core/test_list_freshness.py
@@ -1,5 +1,7 @@
 """Tests of how a fleet shares the reading of one list."""
 
+from nose2.tools import params
+
 from scaleloom_core.list_freshness import (
     MAX_HIGH_RANK_DELAY_S,
     MAX_RANK_STEPS,
@@ -67,3 +69,12 @@
     freshness.confirm(100.0)
     assert not freshness.was_unavailable(101.0)
     assert freshness.was_unavailable(103.0)
+
+
+@params(0.1, 0.5)
+def test_a_list_is_confirmed_in_time_although_its_reader_has_ended(interval_s):
+    freshness = ListFreshness(POLL_S, confirmed_s=3.0, report_interval_s=interval_s)
+    reported_s = freshness.due_s(1) + REPORT_DELAY_INTERVALS * interval_s
+    limit_s = freshness.confirmation_limit_s
+    assert reported_s <= 3.0 + limit_s + 1e-9
+    assert limit_s <= 2.5 * POLL_S + 1.5 * interval_s
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -117,15 +117,18 @@
         assert results == {Result.WENT_ON: COUNT}, results
 
 
+@params(0, 1, 2)
 @runs_on_paused_clock
-async def test_streams_of_one_version_go_on_after_their_router_was_killed():
+async def test_streams_of_one_version_go_on_after_their_router_was_killed(number):
+    # One of the routers reads the list for the others.
     async with struck_site(router_count=3) as site:
-        sender = site.others[0]
+        sender = site.versioned.gateways[number]
         ids = stream_ids(COUNT)
         begun = await site.versioned.begin_and_kill(sender, ids, UNTOLD_S)
         assert {one.version for one in begun} == {V1}
-        results = await site.versioned.take_up_all(site.struck, begun)
-        assert results == {Result.WENT_ON: COUNT}, results
+        for gateway in site.versioned.gateways:
+            results = await site.versioned.take_up_all(gateway, begun)
+            assert results == {Result.WENT_ON: COUNT}, results
 
 
 @params(*STRIKES)
