Soak: a request on a connection that was closed while idle is no lost one

Cause: callers sent on kept connections that gateways had closed after 5 s of idleness, and where the soak itself paused, the end that had been there before the request was seen over 0.2 s after it: the check took it for read. Change: callers look at a kept connection before they use it, as clients do, and the soak's own pauses don't count as time in which a gateway had a request. A request whose caller gave up, and any that has begun or reached a target, is judged as before. A test of an unexpected end has a folder, in which logs are looked for now. With pauses counted again, case 3 of test_an_end_that_the_soak_saw_late_shows_no_reading fails.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,7 +6,7 @@
 import trio
 
 from soak.mixed_streams import whole_events
-from soak.observed_streams import ObservedStream
+from soak.observed_streams import ObservedStream, is_unused
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
 from soak.targets import GATEWAY_HEADER
@@ -136,7 +136,8 @@
             usual_share if site.steered_to is None else STEERED_KEEP_ALIVE_SHARE
         )
         stream = idle_connections.pop(gateway.name, None)
-        if stream is None or rng.random() > keep_alive_share:
+        is_kept = stream is not None and rng.random() <= keep_alive_share
+        if not is_kept or not is_unused(stream):
             stream = await connect(gateway)
         if stream is not None:
             kind = rng.choice(kinds)
--- a/soak/observed_streams.py
+++ b/soak/observed_streams.py
@@ -1,8 +1,22 @@
 """Connections of callers that note when a request was sent and how they end."""
 
+import select
+
 import trio
 
 
+def is_unused(link: trio.SocketStream) -> bool:
+    """
+    Return whether nothing has arrived on a connection since its last answer.
+
+    A gateway closes a connection that was idle for long. A request that is sent on it
+    all the same reaches nobody.
+    """
+    readable = select.poll()
+    readable.register(link.socket.fileno(), select.POLLIN)
+    return not readable.poll(0)
+
+
 class ObservedStream:
     """
     A connection on which one request is sent.
--- a/soak/resuming_callers.py
+++ b/soak/resuming_callers.py
@@ -13,7 +13,7 @@
     connect,
 )
 from soak.mixed_streams import EVENT_COUNT, MIXED, whole_events
-from soak.observed_streams import ObservedStream
+from soak.observed_streams import ObservedStream, is_unused
 from soak.processes import GatewayProcess
 from soak.site import SoakSite
 from soak.targets import GATEWAY_HEADER
@@ -50,7 +50,10 @@
 
     async def take(self, gateway: GatewayProcess) -> trio.SocketStream | None:
         """Return an open connection to a gateway, or None if it can't be reached."""
-        return self._idle.pop(gateway.name, None) or await connect(gateway)
+        link = self._idle.pop(gateway.name, None)
+        if link is not None and is_unused(link):
+            return link
+        return await connect(gateway)
 
     async def give_back(
         self, gateway: GatewayProcess, link: trio.SocketStream, answer: Answer
--- a/soak/silence_checks.py
+++ b/soak/silence_checks.py
@@ -35,7 +35,7 @@
         _describe(targets[result.request_id], result)
         for result in observations.results
         if _ended_unanswered(result)
-        and _was_read(targets[result.request_id], result)
+        and _was_read(site, targets[result.request_id], result)
         and not _may_end_so(targets[result.request_id], result)
     ]
 
@@ -54,18 +54,19 @@
     return not result.answer.is_complete and not result.has_left
 
 
-def _was_read(targets: list[SoakTarget], result: CallerResult) -> bool:
+def _was_read(site: SoakSite, targets: list[SoakTarget], result: CallerResult) -> bool:
     """
     Return whether a gateway read the whole of a request.
 
-    What a gateway closes unread is reset, and what crosses its close ends at once.
+    What a gateway closes unread is reset, and what crosses its close ends at once, as
+    far as the soak itself runs in time to see it.
     """
     if result.sent_s is None:
         return False
     has_begun = result.answer.status is not None
-    is_read_later = (
-        not result.is_reset and result.ended_s > result.sent_s + LOSS_SLACK_S
-    )
+    paused_s = site.paused_s(result.sent_s, result.ended_s)
+    waited_s = result.ended_s - result.sent_s - paused_s
+    is_read_later = not result.is_reset and waited_s > LOSS_SLACK_S
     return has_begun or bool(targets) or is_read_later
 
 
@@ -103,7 +104,7 @@
         for result in observations.results
         if _lateness_s(result) > 0.0
         and not result.has_left
-        and _was_read(targets[result.request_id], result)
+        and _was_read(site, targets[result.request_id], result)
         and not _was_gateway_struck(result)
         and _was_observed(site, result)
     ]
--- a/soak/site.py
+++ b/soak/site.py
@@ -234,6 +234,13 @@
         """Return whether the soak itself paused between `from_s` and `to_s`."""
         return any(start_s < to_s and end_s > from_s for start_s, end_s in self.pauses)
 
+    def paused_s(self, from_s: float, to_s: float) -> float:
+        """Return for how long the soak itself paused between `from_s` and `to_s`."""
+        return sum(
+            max(0.0, min(end_s, to_s) - max(start_s, from_s))
+            for start_s, end_s in self.pauses
+        )
+
     def all_targets(self) -> list[SoakTarget]:
         """Return the current and the removed targets."""
         return self.targets + self.removed_targets
--- a/tests/test_soak_neighbours.py
+++ b/tests/test_soak_neighbours.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 from dataclasses import replace
+from pathlib import Path
 
 import trio
 from nose2.tools import params
@@ -205,6 +206,7 @@
 def test_an_unexpected_end_is_told_with_its_code_and_the_end_of_the_log():
     end = replace(_ended(None, AT_S, 1), is_expected=False, last_line="in use")
     gateway = _gateway(ends=[_ended(AT_S, AT_S), end])
+    gateway.directory = Path("without-logs")
     (broken,) = check_exits(_site(gateway), Observations())
     assert broken == "g-1 exited with 1 at 100.00, after 'in use'"
 
--- a/tests/test_soak_silences.py
+++ b/tests/test_soak_silences.py
@@ -10,6 +10,7 @@
 from soak import faults, silences
 from soak.arrival_records import Arrival
 from soak.callers import CallerResult, Observations
+from soak.observed_streams import is_unused
 from soak.processes import GatewayProcess
 from soak.relays import Relay, RelayMode
 from soak.silence_checks import (
@@ -241,6 +242,27 @@
     run()
 
 
+@params(([], 1), ([(0.0, 0.2)], 1), ([(0.1, 0.4), (0.5, 0.9)], 0), ([(1.0, 9.0)], 1))
+def test_an_end_that_the_soak_saw_late_shows_no_reading(pauses, count):
+    site = SoakSite(random.Random(1), None, None, 0)
+    site.pauses = [(AT_S + from_s, AT_S + to_s) for from_s, to_s in pauses]
+    observations = Observations([_result(NOTHING, 0.8)])
+    assert len(check_answered(site, observations)) == count
+    given_up = _result(NOTHING, 4.0)
+    assert len(check_answered(site, Observations([given_up]))) == 1
+
+
+def test_a_connection_that_was_closed_while_idle_is_not_used_again():
+    async def run():
+        here, there = map(trio.SocketStream, trio.socket.socketpair())
+        async with here:
+            assert is_unused(here)
+            await there.aclose()
+            assert not is_unused(here)
+
+    trio.run(run)
+
+
 def test_seeds_of_the_earlier_kinds_draw_no_silence():
     earlier = faults.FAULTS[:KIND_COUNT_BEFORE]
     kind_count = KIND_COUNT_BEFORE + len(silences.SILENCES)
