--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -8,6 +8,7 @@
 from scaleloom_core.crash_history import CrashHistory, SendDecision, SendPermission
 from scaleloom_core.crash_table import CrashTable
 from scaleloom_core.errors import ErrorKind, FleetError, Outcome
+from scaleloom_core.memory_account import MemoryAccount
 from scaleloom_core.retry_windows import RetryWindow
 from scaleloom_core.rollouts.evidence import Assessment, Evidence
 from scaleloom_core.rollouts.exposure import ExposureBudget
@@ -23,8 +24,10 @@
     process,
     state,
 )
+from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
-from scaleloom_fleet.http1 import links
+from scaleloom_fleet.http1 import binding, links
+from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
 
@@ -199,6 +202,33 @@
     CrashTable.clear = lambda self, cause: None
 
 
+def _join_runs() -> None:
+    """Send the bytes of another run behind those that the caller has got."""
+    begin = CallerAnswer.begin
+
+    async def begin_or_go_on(self, run, headers):
+        if not self.is_begun:
+            await begin(self, run, headers)
+
+    CallerAnswer.begin = begin_or_go_on
+    CallerAnswer.may_be_continued = property(lambda self: True)
+
+
+def _hold_every_body() -> None:
+    """Read every body, whatever the memory that is left."""
+    MemoryAccount.has_room = lambda self, use, size_bytes: True
+
+
+def _give_no_way() -> None:
+    """Process the input of one connection for as long as there is any."""
+    InputPace.record_step = lambda self, size_bytes=0: None
+
+
+def _wait_for_no_port() -> None:
+    """End the start if a port is in use."""
+    binding._is_permanent = lambda error: True
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     "one-send": _retry_always,
     "attempts-beside": _give_up_silent_targets,
@@ -218,6 +248,10 @@
     "crash-count": _ignore_crashes,
     "crash-parts": _ignore_parts_of_crashes,
     "crash-trials": _quarantine_without_trial,
+    "one-run": _join_runs,
+    "body-memory": _hold_every_body,
+    "input-pace": _give_no_way,
+    "port-wait": _wait_for_no_port,
     "rollout-verdict": _find_every_version_good,
     "rollout-exposure": _allow_all_exposure,
 }
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -161,3 +161,21 @@
 def test_lost_answers_of_the_store_delay_no_configuration(seed):
     kinds = [neighbour_faults.lose_waiting_answers]
     _assert_kept(_run(seed, LOSS_LENGTH_S, kinds=kinds))
+
+
+def test_input_that_is_read_without_a_pause_is_detected():
+    kinds = [neighbour_faults.send_without_end]
+    result = _run(7802, ENDLESS_LENGTH_S, "input-pace", kinds)
+    assert "readiness is answered in time" in result.broken, result.describe()
+
+
+def test_bodies_beyond_the_memory_are_detected():
+    kinds = [neighbour_faults.send_long_bodies]
+    result = _run(7812, SIGNAL_LENGTH_S, "body-memory", kinds)
+    assert "no gateway exceeds its memory" in result.broken, result.describe()
+
+
+def test_starts_that_wait_for_no_port_are_detected():
+    kinds = [neighbour_faults.trouble_start]
+    result = _run(7823, ENDLESS_LENGTH_S, "port-wait", kinds)
+    assert "no gateway exits unexpectedly" in result.broken, result.describe()
