A stop lets others have their turn between the callers that it accepts

Cause: accept_rest accepts batch after batch without a checkpoint, as long as connections wait. Callers that are closed unread connect again at once, and then neither the end of the grace period nor any other task gets its turn.

Change: a checkpoint after each batch.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -72,6 +72,8 @@
     """
     while listener.fileno() >= 0:
         if _accept_waiting(state, listener, nursery):
+            # More may come as fast; the stop has to end in time all the same.
+            await trio.lowlevel.checkpoint()
             continue
         if may_accept(state):
             sockets.close(listener)
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -37,6 +37,7 @@
 from tests.fixtures.stub_targets import StubTarget
 
 WAITING_CALLERS = 5
+RECONNECTING_CALLERS = 10_000
 
 
 @runs_on_paused_clock
@@ -306,3 +307,29 @@
                 assert listener.fileno() < 0
                 nursery.cancel_scope.cancel()
     assert not state.connections
+
+
+@runs_on_paused_clock
+async def test_connections_without_end_do_not_hold_a_stop():
+    """Stop while callers that are turned away connect again at once."""
+    state = make_state(gateway_settings("127.0.0.1", 1, free_port()))
+    accepted: list[socket.socket] = []
+
+    def accept_another(listener: socket.socket) -> socket.socket | None:
+        if len(accepted) >= RECONNECTING_CALLERS:
+            return None
+        accepted.append(socket.socket())
+        return accepted[-1]
+
+    scope = trio.CancelScope()
+    with (
+        listening.open_listener("127.0.0.1", 0) as listener,
+        mock.patch.object(accepting.sockets, "accept_nowait", accept_another),
+        mock.patch.object(accepting, "closes_unread", return_value=True),
+    ):
+        async with trio.open_nursery() as nursery:
+            with scope:
+                scope.deadline = trio.current_time()
+                await accepting.accept_rest(state, listener, nursery)
+    assert scope.cancelled_caught
+    assert len(accepted) <= accepting.ACCEPT_BATCH
