--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -3,8 +3,10 @@
 import importlib
 from collections.abc import Callable, Sequence
 from enum import Enum
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from returns.result import Result
 
 from scaleloom_core.evacuations import EvacuationChange
@@ -69,6 +71,9 @@
     reserved: frozenset[bytes]
 
 
+# Far beyond any version or offset; messages between routers hold no longer numbers.
+MAX_NUMBER = 1 << 62
+Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 # What decoding raises; the last one for values nested too deeply.
 UNREADABLE = (msgspec.DecodeError, RecursionError)
 
