--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -19,6 +19,7 @@
 )
 from scaleloom_fleet.http1.input_pace import InputBound, InputBoundExceeded
 from scaleloom_fleet.http1.outgoing_requests import OutgoingRequest, serialise
+from scaleloom_fleet.http1.part_joining import join_parts
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
@@ -36,8 +37,6 @@
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
-# A look at what has arrived must not take longer than a turn.
-MAX_STEPS_NOWAIT = 8
 
 
 class Link:
@@ -65,6 +64,8 @@
         self._unsent: list[memoryview] = []
         self._pace = input_pace.InputPace(sockets.peer_name(connection))
         self._interim_heads = 0
+        # An event that the parser has returned ahead of its reader.
+        self._next: object | None = None
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -169,7 +170,7 @@
     def read_head_nowait(self) -> AnswerHead | None:
         """Return the head of an answer if it has already arrived, else None."""
         try:
-            for _ in range(MAX_STEPS_NOWAIT):
+            for _ in range(input_pace.MAX_STEPS_NOWAIT):
                 event = self._protocol.next_event()
                 if isinstance(event, h11.Response):
                     return answer_head(event, self._method)
@@ -199,6 +200,9 @@
         if isinstance(event, h11.Data):
             data = bytes(event.data)
             self._pace.record_piece(len(data))
+            if self._pace.is_slowed:
+                joined = join_parts(self._protocol, self._pace, data)
+                data, self._next = joined
             self.body_bytes += len(data)
             return data
         if isinstance(event, h11.EndOfMessage):
@@ -263,6 +267,9 @@
         try:
             if self._pace.is_turn_over:
                 await self._pace.give_way()
+            if self._next is not None:
+                event, self._next = self._next, None
+                return event
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
                 self._feed(await sockets.receive(self._connection, self._pace))
         except (h11.RemoteProtocolError, ConnectionLost, InputBoundExceeded) as error:
