Count an event that is held back until it is complete

Cause: an incomplete event of a resumable stream, of up to 1 MiB, wasn't in the account. Change: it is held there, from 16 KiB on, until the stream ends.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -105,7 +105,7 @@
         return
     context = RequestContext(connection, request, match, match.placement)
     reservation = MessageReservation(state.memory, MemoryUse.ANSWERS)
-    context.failure_reservation = reservation
+    context.kept_reservation = reservation
     try:
         await _serve_matched(state, context)
     finally:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -263,7 +263,7 @@
 ) -> AttemptResult:
     """Read an answer that is no success, to be forwarded if none follows."""
     body = await exchange.link.read_body(
-        BUFFERED_ANSWER_LIMIT_BYTES, context.failure_reservation
+        BUFFERED_ANSWER_LIMIT_BYTES, context.kept_reservation
     )
     if head.status >= 500 or context.is_answer_started:
         context.failure = context.failure or (head, body)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -182,6 +182,8 @@
         ready = events.feed(part)
         if events.partial_bytes > MAX_EVENT_BYTES:
             raise link.exceed(InputBound.EVENT)
+        if events.partial_bytes > SHORT_MESSAGE_BYTES:
+            context.kept_reservation.hold(events.partial_bytes)
         if not ready:
             continue
         if context.answering is not exchange:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_context.py
@@ -52,8 +52,8 @@
         That of the service's roll-out when the target was chosen.
     failure : tuple of AnswerHead and bytes, or None
         A target's own failure, forwarded if no other target succeeds.
-    failure_reservation : MessageReservation or None
-        The memory for it.
+    kept_reservation : MessageReservation or None
+        The memory for it, and for an incomplete event.
     bound : StreamBound or None
         The targets that the stream may go on at; None if it has not begun.
     is_on_trial : bool
@@ -78,7 +78,7 @@
     is_answer_started: bool = False
     rollout_state: RolloutState | None = None
     failure: tuple[AnswerHead, bytes] | None = None
-    failure_reservation: MessageReservation | None = None
+    kept_reservation: MessageReservation | None = None
     bound: StreamBound | None = None
     is_on_trial: bool = False
     trials: dict[CauseDigest, int] = msgspec.field(default_factory=dict)
--- a/tests/gateway/test_memory_of_answers.py
+++ b/tests/gateway/test_memory_of_answers.py
@@ -170,3 +170,29 @@
                     data = request_bytes(f"/{path}/{size}", f"r-{path}-{size}")
                     received = await ask_on(stream, data, "GET")
                     assert received.body == bytes(size)
+
+
+@runs_on_paused_clock
+async def test_an_incomplete_event_is_reserved():
+    may_go_on = trio.Event()
+    event = b"id: 1\ndata: " + LONG_BODY + b"\n\n"
+
+    async def answer(target: StubTarget, request: ReceivedRequest) -> bool:
+        head = stub_targets.stream_head(target, request)
+        await request.stream.send_all(head + stub_targets.chunk(event[:-1]))
+        await may_go_on.wait()
+        await request.stream.send_all(stub_targets.chunk(event[-1:]) + b"0\r\n\r\n")
+        return True
+
+    async with memory_site() as memory:
+        memory.behave(answer)
+        memory.start("r-1", request_bytes("/stream/1"))
+
+        async def is_reserved() -> bool:
+            return memory.state.memory.reserved[MemoryUse.ANSWERS] >= len(LONG_BODY)
+
+        await eventually(is_reserved)
+        may_go_on.set()
+        await memory.wait_answers(1)
+        assert memory.answers["r-1"].body == event
+        await memory.wait_released()
