Keep the property of callers' input that a test of stops asks

Cause: took has_unread away as unused; tests.gateway.test_stopping asks it, and one of its tests failed (AttributeError). Change: it is back, beside unread_bytes.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -117,6 +117,11 @@
         surplus, _ = self._protocol.trailing_data
         self._limit_inbox(MAX_EARLY_INPUT_BYTES - len(surplus))
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether received bytes have not been parsed yet."""
+        return bool(self._inbox)
+
     @property
     def unread_bytes(self) -> int:
         """Return how many received bytes have not been parsed yet."""
