--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/attempts.py
@@ -107,7 +107,7 @@
     answer = CallerAnswer(connection, _splitter(match))
     context = RequestContext(connection, request, match, match.placement, answer)
     reservation = MessageReservation(state.memory, MemoryUse.ANSWERS)
-    context.failure_reservation = reservation
+    context.kept_reservation = reservation
     try:
         await _serve_matched(state, context)
     finally:
