A stop leaves a new connection time for its first request

Cause: a stopping gateway closed every connection without unread bytes each 0.1 s, also one that had been accepted a moment ago and whose request was on its way.

Change: a connection is closed as idle only 0.1 s after it was opened. The test of a request that arrives in the step of the close waits for that time first; what it checks is as before.

With the change off the new test is red.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -15,6 +15,8 @@
 CHUNK_MARGIN_BYTES = 65536
 # An answer to HEAD has no body, whatever its Content-Length.
 HEAD_METHOD = b"HEAD"
+# The first request of a new connection has arrived by then, unless its caller waits.
+FIRST_REQUEST_S = 0.1
 # A caller that was answered early has noticed it by then, unless its link is slow.
 DISCARD_LIMIT_S = 0.5
 _WHOLE_REQUEST_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
@@ -104,6 +106,7 @@
         self._is_closed = False
         self._request_scope: trio.CancelScope | None = None
         self._is_closing = False
+        self._first_request_by_s = trio.current_time() + FIRST_REQUEST_S
         self._is_discarding = False
         self._answer_may_have_body = True
         self.is_idle = True
@@ -421,10 +424,12 @@
         Close the connection once no request is in progress.
 
         A request that has already arrived is still answered: closing at once could
-        cut off one that was just forwarded to a target.
+        cut off one that was just forwarded to a target. A new connection is left some
+        time for its first request, so this has to be called again.
         """
-        self._is_closing = True
-        self._input_changed.set()
+        if trio.current_time() >= self._first_request_by_s:
+            self._is_closing = True
+            self._input_changed.set()
 
     async def discard_rest(self) -> None:
         """
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -17,7 +17,7 @@
     apply_target_documents,
 )
 from scaleloom_fleet.gateway.process import make_state
-from scaleloom_fleet.http1.callers import CallerConnection
+from scaleloom_fleet.http1.callers import FIRST_REQUEST_S, CallerConnection
 from scaleloom_fleet.utils import listening
 from scaleloom_standins.ports import free_port
 from tests.fixtures import stub_targets
@@ -33,6 +33,7 @@
     request_bytes,
     running_site,
 )
+from tests.fixtures.states import captured_states
 from tests.fixtures.stub_server import free_listener, port_of, serve_http
 from tests.fixtures.stub_targets import StubTarget
 
@@ -123,6 +124,7 @@
         nursery.start_soon(serve_connection, state, ours)
         await trio.testing.wait_all_tasks_blocked()
         (caller,) = state.connections
+        await trio.sleep(FIRST_REQUEST_S)
         _close_as_bytes_arrive(caller)
         theirs.sendall(request_bytes("/once/1"))
         stream = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
@@ -306,3 +308,23 @@
                 assert listener.fileno() < 0
                 nursery.cancel_scope.cancel()
     assert not state.connections
+
+
+@runs_on_paused_clock
+async def test_a_new_connection_is_left_time_for_its_first_request():
+    # A stop closed it at once, under the request that its caller was sending.
+    with captured_states() as states:
+        async with running_site(runner_count=1) as site:
+            port = site.gateways[0].front_port
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                await trio.testing.wait_all_tasks_blocked()
+                (caller,) = states[0].connections
+                caller.close_when_idle()
+                await trio.testing.wait_all_tasks_blocked()
+                answer = await ask_on(stream, request_bytes("/safe/1"), "GET")
+                assert (answer.status, answer.is_complete) == (200, True)
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                await trio.sleep(FIRST_REQUEST_S + 0.01)
+                (caller,) = states[0].connections
+                caller.close_when_idle()
+                assert await stream.receive_some() == b""
