--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -72,6 +72,7 @@
         self._is_closed = False
         self._request_scope: trio.CancelScope | None = None
         self._is_closing = False
+        self._opened_s = trio.current_time()
         self._is_discarding = False
         self._answer_may_have_body = True
         self.is_idle = True
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -24,6 +24,8 @@
 ]
 # A longer message is sent in several writes, which cost less than a copy.
 MAX_COPIED_BYTES = 65_536
+# The first request of a new connection has arrived by then, unless its caller waits.
+FIRST_REQUEST_S = 0.1
 # A caller that was answered early has noticed it by then, unless its link is slow.
 DISCARD_LIMIT_S = 0.5
 # One whose long body is refused may send most of it before it reads the answer.
@@ -191,10 +193,12 @@
         Close the connection once no request is in progress.
 
         A request that has already arrived is still answered: closing at once could
-        cut off one that was just forwarded to a target.
+        cut off one that was just forwarded to a target. A new connection is left some
+        time for its first request, so this has to be called again.
         """
-        self._is_closing = True
-        self._input_changed.set()
+        if trio.current_time() >= self._opened_s + FIRST_REQUEST_S:
+            self._is_closing = True
+            self._input_changed.set()
 
     async def discard_rest(self) -> None:
         """
