Resume no stream behind an id that a header can't hold

Cause: the id of the last event goes to the next target in a header. An empty id there tells it nothing, so that it begins anew, and the caller gets the first events again in the same body. An id with a space at an end or with a zero byte raises in the HTTP library: the request fails as an unexpected error, and the link that was taken for it is never closed.

Change: the stream may go on only behind an id that a header can hold.

Measured: a target breaks off behind such an event, six ids. Now each body ends, incomplete, behind the last event of its run, 6 of 6.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -8,6 +8,8 @@
 _LONGEST_END_BYTES = 3
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+# Another id can't be sent in a header, or tells a target nothing to go on behind.
+_HEADER_VALUE = re.compile(rb"[\x21-\x7e\x80-\xff]+(?:[ \t]+[\x21-\x7e\x80-\xff]+)*")
 _DATA_LINE = re.compile(rb"^data[:\r\n]", re.MULTILINE)
 
 
@@ -48,8 +50,8 @@
     last_id : bytes or None
         The id of the last complete event that has one.
     ends_with_id : bool
-        Whether no complete event without an id came after it, so that a stream that is
-        resumed behind it repeats none.
+        Whether a header can name that id and no complete event without one came after
+        it, so that a stream that is resumed behind it repeats none.
     """
 
     def __init__(self) -> None:
@@ -75,7 +77,7 @@
             last_line = line
         if last_line is not None:
             self.last_id = last_line[1]
-            self.ends_with_id = True
+            self.ends_with_id = _HEADER_VALUE.fullmatch(self.last_id) is not None
             unnumbered_from = _EVENT_END.search(events, last_line.end()).end()
         if _DATA_LINE.search(events, unnumbered_from):
             self.ends_with_id = False
--- a/tests/gateway/test_joined_answers.py
+++ b/tests/gateway/test_joined_answers.py
@@ -15,6 +15,7 @@
 from tests.fixtures.cut_answers import Ending
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer, Site, running_site
+from tests.fixtures.logs import ListHandler
 from tests.fixtures.long_answers import CUT_AT_BYTES, answer_long, long_body, writers
 from tests.fixtures.stub_server import ReceivedRequest
 from tests.fixtures.stub_targets import StubTarget, chunk, request_id
@@ -164,3 +165,37 @@
         return await plain(target, request)
     finally:
         del target.seal
+
+
+def _cut_behind(identifier: bytes):
+    """Return a behaviour that breaks off behind an event with `identifier`."""
+
+    async def cut(target: StubTarget, request: ReceivedRequest) -> bool:
+        target.runs[request_id(request)] += 1
+        begun = chunk(stub_targets.event(1))
+        begun += chunk(b"id:%s\ndata: piece\n\n" % identifier)
+        await request.stream.send_all(stub_targets.stream_head(target, request) + begun)
+        return False
+
+    return cut
+
+
+async def _begin_again(target: StubTarget, request: ReceivedRequest) -> bool:
+    """Send a stream from its first event on, whatever is asked for."""
+    request.headers.pop("last-event-id", None)
+    return await stub_targets.answer_normally(target, request)
+
+
+@params(b"", b" ", b" 2 ", b"  2", b" 2\x00", b"\t2")
+@runs_on_paused_clock
+async def test_a_stream_is_not_resumed_behind_an_id_that_no_header_can_name(identifier):
+    with ListHandler.capture("scaleloom.gateway") as messages:
+        async with running_site() as site:
+            answer = await _ask_breaking_first(
+                site, "/stream/1", _cut_behind(identifier), _begin_again
+            )
+            assert site.run_count() == 1
+    sent = stub_targets.event(1) + b"id:%s\ndata: piece\n\n" % identifier
+    assert answer.body == sent
+    assert not answer.is_complete
+    assert "request failed unexpectedly" not in messages
