Test the wait of a sound message beside many connections without an end

The budget that connections share beyond their own pace serves the first to come first. Each of N connections that send small pieces without an end draws 64 pieces a turn, so that a message with more pieces than a burst waits N * 4 ms for each 64 of them. Pieces of 5 bytes never reach the bound of tiny pieces.

--- a/tests/http1/test_input_pace.py
+++ b/tests/http1/test_input_pace.py
@@ -40,6 +40,12 @@
 MIN_TURNS = 5
 EIGHT_BYTE_CHUNK = b"8\r\naaaaaaaa\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+# Long enough to be no tiny piece, so that only the pace limits them.
+TINY_PIECE_BYTES = 5
+SMALL_PIECES = 1500
+SMALL_PIECE_BYTES = 100
+SETTLE_S = 0.2
+DEADLINE_S = 2.0
 
 
 async def _beside_others(connection: EndlessSocket, read, limit_s: float) -> int:
@@ -267,3 +273,32 @@
         received += part
     assert received == b"".join(b"%04d" % number for number in range(3000))
     assert cancelled_count > 0
+
+
+async def _send_without_end(size_bytes: int) -> None:
+    """Take small pieces without end, as the reader of one connection does."""
+    pace = InputPace()
+    pace.begin_message()
+    while True:
+        pace.record_piece(size_bytes)
+        if pace.is_turn_over:
+            await pace.give_way()
+
+
+@params(10, 60)
+@runs_on_paused_clock
+async def test_a_message_of_small_pieces_is_not_late_beside_others_without_end(others):
+    async with trio.open_nursery() as nursery:
+        for _ in range(others):
+            nursery.start_soon(_send_without_end, TINY_PIECE_BYTES)
+        await trio.sleep(SETTLE_S)
+        pace = InputPace()
+        pace.begin_message()
+        begun_s = trio.current_time()
+        for _ in range(SMALL_PIECES):
+            pace.record_piece(SMALL_PIECE_BYTES)
+            if pace.is_turn_over:
+                await pace.give_way()
+        waited_s = trio.current_time() - begun_s
+        nursery.cancel_scope.cancel()
+    assert waited_s < DEADLINE_S, waited_s
