--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
 from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
 from soak.targets import CRASHING_BODY, CRASHING_PART, GATEWAY_HEADER, SoakTarget
+from soak.version_faults import VERSION_FAULTS
 from tests.fixtures.gateways import ask_raw, request_bytes
 from tests.fixtures.platform_store import StoreFault
 
@@ -351,4 +352,5 @@
     steer_callers,
     *SILENCES,
     *NEIGHBOUR_FAULTS,
+    *VERSION_FAULTS,
 )
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -41,6 +41,7 @@
 from soak.silence_checks import describe_failures, describe_second_runs
 from soak.silences import SILENCES
 from soak.site import START_TIMEOUT_S, SoakSite, running_soak
+from soak.version_faults import VERSION_FAULTS
 from tests.fixtures.gateways import ask_raw
 
 SETTLE_S = 1.0
@@ -113,7 +114,8 @@
     """
     kinds = faults or draw_faults(random.Random(seed))
     observations = Observations()
-    has_mixed_service = change_versions in kinds
+    mixing = (change_versions, *VERSION_FAULTS)
+    has_mixed_service = any(kind in kinds for kind in mixing)
     has_slow_routes = any(kind in SILENCES for kind in kinds)
     has_neighbours = any(kind in NEIGHBOUR_FAULTS for kind in kinds)
     services = (has_mixed_service, has_slow_routes)
--- a/tests/test_soak_neighbours.py
+++ b/tests/test_soak_neighbours.py
@@ -35,6 +35,7 @@
 from soak.processes import GRACE_S, GatewayProcess, ProcessEnd
 from soak.promise_checks import check_exits
 from soak.site import SoakSite
+from soak.version_faults import VERSION_FAULTS
 from tests.fixtures.cut_answers import EVENT_END
 from tests.fixtures.gateways import Answer
 from tests.fixtures.platform_store import StoreStandin
@@ -360,8 +361,10 @@
 
 
 def test_seeds_of_the_earlier_kinds_draw_no_fault_of_neighbours():
-    kind_count = len(faults.FAULTS) - len(NEIGHBOUR_FAULTS)
-    assert faults.FAULTS[kind_count:] == NEIGHBOUR_FAULTS
+    earlier = faults.FAULTS[: -len(VERSION_FAULTS)]
+    assert faults.FAULTS[len(earlier) :] == VERSION_FAULTS
+    kind_count = len(earlier) - len(NEIGHBOUR_FAULTS)
+    assert earlier[kind_count:] == NEIGHBOUR_FAULTS
     assert faults.FAULTS[kind_count - len(silences.SILENCES) : kind_count] == (
         silences.SILENCES
     )
