--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -44,11 +44,11 @@
     """
     Accept connections on `listener` and serve each one in `nursery`.
 
-    The first connection is accepted once a configuration and some targets are known,
-    or `STARTUP_WAIT_S` after all ports of the process are open.
+    The first connection is accepted once all ports of the process are open and a
+    configuration and some targets are known, or after `STARTUP_WAIT_S`.
     """
-    await state.may_accept_callers.wait()
     with trio.move_on_after(STARTUP_WAIT_S):
+        await state.may_accept_callers.wait()
         await state.config_and_targets_loaded.wait()
     while listener.fileno() >= 0:
         try:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/process.py
@@ -140,17 +140,18 @@
         if front is not None:
             await accepting.accept_rest(state, front, nursery)
 
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(begin, nursery)
-        start(nursery, "log", write_lines)
-        if settings_path is not None:
-            start(nursery, "settings", reload_on_sighup, state, settings_path)
-        try:
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(begin, nursery)
+            start(nursery, "log", write_lines)
+            if settings_path is not None:
+                start(nursery, "settings", reload_on_sighup, state, settings_path)
             await wait_stop()
             await _drain(state, accept_rest)
-        finally:
             nursery.cancel_scope.cancel()
-            peers.close()
+    finally:
+        # Not before the tasks that use the socket have ended.
+        peers.close()
     state.link_pools.close()
     _logger.info("stopped")
 
--- a/tests/gateway/test_process_starts.py
+++ b/tests/gateway/test_process_starts.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from contextlib import AsyncExitStack, contextmanager
 
+import trio
 from nose2.tools import params
 
 from scaleloom_standins.ports import free_port
@@ -23,6 +24,8 @@
 HOST = "127.0.0.1"
 WAITING = "waiting for port"
 METRICS_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+# The objective of the route and more; its callers wait for 2 s.
+REFUSAL_LIMIT_S = 1.5
 PORTS = ("front", "ready", "documents", "datagrams")
 
 
@@ -80,6 +83,20 @@
             assert await started.wait_end(GRACE_S) == 0
 
 
+@params("ready", "documents", "datagrams")
+@runs_in_trio
+async def test_a_caller_of_a_start_that_waits_for_a_port_is_refused_soon(port_name):
+    async with prepared_site() as gateway:
+        with _occupied(gateway, port_name), started_gateway(gateway) as started:
+            stream = await connect_when_open(gateway.front_port)
+            await started.wait_line(WAITING)
+            with trio.fail_after(REFUSAL_LIMIT_S):
+                answer = await ask_on(stream, request_bytes("/safe/1"), "GET")
+            assert (answer.status, answer.is_complete) == (503, True)
+            assert float(answer.headers["retry-after"]) > 0
+            await stop_in_time(started, signal.SIGTERM)
+
+
 @runs_in_trio
 async def test_the_metrics_page_comes_up_when_its_port_is_free():
     port = free_port()
