--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -4,6 +4,11 @@
 
 import trio
 
+from scaleloom_core.memory_account import (
+    SHORT_MESSAGE_BYTES,
+    MemoryUse,
+    MessageReservation,
+)
 from scaleloom_fleet.gateway.attempt_results import AttemptResult
 from scaleloom_fleet.gateway.error_responses import closing_headers
 from scaleloom_fleet.gateway.event_splitter import (
@@ -20,6 +25,7 @@
 from scaleloom_fleet.gateway.silences import event_timeout_s, has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import record_first_event
+from scaleloom_fleet.http1.input_pace import InputBound
 from scaleloom_fleet.http1.links import (
     AnswerHead,
     AnswerProtocolError,
@@ -28,26 +34,42 @@
 )
 
 BUFFERED_ANSWER_LIMIT_BYTES = 1 << 20
+# An incomplete event is held back, as a short answer is.
+MAX_EVENT_BYTES = 1 << 20
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
 async def forward_complete(
     state: GatewayState, context: RequestContext, exchange: Exchange
 ) -> AttemptResult:
-    """Forward an answer that is short enough to be buffered first."""
-    link = exchange.link
-    parts: list[bytes] = []
-    size = 0
+    """Forward an answer, which is buffered first if it is short and fits."""
+    reservation = MessageReservation(state.memory, MemoryUse.ANSWERS)
+    try:
+        body, is_whole = await _read_buffered(exchange.link, reservation)
+        if not is_whole:
+            reservation.release()
+            return await _forward_long(state, context, exchange, body)
+        if exchange.observation is not None:
+            exchange.observation.record_body_complete(trio.current_time())
+        _record_first_byte(state, context)
+        await forward_answer(state, context, exchange.link.head, body)
+        return AttemptResult.ANSWERED
+    finally:
+        reservation.release()
+
+
+async def _read_buffered(
+    link: Link, reservation: MessageReservation
+) -> tuple[bytes, bool]:
+    """Return the body, and whether it is whole; the rest is not to be buffered."""
+    body = bytearray()
     while (part := await link.read_data()) is not None:
-        parts.append(part)
-        size += len(part)
-        if size > BUFFERED_ANSWER_LIMIT_BYTES:
-            return await _forward_long(state, context, exchange, b"".join(parts))
-    if exchange.observation is not None:
-        exchange.observation.record_body_complete(trio.current_time())
-    _record_first_byte(state, context)
-    await forward_answer(state, context, link.head, b"".join(parts))
-    return AttemptResult.ANSWERED
+        body += part
+        if len(body) > BUFFERED_ANSWER_LIMIT_BYTES:
+            return bytes(body), False
+        if not reservation.try_hold(len(body)):
+            return bytes(body), False
+    return bytes(body), True
 
 
 async def forward_answer(
@@ -106,6 +128,9 @@
     """
     observation = exchange.observation
     started_s = trio.current_time() if observation is not None else 0.0
+    # It is held until the caller has taken it, whether it fits or not.
+    long_bytes = len(part) if len(part) > SHORT_MESSAGE_BYTES else 0
+    state.memory.reserve(MemoryUse.ANSWERS, long_bytes)
     try:
         if not context.answer.is_begun:
             record_first_event(state, context, exchange)
@@ -113,6 +138,7 @@
         exchange.has_sent_events = True
         await context.answer.send_part(exchange, part)
     finally:
+        state.memory.release(MemoryUse.ANSWERS, long_bytes)
         if observation is not None:
             observation.record_backpressure(trio.current_time() - started_s)
 
@@ -150,6 +176,10 @@
             record_first_data()
         record_body_part(exchange, len(part))
         ready = events.feed(part)
+        if events.partial_bytes > MAX_EVENT_BYTES:
+            raise link.exceed(InputBound.EVENT)
+        if events.partial_bytes > SHORT_MESSAGE_BYTES:
+            context.kept_reservation.hold(events.partial_bytes)
         if not ready:
             continue
         if context.answering is not exchange:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -3,8 +3,10 @@
 import importlib
 from collections.abc import Callable, Sequence
 from enum import Enum
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from returns.result import Result
 
 from scaleloom_core.evacuations import EvacuationChange
@@ -13,6 +15,7 @@
 from scaleloom_core.rollouts.stages import Stage
 from scaleloom_core.routing import RoutingTable
 from scaleloom_core.target_entries import ListedTarget
+from scaleloom_fleet.conf.checks import CheckMessage
 from scaleloom_fleet.http1.links import OutgoingRequest
 
 
@@ -68,6 +71,13 @@
     reserved: frozenset[bytes]
 
 
+# Far beyond any version or offset; messages between routers hold no longer numbers.
+MAX_NUMBER = 1 << 62
+Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+# What decoding raises; the last one for values nested too deeply.
+UNREADABLE = (msgspec.DecodeError, RecursionError)
+
+
 class KeyedValue(msgspec.Struct, frozen=True):
     """A record to be written; an empty value deletes its key."""
 
@@ -148,6 +158,17 @@
     rollout_status: Callable[[ServiceName, Version, Stage], tuple[str, bytes]]
 
 
+def check_adapter(module_name: str) -> list[CheckMessage]:
+    """Return the problem with the module `module_name` as an adapter, if any."""
+    try:
+        load_adapter(module_name)
+    except (ImportError, AttributeError) as error:
+        number, section, key = "scaleloom.E011", "platform", "adapter"
+        hint = "Name a module with an ADAPTER that the process can import."
+        return [CheckMessage(number, section, key, module_name, str(error), hint)]
+    return []
+
+
 def load_adapter(module_name: str) -> PlatformAdapter:
     """Return the ``ADAPTER`` of the module `module_name`."""
     return importlib.import_module(module_name).ADAPTER
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -197,6 +197,13 @@
 RESIDENT_BYTES = MetricDefinition(
     "scaleloom_resident_bytes", _GAUGE, "Resident memory of the process."
 )
+RESERVED_BYTES = MetricDefinition(
+    "scaleloom_reserved_bytes",
+    _GAUGE,
+    "Memory reserved for connected callers, for long bodies of requests, and for long"
+    " answers that are buffered or wait for their callers.",
+    ("use",),
+)
 START_TO_READY_SECONDS = MetricDefinition(
     "scaleloom_start_to_ready_seconds",
     _GAUGE,
@@ -214,6 +221,27 @@
 LOG_WAITING_BYTES = MetricDefinition(
     "scaleloom_log_waiting_bytes", _GAUGE, "Size of the log lines not yet read."
 )
+INPUTS_SLOWED = MetricDefinition(
+    "scaleloom_inputs_slowed_total",
+    _COUNTER,
+    "Messages whose many small pieces were read more slowly than they came.",
+)
+INPUT_BOUNDS_EXCEEDED = MetricDefinition(
+    "scaleloom_input_bounds_exceeded_total",
+    _COUNTER,
+    "Messages that exceeded a bound on input, and were broken off.",
+    ("bound",),
+)
+STALLS = MetricDefinition(
+    "scaleloom_stalls_total",
+    _COUNTER,
+    "How often the process stood still for more than 0.1 s.",
+)
+STALLED_SECONDS = MetricDefinition(
+    "scaleloom_stalled_seconds_total",
+    _COUNTER,
+    "Total time of these stalls.",
+)
 LABEL_SETS_FOLDED = MetricDefinition(
     "scaleloom_label_sets_folded_total",
     _COUNTER,
@@ -303,9 +331,14 @@
     CONNECTIONS,
     OPEN_DESCRIPTORS,
     RESIDENT_BYTES,
+    RESERVED_BYTES,
     START_TO_READY_SECONDS,
     LOG_LINES,
     LOG_WAITING_BYTES,
+    INPUTS_SLOWED,
+    INPUT_BOUNDS_EXCEEDED,
+    STALLS,
+    STALLED_SECONDS,
     LABEL_SETS_FOLDED,
     TASK_FAILURES,
     TARGETS_CRASHED,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_exchange.py
@@ -13,7 +13,7 @@
 from scaleloom_core.fleet_roster import FleetMember, FleetRoster
 from scaleloom_core.ids import DataCentreName, InstanceId
 from scaleloom_fleet.gateway.documents import apply_evacuations, apply_rollouts
-from scaleloom_fleet.gateway.interfaces import Topic
+from scaleloom_fleet.gateway.interfaces import UNREADABLE, Topic
 from scaleloom_fleet.gateway.origin_exchange import OriginExchange
 from scaleloom_fleet.gateway.origin_messages import is_origin_message
 from scaleloom_fleet.gateway.peer_documents import (
@@ -67,7 +67,11 @@
             self._own_id, state, access, self._roster, self._rollouts, self._socket
         )
         self._origins = state.origin_exchange = OriginExchange(
-            self._own_id, state.stream_origins, self._roster, self._send_datagram
+            self._own_id,
+            state.stream_origins,
+            self._roster,
+            state.freshness,
+            self._send_datagram,
         )
         self._catch_up = CatchUp()
         self._documents = DocumentServer(state)
@@ -149,7 +153,7 @@
             return True
         try:
             self._apply_message(data, InstanceId(str(Address(*sender))))
-        except (msgspec.DecodeError, ValueError):
+        except (*UNREADABLE, ValueError):
             return True
         except Exception as error:
             # One message that can't be applied must not keep the others from it.
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -72,6 +72,7 @@
         self._is_closed = False
         self._request_scope: trio.CancelScope | None = None
         self._is_closing = False
+        self._opened_s = trio.current_time()
         self._is_discarding = False
         self._answer_may_have_body = True
         self.is_idle = True
@@ -117,6 +118,11 @@
         surplus, _ = self._protocol.trailing_data
         self._limit_inbox(MAX_EARLY_INPUT_BYTES - len(surplus))
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether received bytes have not been parsed yet."""
+        return bool(self._inbox)
+
     @property
     def unread_bytes(self) -> int:
         """Return how many received bytes have not been parsed yet."""
@@ -179,7 +185,8 @@
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
-        await self._give_way()
+        if self._parsing_pace.is_turn_over:
+            await self._give_way()
         self._parsing_pace.begin_message()
         await self._wait_for_first_byte(find_limits)
         limits = find_limits()
@@ -189,6 +196,7 @@
         await self._wait_for_head(limits)
         self._parsing_pace.record_step()
         head = self._next_event()
+        self._limit_early_input()
         if not isinstance(head, h11.Request):
             raise RequestRejected(400)
         self._answer_may_have_body = head.method != HEAD_METHOD
@@ -235,7 +243,7 @@
 
     async def _give_way(self) -> float:
         """
-        Let others have their turn if this connection has had its own.
+        Let others have their turn.
 
         Returns
         -------
@@ -247,8 +255,6 @@
         RequestRejected
             If the request has too many pieces for its size: no proper caller sends so.
         """
-        if not self._parsing_pace.is_turn_over:
-            return 0.0
         begun_s = trio.current_time()
         try:
             await self._parsing_pace.give_way()
@@ -280,11 +286,11 @@
     ) -> bytes:
         """Return the request's whole body, which `reservation` grows with."""
         await self._ask_for_body()
-        self._limit_early_input()
         deadline_s = trio.current_time() + limits.body_timeout_s
         body = bytearray()
         while True:
-            deadline_s += await self._give_way()
+            if self._parsing_pace.is_turn_over:
+                deadline_s += await self._give_way()
             event = self._next_event()
             if event is h11.NEED_DATA:
                 self._limit_inbox(sockets.READ_BYTES)
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -3,9 +3,9 @@
 import socket
 
 import h11
-import msgspec
 import trio
 
+from scaleloom_core.memory_account import MessageReservation
 from scaleloom_fleet.http1 import input_pace, sockets
 from scaleloom_fleet.http1.answers import (
     AnswerHead,
@@ -15,8 +15,11 @@
     announced_keep_alive_s,
     answer_head,
     body_delimiter,
+    reserve_answer,
 )
 from scaleloom_fleet.http1.input_pace import InputBound, InputBoundExceeded
+from scaleloom_fleet.http1.outgoing_requests import OutgoingRequest, serialise
+from scaleloom_fleet.http1.part_joining import join_parts
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
@@ -34,19 +37,6 @@
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_HEAD_BYTES = 65536
-# A longer body is sent by a write of its own, which costs less than a copy.
-MAX_COPIED_BYTES = 16_384
-# A look at what has arrived must not take longer than a turn.
-MAX_STEPS_NOWAIT = 8
-
-
-class OutgoingRequest(msgspec.Struct, frozen=True):
-    """A request to a server, with its whole body."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes = b""
 
 
 class Link:
@@ -74,6 +64,8 @@
         self._unsent: list[memoryview] = []
         self._pace = input_pace.InputPace(sockets.peer_name(connection))
         self._interim_heads = 0
+        # An event that the parser has returned ahead of its reader.
+        self._next: object | None = None
         self._is_closed = False
         self._method = b""
         self.head: AnswerHead | None = None
@@ -97,27 +89,10 @@
         self.head = None
         self._interim_heads = 0
         self._pace.begin_message()
-        self._unsent = self._serialise(request)
+        self._unsent = serialise(self._protocol, request)
         while self._unsent and self._send_nowait():
             pass
 
-    def _serialise(self, request: OutgoingRequest) -> list[memoryview]:
-        """Return the parts of `request` in its wire format; a long body is shared."""
-        protocol, body = self._protocol, request.body
-        headers = request.headers
-        if body:
-            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        data = protocol.send(head)
-        if body:
-            protocol.send_with_data_passthrough(h11.Data(data=body))
-        protocol.send(h11.EndOfMessage())
-        if len(body) <= MAX_COPIED_BYTES:
-            return [memoryview(data + body)]
-        return [memoryview(data), memoryview(body)]
-
     def _send_nowait(self) -> bool:
         """Send from the first unsent part; return whether the kernel took all of it."""
         part = self._unsent[0]
@@ -195,7 +170,7 @@
     def read_head_nowait(self) -> AnswerHead | None:
         """Return the head of an answer if it has already arrived, else None."""
         try:
-            for _ in range(MAX_STEPS_NOWAIT):
+            for _ in range(input_pace.MAX_STEPS_NOWAIT):
                 event = self._protocol.next_event()
                 if isinstance(event, h11.Response):
                     return answer_head(event, self._method)
@@ -225,26 +200,39 @@
         if isinstance(event, h11.Data):
             data = bytes(event.data)
             self._pace.record_piece(len(data))
+            if self._pace.is_slowed:
+                joined = join_parts(self._protocol, self._pace, data)
+                data, self._next = joined
             self.body_bytes += len(data)
             return data
         if isinstance(event, h11.EndOfMessage):
             return None
         raise AnswerProtocolError("connection ended before the end of the body")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(
+        self, limit_bytes: int, reservation: MessageReservation | None = None
+    ) -> bytes:
         """
         Return the whole body.
 
+        Parameters
+        ----------
+        reservation : MessageReservation or None
+            The memory for the body, which grows with it.
+
         Raises
         ------
         AnswerProtocolError
-            If the body is truncated or longer than `limit_bytes`.
+            If the body is truncated, longer than `limit_bytes`, or longer than a step
+            and does not fit in the memory.
         """
         body = bytearray()
         while (part := await self.read_data()) is not None:
             body += part
             if len(body) > limit_bytes:
                 raise AnswerProtocolError("body of the answer exceeds the limit")
+            if reservation is not None:
+                reserve_answer(reservation, len(body))
         return bytes(body)
 
     async def skip_surplus_answer(self, request: OutgoingRequest) -> None:
@@ -267,7 +255,7 @@
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._serialise(request)
+        serialise(self._protocol, request)
         self.head = None
         self._interim_heads = 0
         # h11 takes empty data for the end of the connection.
@@ -279,6 +267,9 @@
         try:
             if self._pace.is_turn_over:
                 await self._pace.give_way()
+            if self._next is not None:
+                event, self._next = self._next, None
+                return event
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
                 self._feed(await sockets.receive(self._connection, self._pace))
         except (h11.RemoteProtocolError, ConnectionLost, InputBoundExceeded) as error:
@@ -380,8 +371,7 @@
         If no complete answer arrived.
     """
     link.start(request)
-    if link.has_unsent:
-        await link.send_remaining()
+    await link.send_remaining()
     head = await link.read_head()
     return head, await link.read_body(body_limit_bytes)
 
