--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -42,8 +42,8 @@
     AnswerHead,
     AnswerProtocolError,
     Link,
-    read_while_sending,
 )
+from scaleloom_fleet.http1.requesting import read_while_sending
 from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
 
 SURPLUS_ANSWER_LIMIT = 3
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
@@ -11,9 +11,9 @@
     AnswerProtocolError,
     Link,
     OutgoingRequest,
-    exchange,
     open_link,
 )
+from scaleloom_fleet.http1.requesting import exchange
 from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -26,7 +26,7 @@
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
-from scaleloom_fleet.http1 import binding, links
+from scaleloom_fleet.http1 import binding, links, requesting
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
@@ -53,7 +53,7 @@
     """Accept any answer on the link, also one to another request."""
 
     async def read_any_head(gateway_state, context, exchange):
-        head = exchange.link.head or await links.read_while_sending(exchange.link)
+        head = exchange.link.head or await requesting.read_while_sending(exchange.link)
         return answer_signals.record_signals(gateway_state, exchange.target.id, head)
 
     exchanges._read_matching_head = read_any_head
