--- a/soak/processes.py
+++ b/soak/processes.py
@@ -194,7 +194,7 @@
         """
         if not self.is_running:
             return
-        has_begun = self._handles_sighup()
+        has_begun = self._handles_stops()
         if signal_number is signal.SIGHUP and not has_begun:
             return
         now_s = trio.current_time()
@@ -212,12 +212,16 @@
             self._may_end_anyhow = True
         self._popen.send_signal(signal_number)
 
-    def _handles_sighup(self) -> bool:
-        """Return whether the process ignores or handles SIGHUP already."""
+    def _handles_stops(self) -> bool:
+        """
+        Return whether the process ignores or handles SIGTERM and SIGHUP already.
+
+        The latter is ignored from the start if the soak itself ignores it.
+        """
         status = Path(f"/proc/{self._popen.pid}/status").read_text(encoding="ascii")
         masks = dict(line.split(":", 1) for line in status.splitlines())
         handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
-        return bool(handled >> (signal.SIGHUP - 1) & 1)
+        return all(handled >> (n - 1) & 1 for n in (signal.SIGTERM, signal.SIGHUP))
 
     @property
     def strikes_s(self) -> list[float]:
--- a/tests/test_soak_neighbours.py
+++ b/tests/test_soak_neighbours.py
@@ -187,7 +187,7 @@
 def test_a_signal_accounts_for_its_own_end_only(has_begun, number, code, is_expected):
     gateway = _gateway()
     gateway._popen = _Running()
-    gateway._handles_sighup = lambda: has_begun
+    gateway._handles_stops = lambda: has_begun
 
     async def send():
         gateway.send_signal(number)
