--- a/soak/processes.py
+++ b/soak/processes.py
@@ -57,7 +57,8 @@
     incarnation : int
         How often the process was started.
     disturbances_s : list of float
-        When anything but an orderly stop disturbed the process, on trio's clock.
+        When anything but an orderly stop disturbed the process, on trio's clock; at
+        every poll while it is suspended.
     stops_s, hangups_s : list of float
         When SIGTERM and SIGHUP were sent; the latter are also disturbances.
     stopping_s : list of float
@@ -98,6 +99,7 @@
     settings_restored_s: float = float("-inf")
     _popen: subprocess.Popen | None = None
     _may_end_anyhow: bool = False
+    _is_suspended: bool = False
 
     @property
     def settings_path(self) -> Path:
@@ -171,7 +173,7 @@
         self.incarnation += 1
         self.is_stopping = False
         self.stop_s = None
-        self._may_end_anyhow = False
+        self._may_end_anyhow = self._is_suspended = False
         module = ["-m", "scaleloom_fleet"]
         if self.disabled_mechanism is not None:
             module = ["-m", "soak.switched_off", self.disabled_mechanism]
@@ -210,6 +212,8 @@
             self.hangups_s.append(now_s)
         if signal_number is signal.SIGKILL:
             self._may_end_anyhow = True
+        if signal_number in (signal.SIGSTOP, signal.SIGCONT):
+            self._is_suspended = signal_number is signal.SIGSTOP
         self._popen.send_signal(signal_number)
 
     def _handles_stops(self) -> bool:
@@ -236,6 +240,8 @@
         """Restart the process whenever it exits."""
         while True:
             await trio.sleep(POLL_INTERVAL_S)
+            if self._is_suspended:
+                self.record_disturbance()
             if self.is_stopping:
                 self.stopping_s.append(trio.current_time())
             if self.is_running:
