Keep and log which call met the loss of a connection

The kernel reports a reset or a time-out once, to the call that comes first. sockets.py had functions over bare sockets, so nothing kept that report, and no line could tell an answer whose connection was lost from one that its target closed.

Connection keeps the first report (loss), and the line 'answer not known to be complete' names it with the call that met it. No reader goes by it yet. The functions on a connection became its methods; the check in the test of a peer without end is the same.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -38,13 +38,14 @@
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.target_selection import is_rolled_back
 from scaleloom_fleet.http1.callers import CallerDisconnected
+from scaleloom_fleet.http1.connections import ConnectionLost
 from scaleloom_fleet.http1.links import (
     AnswerHead,
     AnswerProtocolError,
     Link,
 )
 from scaleloom_fleet.http1.requesting import read_while_sending
-from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
+from scaleloom_fleet.http1.sockets import OutOfDescriptors
 
 SURPLUS_ANSWER_LIMIT = 3
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/peer_documents.py
@@ -19,8 +19,9 @@
 from scaleloom_fleet.gateway.state import GatewayState, compress_entries
 from scaleloom_fleet.gateway.task_guard import run_once
 from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.connections import Connection, ConnectionLost
 from scaleloom_fleet.http1.input_pace import InputPace
-from scaleloom_fleet.http1.sockets import ConnectionLost, OutOfDescriptors
+from scaleloom_fleet.http1.sockets import OutOfDescriptors
 from scaleloom_fleet.utils.addresses import Address
 from scaleloom_fleet.utils.decompression import decompress
 
@@ -112,19 +113,20 @@
 async def _query_peer(peer: Address, query: bytes) -> bytes:
     """Return the peer's response to `query`; empty if it fails or is too long."""
     try:
-        connection = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_MS)
+        connected = await sockets.connect(peer, CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_MS)
     except OutOfDescriptors as error:
         _logger.warning(
             "no file descriptor for connecting to peer", extra={"why": str(error)}
         )
         return b""
-    if connection is None:
+    if connected is None:
         return b""
+    connection = Connection(connected)
     documents = bytearray()
     pace = InputPace(str(peer))
     try:
-        await sockets.send_all(connection, query)
-        while data := await sockets.receive(connection, pace):
+        await connection.send_all(query)
+        while data := await connection.receive(pace):
             pace.record_step(len(data))
             documents += data
             if len(documents) > MAX_TRANSFER_BYTES:
@@ -132,7 +134,7 @@
     except ConnectionLost:
         return b""
     finally:
-        sockets.close(connection)
+        connection.close()
     return bytes(documents)
 
 
@@ -155,12 +157,12 @@
     ) -> None:
         """Accept connections of peers at `listener`."""
         while True:
-            connection = await sockets.accept(listener)
+            connection = Connection(await sockets.accept(listener))
             nursery.start_soon(
                 run_once, self._state, "document", self._serve, connection
             )
 
-    async def _serve(self, connection: socket.socket) -> None:
+    async def _serve(self, connection: Connection) -> None:
         """Respond to one peer, or close the connection at `MAX_TRANSFERS`."""
         try:
             if self._transfers < MAX_TRANSFERS:
@@ -170,16 +172,16 @@
                 finally:
                     self._transfers -= 1
         finally:
-            sockets.close(connection)
+            connection.close()
 
-    async def _respond(self, connection: socket.socket) -> None:
+    async def _respond(self, connection: Connection) -> None:
         """Read the peer's query and send the documents that it lacks."""
         try:
             with trio.move_on_after(FETCH_TIMEOUT_S):
                 query = await _read_query(connection)
                 if query is not None:
                     data = msgspec.msgpack.encode(self._missing_documents(query))
-                    await sockets.send_all(connection, data)
+                    await connection.send_all(data)
         except ConnectionLost:
             pass
 
@@ -211,12 +213,12 @@
         )
 
 
-async def _read_query(connection: socket.socket) -> PeerQuery | None:
+async def _read_query(connection: Connection) -> PeerQuery | None:
     """Return the query that a peer sends, or None if it sends no valid one."""
     data = b""
-    pace = InputPace(sockets.peer_name(connection))
+    pace = InputPace(connection.peer_name)
     while len(data) < MAX_QUERY_BYTES:
-        part = await sockets.receive(connection, pace)
+        part = await connection.receive(pace)
         if not part:
             return None
         data += part
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/request_metrics.py
@@ -89,6 +89,8 @@
         "delimiter": head.delimiter.value,
         "end": end.value,
         "bytes": link.body_bytes,
+        "lost": link.loss.name if link.loss else None,
+        "lost_at": link.loss.reported_to.value if link.loss else None,
     }
     _logger.info("answer not known to be complete", extra=fields)
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/store_client.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_core.store_waits import WAIT_MARGIN_S
+from scaleloom_fleet.http1.connections import ConnectionLost
 from scaleloom_fleet.http1.links import (
     AnswerProtocolError,
     Link,
@@ -14,7 +15,6 @@
     open_link,
 )
 from scaleloom_fleet.http1.requesting import exchange
-from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
 # A page of newest records, the longest answer, holds 1 MB of them and one of 256 KiB
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -12,7 +12,6 @@
     MemoryUse,
     MessageReservation,
 )
-from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.caller_requests import (
     CallerDisconnected,
     CallerLimits,
@@ -23,8 +22,12 @@
     check_line_ends,
     first_values,
 )
+from scaleloom_fleet.http1.connections import (
+    READ_BYTES,
+    Connection,
+    ConnectionLost,
+)
 from scaleloom_fleet.http1.input_pace import InputBoundExceeded, InputPace
-from scaleloom_fleet.http1.sockets import ConnectionLost
 
 HEAD_TERMINATOR = b"\r\n\r\n"
 # What a caller sends before its turn, beside the request that is served.
@@ -57,10 +60,10 @@
         memory: MemoryAccount | None = None,
     ) -> None:
         self._memory = memory or MemoryAccount()
-        self._connection = connection
+        self._connection = Connection(connection)
         self._on_sent = on_sent
         self._protocol = h11.Connection(h11.SERVER)
-        peer = sockets.peer_name(connection)
+        peer = self._connection.peer_name
         # One for each task: the one that receives, and the one that parses.
         self._receiving_pace = InputPace(peer)
         self._parsing_pace = InputPace(peer)
@@ -84,9 +87,7 @@
         try:
             while True:
                 size_bytes = await self._wait_for_room()
-                data = await sockets.receive(
-                    self._connection, self._receiving_pace, size_bytes
-                )
+                data = await self._connection.receive(self._receiving_pace, size_bytes)
                 if not data:
                     break
                 self._receiving_pace.record_step(len(data))
@@ -106,7 +107,7 @@
         while (room_bytes := self._inbox_limit_bytes - len(self._inbox)) <= 0:
             self._inbox_has_room = trio.Event()
             await self._inbox_has_room.wait()
-        return min(room_bytes, sockets.READ_BYTES)
+        return min(room_bytes, READ_BYTES)
 
     def _limit_inbox(self, limit_bytes: int) -> None:
         """Set how many bytes may wait to be parsed."""
@@ -159,7 +160,7 @@
         with trio.move_on_at(deadline_s):
             await self._wait_for_input()
             return True
-        self._inbox += sockets.receive_nowait(self._connection)
+        self._inbox += self._connection.receive_nowait()
         return len(self._inbox) > known_bytes
 
     async def read_request(
@@ -222,7 +223,7 @@
         """Wait for the first byte of a request."""
         idle_since_s = trio.current_time()
         while not self._inbox:
-            if self._is_closing and sockets.is_open_and_empty(self._connection):
+            if self._is_closing and self._connection.is_open_and_empty():
                 raise CallerDisconnected
             timeout_s = find_limits().idle_timeout_s
             has_input = await self._wait_for_input_until(idle_since_s + timeout_s)
@@ -293,7 +294,7 @@
                 deadline_s += await self._give_way()
             event = self._next_event()
             if event is h11.NEED_DATA:
-                self._limit_inbox(sockets.READ_BYTES)
+                self._limit_inbox(READ_BYTES)
                 if not await self._wait_for_input_until(deadline_s):
                     raise RequestRejected(408)
             elif isinstance(event, h11.Data):
@@ -310,7 +311,7 @@
     async def _send(self, data: bytes) -> None:
         """Send `data` to the caller, or raise `CallerDisconnected`."""
         try:
-            await sockets.send_all(self._connection, data, self._on_sent)
+            await self._connection.send_all(data, self._on_sent)
         except (ConnectionLost, trio.ClosedResourceError) as error:
             raise CallerDisconnected from error
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -3,7 +3,6 @@
 import h11
 import trio
 
-from scaleloom_fleet.http1 import sockets
 from scaleloom_fleet.http1.answers import HeaderList
 from scaleloom_fleet.http1.caller_input import CallerInput
 from scaleloom_fleet.http1.caller_requests import (
@@ -13,6 +12,7 @@
     MemoryExhausted,
     RequestRejected,
 )
+from scaleloom_fleet.http1.connections import READ_BYTES
 
 __all__ = [
     "CallerConnection",
@@ -62,13 +62,13 @@
         if not has_known_end:
             self._delimit_by_connection()
         if self.ends_with_connection:
-            sockets.set_reset_at_close(self._connection, True)
+            self._connection.set_reset_at_close(True)
         self.is_answer_started = True
 
     def _complete_answer(self) -> None:
         """Mark the answer as complete, so that the connection may close normally."""
         if self.ends_with_connection:
-            sockets.set_reset_at_close(self._connection, False)
+            self._connection.set_reset_at_close(False)
         self.is_answer_complete = True
 
     async def send_head(
@@ -151,7 +151,7 @@
         return (
             self._is_disconnected
             or self._is_closed
-            or sockets.is_closed_by_peer(self._connection)
+            or self._connection.is_closed_by_peer()
         )
 
     def cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
@@ -209,10 +209,10 @@
         """
         if not self.is_answer_complete or not self._may_have_unread():
             return
-        sockets.end_sending(self._connection)
+        self._connection.end_sending()
         self._is_discarding = True
         self._inbox.clear()
-        self._limit_inbox(sockets.READ_BYTES)
+        self._limit_inbox(READ_BYTES)
         with trio.move_on_after(self._discard_limit_s):
             while not self._is_disconnected:
                 await self._wait_for_input()
@@ -229,16 +229,16 @@
         surplus, _ = self._protocol.trailing_data
         if not is_whole or surplus or self._inbox:
             return True
-        return not sockets.is_open_and_empty(self._connection)
+        return not self._connection.is_open_and_empty()
 
     def close(self) -> None:
         """Close the connection normally."""
         if not self._is_closed:
             self._is_closed = True
-            sockets.close(self._connection)
+            self._connection.close()
 
     def reset(self) -> None:
         """Reset the connection, so that a truncated answer does not look complete."""
         if not self._is_closed:
             self._is_closed = True
-            sockets.reset(self._connection)
+            self._connection.reset()
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -17,10 +17,10 @@
     body_delimiter,
     reserve_answer,
 )
+from scaleloom_fleet.http1.connections import Connection, ConnectionLost, Loss
 from scaleloom_fleet.http1.input_pace import InputBound, InputBoundExceeded
 from scaleloom_fleet.http1.outgoing_requests import OutgoingRequest, serialise
 from scaleloom_fleet.http1.part_joining import join_parts
-from scaleloom_fleet.http1.sockets import ConnectionLost
 from scaleloom_fleet.utils.addresses import Address
 
 __all__ = [
@@ -55,12 +55,12 @@
     """
 
     def __init__(self, connection: socket.socket) -> None:
-        self._connection = connection
+        self._connection = Connection(connection)
         self._protocol = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._unsent: list[memoryview] = []
-        self._pace = input_pace.InputPace(sockets.peer_name(connection))
+        self._pace = input_pace.InputPace(self._connection.peer_name)
         self._interim_heads = 0
         # An event that the parser has returned ahead of its reader.
         self._next: object | None = None
@@ -94,7 +94,7 @@
     def _send_nowait(self) -> bool:
         """Send from the first unsent part; return whether the kernel took all of it."""
         part = self._unsent[0]
-        sent = sockets.send_nowait(self._connection, part)
+        sent = self._connection.send_nowait(part)
         self._record_sent(sent)
         return sent == len(part)
 
@@ -120,9 +120,7 @@
         """
         try:
             while self._unsent:
-                await sockets.send_all(
-                    self._connection, self._unsent[0], self._record_sent
-                )
+                await self._connection.send_all(self._unsent[0], self._record_sent)
         except ConnectionLost:
             return
 
@@ -173,7 +171,7 @@
                 if isinstance(event, h11.Response):
                     return answer_head(event, self._method)
                 if event is h11.NEED_DATA:
-                    data = sockets.receive_nowait(self._connection)
+                    data = self._connection.receive_nowait()
                     if not data:
                         return None
                     self._feed(data)
@@ -269,7 +267,7 @@
                 event, self._next = self._next, None
                 return event
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
-                self._feed(await sockets.receive(self._connection, self._pace))
+                self._feed(await self._connection.receive(self._pace))
         except (h11.RemoteProtocolError, ConnectionLost, InputBoundExceeded) as error:
             raise AnswerProtocolError(str(error)) from error
         return event
@@ -306,7 +304,12 @@
 
     def is_open_and_empty(self) -> bool:
         """Return whether the idle connection is open and has no unread bytes."""
-        return not self._is_closed and sockets.is_open_and_empty(self._connection)
+        return not self._is_closed and self._connection.is_open_and_empty()
+
+    @property
+    def loss(self) -> Loss | None:
+        """Return how the connection was lost, if a call has met that."""
+        return self._connection.loss
 
     @property
     def is_closed(self) -> bool:
@@ -322,17 +325,17 @@
         unacked_timeout_ms : int
             For how long probes may stay unanswered before the kernel drops the link.
         """
-        unanswered = sockets.unanswered_probes(self._connection)
+        unanswered = self._connection.unanswered_probes()
         if unanswered:
-            sockets.limit_silence(self._connection, unacked_timeout_ms)
-            sockets.send_probe(self._connection)
+            self._connection.limit_silence(unacked_timeout_ms)
+            self._connection.send_probe()
         return unanswered
 
     def close(self) -> None:
         """Close the connection."""
         if not self._is_closed:
             self._is_closed = True
-            sockets.close(self._connection)
+            self._connection.close()
 
 
 async def open_link(
--- a/tests/http1/test_input_pace.py
+++ b/tests/http1/test_input_pace.py
@@ -6,12 +6,13 @@
 import trio
 from nose2.tools import params
 
-from scaleloom_fleet.http1 import input_pace, sockets
+from scaleloom_fleet.http1 import input_pace
 from scaleloom_fleet.http1.callers import (
     CallerConnection,
     CallerLimits,
     RequestRejected,
 )
+from scaleloom_fleet.http1.connections import Connection
 from scaleloom_fleet.http1.input_pace import InputBound, InputPace, process_budget
 from scaleloom_fleet.http1.links import AnswerProtocolError, Link, OutgoingRequest
 from tests.fixtures.endless_inputs import (
@@ -124,10 +125,10 @@
 @runs_in_trio
 async def test_others_get_their_turn_beside_a_peer_that_sends_without_end():
     connection = EndlessSocket(b"", LARGE_CHUNK)
-    pace = InputPace()
+    receiver, pace = Connection(connection), InputPace()
 
     async def read() -> None:
-        while data := await sockets.receive(connection, pace):
+        while data := await receiver.receive(pace):
             pace.record_step(len(data))
 
     assert await _beside_others(connection, read, READ_TIME_S) >= MIN_TURNS
