Take no reset for an end, whichever call met it

What callers saw: a target that answered a long upload early, without a length, and reset the connection: 200, a part of the answer, a normal end.

Cause: the kernel reports a reset or a time-out once. The write of the request's rest (or a peek at a silent link) met it, and the reader found what a normal close leaves.

Change: reading goes by the loss that Connection keeps: what has arrived is returned, and then ConnectionLost is raised. A peer that had ended its side before it reset (EPIPE instead of ECONNRESET) has sent its whole answer, and its end stays normal.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/connections.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/connections.py
@@ -45,6 +45,15 @@
     code: int
     reported_to: SocketCall
 
+    @property
+    def is_behind_end(self) -> bool:
+        """
+        Return whether the peer had ended its side normally before.
+
+        All that it sent has arrived then, and only what is sent to it gets lost.
+        """
+        return self.code == errno.EPIPE
+
     @property
     def name(self) -> str:
         """Return the name of the error, such as ``ECONNRESET``."""
@@ -56,7 +65,8 @@
     A non-blocking TCP connection.
 
     The kernel reports a reset or a time-out to the first call that meets it; calls
-    after it find what a normal close leaves. The connection keeps the report for them.
+    after it find what a normal close leaves. The connection keeps the report, so that
+    no reader takes it for a normal end.
 
     Parameters
     ----------
@@ -70,6 +80,24 @@
         self._socket = connected
         self.loss: Loss | None = None
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether a call has met the loss of the connection."""
+        return self.loss is not None and not self.loss.is_behind_end
+
+    def _checked(self, data: bytes) -> bytes:
+        """
+        Return what was received.
+
+        Raises
+        ------
+        ConnectionLost
+            If it is the end of a connection that was lost.
+        """
+        if not data and self.is_lost:
+            raise ConnectionLost(self.loss.name)
+        return data
+
     def _record_loss(self, error: OSError, call: SocketCall) -> ConnectionLost:
         """Keep the first report of a loss, and return the error to raise."""
         if self.loss is None:
@@ -107,7 +135,7 @@
             await pace.give_way()
         while True:
             try:
-                return self._socket.recv(size_bytes)
+                return self._checked(self._socket.recv(size_bytes))
             except BlockingIOError:
                 pace.rest()
                 await trio.lowlevel.wait_readable(self._socket)
@@ -170,6 +198,8 @@
 
     def is_open_and_empty(self) -> bool:
         """Return whether an idle connection is open and has no unread bytes."""
+        if self.is_lost:
+            return False
         try:
             self._socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
