Pass the end of an unframed answer on only if its target still runs

What callers saw: a stream without a length, whose target crashed behind some events, ended as complete.

Cause: a process that ends, its input read, closes its connections as behind a whole answer. The gateway passed that close on, and asked only afterwards, for the records of crashes, whether the target was still there.

Change: it asks before. If the target accepts no connection any more, the answer is broken off: the request goes to another target where its route allows that, else the caller gets a reset, or 502 if nothing was sent yet.

A target that breaks off such an answer by a normal close and runs on can't be told from one that has answered: its close is passed on as before. To break those off too would break every whole answer of this kind.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
@@ -45,7 +45,7 @@
         _forget_cached_prompt(state, exchange)
     _clear_answering(context, exchange)
     _record_outcome(state, exchange, result)
-    _probe_after_end(state, context, exchange, result)
+    _probe_after_break(state, context, exchange, result)
     record_end(exchange, result)
     exchange.is_ended = True
     release_slot(state, context, exchange.record, result.value)
@@ -117,31 +117,15 @@
         state.chooser.forget_cached(exchange.placement, exchange.target.id)
 
 
-def _probe_after_end(
+def _probe_after_break(
     state: GatewayState,
     context: RequestContext,
     exchange: Exchange,
     result: AttemptResult,
 ) -> None:
-    """Have the target probed if it may have crashed at the end of an exchange."""
+    """Have the target probed if the exchange broke, as it may have crashed."""
     target, prober = exchange.target, state.crashes.prober
     if result in BROKEN_RESULTS:
         if result is AttemptResult.SILENT:
             prober.record_abandoned(target, context.causes)
         exchange.probe = prober.probe_after_break(target, context.causes)
-    elif exchange.answer_end is AnswerEnd.UNKNOWN and not _is_leaving(state, exchange):
-        if exchange.has_succeeded:
-            prober.probe_after_unknown_end(target, context.causes)
-        else:
-            # A failure clears the request, but not the parts that it shares.
-            prober.probe_after_unknown_end(target, (context.digest,))
-
-
-def _is_leaving(state: GatewayState, exchange: Exchange) -> bool:
-    """
-    Return whether a target leaves as planned.
-
-    It ends soon after a complete answer, so that an unknown end is no sign of a crash.
-    """
-    newest = state.view.records.get(exchange.target.id)
-    return newest is None or not newest.is_ready
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from scaleloom_fleet.gateway.silences import event_timeout_s, has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.stream_origins import record_first_event
+from scaleloom_fleet.gateway.unknown_ends import check_target_runs
 from scaleloom_fleet.http1.input_pace import InputBound
 from scaleloom_fleet.http1.links import (
     AnswerHead,
@@ -49,6 +50,7 @@
         if not is_whole:
             reservation.release()
             return await _forward_long(state, context, exchange, body)
+        await check_target_runs(state, context, exchange)
         if exchange.observation is not None:
             exchange.observation.record_body_complete(trio.current_time())
         _record_first_byte(state, context)
@@ -110,6 +112,7 @@
     while part is not None:
         await _send_part(state, context, exchange, part, keeps_length=True)
         part = await exchange.link.read_data()
+    await check_target_runs(state, context, exchange)
     await context.answer.end(exchange)
     return AttemptResult.ANSWERED
 
@@ -188,6 +191,7 @@
     if events.has_partial:
         raise AnswerProtocolError("stream ended in the middle of an event")
     _check_unknown_end(context, link)
+    await check_target_runs(state, context, exchange)
     if context.answering is not exchange:
         await claim_answer(state, context, exchange)
     if not context.answer.is_begun:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -140,7 +140,7 @@
 
     def probe_after_unknown_end(
         self, target: ListedTarget, causes: Sequence[CauseDigest]
-    ) -> None:
+    ) -> TargetProbe:
         """Probe `target`, whose answer is complete unless it crashed."""
         probe = self._find_probe(target)
         if probe.has_crashed:
@@ -148,6 +148,7 @@
         else:
             probe.answered += causes
             probe.request_count += 1
+        return probe
 
     def record_abandoned(
         self, target: ListedTarget, causes: Sequence[CauseDigest]
