--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
@@ -20,6 +20,7 @@
 from scaleloom_fleet.gateway.request_metrics import record_answer_end
 from scaleloom_fleet.gateway.rollout_observations import record_end, record_timeout
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.unknown_ends import is_leaving
 
 _UNCOUNTED_RESULTS = frozenset({AttemptResult.BACKING_OFF, AttemptResult.WRONG_TARGET})
 _logger = logging.getLogger("scaleloom.gateway")
@@ -128,4 +129,12 @@
     if result in BROKEN_RESULTS:
         if result is AttemptResult.SILENT:
             prober.record_abandoned(target, context.causes)
-        exchange.probe = prober.probe_after_break(target, context.causes)
+        if not _has_left(state, exchange):
+            exchange.probe = prober.probe_after_break(target, context.causes)
+
+
+def _has_left(state: GatewayState, exchange: Exchange) -> bool:
+    """Return whether a target may have ended as planned instead of by a crash."""
+    head = exchange.link.head
+    is_unframed = head is not None and not head.has_known_end
+    return is_unframed and is_leaving(state, exchange)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -193,7 +193,7 @@
         """Find out whether a target accepts connections, and report the result."""
         try:
             await trio.sleep_until(probe.begins_s)
-            self._apply_result(probe, await self._is_running(probe.target))
+            self._apply_result(probe, await self.is_running(probe.target))
         finally:
             # Requests wait for the end of the probe, whatever it is.
             probe.is_done.set()
@@ -222,7 +222,7 @@
             for cause in request.causes
         ]
 
-    async def _is_running(self, target: ListedTarget) -> bool | None:
+    async def is_running(self, target: ListedTarget) -> bool | None:
         """
         Return whether `target` accepts connections, or None if it is not known.
 
--- a/tests/gateway/test_lost_ends.py
+++ b/tests/gateway/test_lost_ends.py
@@ -153,6 +153,32 @@
     assert not _looks_complete(answer), answer.delimiter
 
 
+@params(*PATHS)
+@runs_on_paused_clock
+async def test_an_answer_whose_target_left_does_not_look_complete(path):
+    async with running_site(runner_count=1, gateway_count=0) as site:
+        (target,) = site.runners
+        target.is_leaving = True
+        _crash_in_answer(site, target, _part_of)
+        await _start_gateway(site)
+        answer = await site.ask(path)
+    assert target.runs["r-1"] == 1
+    assert not _looks_complete(answer), answer.delimiter
+
+
+@params(*PATHS)
+@runs_on_paused_clock
+async def test_a_whole_answer_of_a_leaving_target_is_passed_on(path):
+    is_stream = path.startswith("/stream")
+    make_body = unframed.all_events if is_stream else unframed.body_of
+    async with running_site(runner_count=1) as site:
+        (target,) = site.runners
+        target.is_leaving = True
+        target.behaviour = unframed.answer_unframed(make_body)
+        answer = await site.ask(path)
+    assert (answer.status, answer.is_complete) == (200, True)
+
+
 @params("/safe/1", "/stream/1")
 @runs_on_paused_clock
 async def test_a_request_whose_target_crashed_is_served_by_another(path):
