--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -64,6 +64,7 @@
     "tests.gateway.test_silent_targets",
     "tests.gateway.test_silent_takeovers",
     "tests.gateway.test_silence_aftermath",
+    "tests.test_soak_seeds",
 )
 
 
