Take no reset for an end on the own path, whichever call met it

What callers saw: a target that answered a long upload early, without a length, and reset the connection: 200 with what had come, if that was JSON. With a key it was stored and replayed. A part that is no complete JSON was refused already, since no unknown end is passed on.

Cause: the kernel reports a reset once. httpcore goes on to read after a write that failed, and found what a normal close leaves.

Change: the HTTP client opens its connections by a network backend of httpcore's own interface that keeps the first report of a loss, as http1's Connection does; a read behind it raises ReadError. A peer that had ended its side before it reset has sent its complete answer.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_fleet.http.answer_ends import Proof, is_labelled_json, read_complete
+from scaleloom_fleet.http.network import LossKeepingBackend
 
 IDLE_CONNECTION_TIMEOUT_S = 50.0
 NEVER_SENT_ERRORS = (
@@ -75,6 +76,7 @@
             max_connections=None,
             max_keepalive_connections=None if reuses_connections else 0,
             keepalive_expiry=IDLE_CONNECTION_TIMEOUT_S,
+            network_backend=LossKeepingBackend(),
         )
         self._timeouts = {
             "connect": connect_timeout_s,
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/connections.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/connections.py
@@ -45,6 +45,13 @@
     code: int
     reported_to: SocketCall
 
+    @classmethod
+    def reported_by(cls, error: BaseException, call: SocketCall) -> "Loss":
+        """Return the loss that `error` reports, or the system's error behind it."""
+        while not isinstance(error, OSError) and error.__cause__ is not None:
+            error = error.__cause__
+        return cls(getattr(error, "errno", None) or 0, call)
+
     @property
     def is_behind_end(self) -> bool:
         """
@@ -101,7 +108,7 @@
     def _record_loss(self, error: OSError, call: SocketCall) -> ConnectionLost:
         """Keep the first report of a loss, and return the error to raise."""
         if self.loss is None:
-            self.loss = Loss(error.errno or 0, call)
+            self.loss = Loss.reported_by(error, call)
         return ConnectionLost(str(error))
 
     @property
--- a/tests/gateway/test_lost_ends.py
+++ b/tests/gateway/test_lost_ends.py
@@ -5,13 +5,12 @@
 write of the request's rest, or a target that crashed had closed its connection.
 """
 
-import h11
 import trio
 from nose2.tools import params
 
 from scaleloom_fleet.http1.links import BodyDelimiter
 from tests.fixtures import stub_targets, unframed
-from tests.fixtures.cut_answers import reset
+from tests.fixtures.early_answers import send_and_reset, serve_heads
 from tests.fixtures.fleets import runs_in_trio, runs_on_paused_clock
 from tests.fixtures.gateways import (
     CONFIG_TOPIC,
@@ -51,31 +50,15 @@
     return listener
 
 
-async def _read_head(stream: trio.SocketStream) -> ReceivedRequest | None:
-    """Return the request whose head arrives, without its body; None at the end."""
-    protocol = h11.Connection(h11.SERVER)
-    while (head := protocol.next_event()) is h11.NEED_DATA:
-        protocol.receive_data(await stream.receive_some())
-    if not isinstance(head, h11.Request):
-        return None
-    headers = {k.decode(): v.decode("latin-1") for k, v in head.headers}
-    method, target = head.method.decode(), head.target.decode("latin-1")
-    return ReceivedRequest(method, target, headers, b"", stream)
-
-
 def _serve_head_only(
     site: Site, target: StubTarget, answer: stub_targets.Behaviour
 ) -> None:
     """Let `target` answer at the head of a request, and read nothing more."""
 
-    async def handle(stream: trio.SocketStream) -> None:
-        async with stream:
-            request = await _read_head(stream)
-            if request is not None:
-                await answer(target, request)
+    async def answer_at_head(request: ReceivedRequest) -> None:
+        await answer(target, request)
 
-    listener = _listen(site, target)
-    site.nursery.start_soon(trio.serve_listeners, handle, [listener])
+    site.nursery.start_soon(serve_heads, _listen(site, target), answer_at_head)
 
 
 def _part_of(request: ReceivedRequest) -> bytes:
@@ -89,10 +72,7 @@
     """Send a part of an answer without a length, and reset the connection."""
     target.runs[request_id(request)] += 1
     head = unframed.unframed_head(target, request, 200)
-    # In one step, so that the router finds both at once.
-    request.stream.socket._sock.send(head + _part_of(request))
-    reset(request.stream)
-    await trio.aclose_forcefully(request.stream)
+    await send_and_reset(request, head + _part_of(request))
     return False
 
 
