--- a/tests/fleet/test_lost_answers.py
+++ b/tests/fleet/test_lost_answers.py
@@ -63,6 +63,19 @@
     assert [answer.status for answer in answers] == [502] * PLAYS, answers
 
 
+@runs_in_trio
+async def test_an_answer_that_was_reset_is_not_stored_for_its_key():
+    async with own_path(
+        "service", JSON_ANSWER, resets_at_head=True, limits=LIMITS
+    ) as path:
+        answers = [await path.call_service("POST", "k", LONG_BODY) for _ in range(2)]
+        run_count = len(path.target.received)
+    for answer in answers:
+        assert answer.headers["x-scaleloom-refusal"] == "outcome_unknown"
+        assert "x-scaleloom-replayed" not in answer.headers
+    assert run_count == 1
+
+
 async def _connect() -> tuple[httpcore.AsyncNetworkStream, trio.SocketStream]:
     """Return both ends of a connection, that of the client first."""
     listener = free_listener()
