--- a/soak/long_callers.py
+++ b/soak/long_callers.py
@@ -163,7 +163,7 @@
     method = "POST" if kind in FILE_KINDS else "GET"
     started_s = trio.current_time()
     with trio.move_on_after(patience_s) as scope:
-        await _exchange(observed, data, method, answer)
+        await read_while_sending(observed, data, method, answer)
     return CallerResult(
         kind,
         request_id,
@@ -181,7 +181,7 @@
     )
 
 
-async def _exchange(
+async def read_while_sending(
     link: ObservedStream, data: bytes, method: str, answer: Answer
 ) -> None:
     """Send a request, and read the answer that may come before its last byte."""
--- a/soak/observed_streams.py
+++ b/soak/observed_streams.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from tests.fixtures.kept_losses import LossKeepingLink
+
 
 def is_unused(link: trio.SocketStream) -> bool:
     """
@@ -17,7 +19,7 @@
     return not readable.poll(0)
 
 
-class ObservedStream:
+class ObservedStream(LossKeepingLink):
     """
     A connection on which one request is sent.
 
@@ -25,28 +27,20 @@
     ----------
     sent_s : float or None
         When the last byte was written, on trio's clock.
-    is_reset : bool
-        Whether the connection was reset.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
+        super().__init__(stream)
         self.sent_s: float | None = None
-        self.is_reset = False
 
     async def send_all(self, data: bytes) -> None:
-        """Send `data`, and note when its last byte was written."""
-        try:
-            await self._stream.send_all(data)
-        except trio.BrokenResourceError:
-            self.is_reset = True
-            raise
+        """
+        Send `data`, and note when its last byte was written.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the connection was lost.
+        """
+        await super().send_all(data)
         self.sent_s = trio.current_time()
-
-    async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        """Return the next bytes, and note a reset."""
-        try:
-            return await self._stream.receive_some(max_bytes)
-        except trio.BrokenResourceError:
-            self.is_reset = True
-            raise
