Let the soak's relays end connections as their servers did

A reset that the write met was not passed on as such; the close reset the connection only where the caller had unread bytes under way.

Relays read over links that keep a loss: a reset of one side resets the other, and a server that ended its side first is read to that end, which is passed on.

--- a/soak/relays.py
+++ b/soak/relays.py
@@ -7,6 +7,7 @@
 from scaleloom_standins.ports import LOOPBACK
 from soak.stillness import Stillness
 from tests.fixtures.cut_answers import reset
+from tests.fixtures.kept_losses import LossKeepingLink
 from tests.fixtures.stub_server import free_listener, port_of
 
 READ_LIMIT_BYTES = 65536
@@ -92,40 +93,43 @@
     ) -> None:
         """Connect to the server and copy bytes in both directions."""
         server = await trio.open_tcp_stream(LOOPBACK, self.server_port)
+        ends = LossKeepingLink(client), LossKeepingLink(server)
         async with server, trio.open_nursery() as nursery:
-            nursery.start_soon(self._copy, client, server, False, scope)
-            nursery.start_soon(self._copy, server, client, True, scope)
+            nursery.start_soon(self._copy, *ends, False, scope)
+            nursery.start_soon(self._copy, *reversed(ends), True, scope)
 
     async def _copy(
         self,
-        source: trio.SocketStream,
-        destination: trio.SocketStream,
+        source: LossKeepingLink,
+        destination: LossKeepingLink,
         is_answer: bool,
         scope: trio.CancelScope,
     ) -> None:
-        """Copy bytes in one direction, and close both when this one ends."""
+        """
+        Copy bytes in one direction, and close both when this one ends.
+
+        What resets one connection resets the other. One whose server has ended its
+        side before is still read to that end.
+        """
         try:
-            while data := await self._receive(source, destination):
+            while data := await source.receive_some(READ_LIMIT_BYTES):
                 await self._wait_for_mode(is_answer)
                 if not is_answer:
                     await self._stillness.wait_until_going_on()
                 await destination.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            if destination.is_reset and not destination.is_lost and not is_answer:
+                return
+            for lost, other in ((source, destination), (destination, source)):
+                if lost.is_lost:
+                    reset(other.stream)
         while self.mode is RelayMode.WITHHELD:
             await self._mode_changed.wait()
+        if not destination.is_lost and not source.is_lost:
+            # A close alone resets a connection that has unread bytes.
+            destination.end_sending()
         scope.cancel()
 
-    async def _receive(
-        self, source: trio.SocketStream, destination: trio.SocketStream
-    ) -> bytes:
-        """Return the next bytes of `source`; a reset there resets `destination`."""
-        try:
-            return await source.receive_some(READ_LIMIT_BYTES)
-        except trio.BrokenResourceError:
-            reset(destination)
-            raise
-
     async def _wait_for_mode(self, is_answer: bool) -> None:
         """Wait for as long as the mode delays or withholds bytes."""
         if self.mode is RelayMode.DELAY:
--- a/tests/test_kept_losses.py
+++ b/tests/test_kept_losses.py
@@ -2,7 +2,8 @@
 Tests that test clients tell a reset from an end beside an upload.
 
 Guards against judges that take an answer for complete because their own write met the
-reset of its connection, or that see no answer because their write failed.
+reset of its connection, or that see no answer because their write failed; and against
+relays that pass such a reset on as a close.
 """
 
 import socket
@@ -14,6 +15,7 @@
 
 from soak.long_callers import read_while_sending
 from soak.observed_streams import ObservedStream
+from soak.relays import Relay
 from tests.fixtures.cut_answers import reset
 from tests.fixtures.early_answers import send_and_reset, serve_heads
 from tests.fixtures.fleets import runs_in_trio
@@ -87,3 +89,29 @@
     answers = await _play(ask, _end_answer_and_reset)
     seen = [(answer.status, answer.body, answer.is_complete) for answer in answers]
     assert seen == [(200, b"part", True)] * PLAYS
+
+
+async def _play_over_relay(answer) -> list[Answer]:
+    """Return the answers that a client sees in `PLAYS` plays over a relay."""
+    answers = []
+    async with _server(answer) as port, trio.open_nursery() as nursery:
+        relay = Relay(port)
+        nursery.start_soon(relay.run)
+        for _ in range(PLAYS):
+            async with await trio.open_tcp_stream("127.0.0.1", relay.port) as stream:
+                answers.append(await _read_while_sending(stream))
+        nursery.cancel_scope.cancel()
+    return answers
+
+
+@runs_in_trio
+async def test_a_relay_passes_no_reset_on_as_an_end():
+    answers = await _play_over_relay(_reset_in_answer)
+    assert not any(answer.is_complete for answer in answers), answers
+
+
+@runs_in_trio
+async def test_a_relay_passes_on_an_answer_that_ended_before_its_upload():
+    answers = await _play_over_relay(_end_answer_and_reset)
+    seen = [(answer.status, answer.body, answer.is_complete) for answer in answers]
+    assert seen == [(200, b"part", True)] * PLAYS, seen
