Draw targets that answer uploads at their head and reset beside them

Change: the kind answer_uploads_early, callers that send 5 to 6 MB on four kinds of routes, and a judge: a part must not end as complete. The stub server may answer at the head; a relay passes on a reset that it met as it sent.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from soak.callers import CHAT, PROMPT_COUNT
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.neighbour_faults import NEIGHBOUR_FAULTS
+from soak.peer_faults import PEER_FAULTS
 from soak.relays import Relay, RelayMode
 from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
@@ -353,4 +354,5 @@
     *SILENCES,
     *NEIGHBOUR_FAULTS,
     *VERSION_FAULTS,
+    *PEER_FAULTS,
 )
--- a/soak/long_answers.py
+++ b/soak/long_answers.py
@@ -7,8 +7,9 @@
 import trio
 
 from soak.endless_answers import EndlessForm, send_endless_answer
+from soak.upload_answers import send_early_answer, upload_answer
 from tests.fixtures.cut_answers import EVENT_END, LAST_CHUNK, reset
-from tests.fixtures.stub_server import ReceivedRequest, raw_answer
+from tests.fixtures.stub_server import ReceivedRequest
 from tests.fixtures.stub_targets import StubTarget, chunk, first_event, request_id
 
 PART_BYTES = 1_000
@@ -41,6 +42,8 @@
         What the target sends without an end, if it does.
     broken_share : float
         Share of answers that are broken off.
+    early_share : float
+        Share of uploads that are answered at their head, without a length, and reset.
     """
 
     def __init__(self, rng: random.Random, broken_off_ids: set[str]) -> None:
@@ -50,6 +53,7 @@
         self._endless_scopes: set[trio.CancelScope] = set()
         self.endless_form: EndlessForm | None = None
         self.broken_share = 0.0
+        self.early_share = 0.0
 
     def end_endless_answers(self) -> None:
         """Answer as usual again, and close what was sent without an end."""
@@ -67,11 +71,20 @@
         if self.endless_form is not None:
             return await self._answer_without_end(stub, request)
         if not request.target.startswith(LONG_PATH):
-            body = received_text(length)
-            await request.stream.send_all(raw_answer(200, stub.seal(request), body))
+            await request.stream.send_all(upload_answer(stub, request, length))
             return True
         return await self._answer_long(stub, request)
 
+    def is_early(self, request: ReceivedRequest) -> bool:
+        """Return whether the target answers `request` at its head."""
+        return request.method == "POST" and self._rng.random() < self.early_share
+
+    async def answer_early(self, stub: StubTarget, request: ReceivedRequest) -> None:
+        """Answer an upload at its head, and reset the connection."""
+        stub.runs[request_id(request)] += 1
+        self._broken_off_ids.add(request_id(request))
+        await send_early_answer(stub, request, self._rng)
+
     async def _answer_without_end(
         self, stub: StubTarget, request: ReceivedRequest
     ) -> bool:
@@ -115,11 +128,6 @@
         return [answer_part(asked_id, run_name, n, part_count) for n in numbers]
 
 
-def received_text(length: int) -> bytes:
-    """Return the answer to a request with a body of `length` bytes."""
-    return b"%d bytes" % length
-
-
 def answer_part(asked_id: str, run_name: str, number: int, part_count: int) -> bytes:
     """Return one part of a long answer, an event that names its request and run."""
     text = f"id: {number}\ndata: {asked_id} {run_name} {number} {part_count} "
--- a/soak/long_callers.py
+++ b/soak/long_callers.py
@@ -7,20 +7,27 @@
 
 from scaleloom_fleet.http1.links import body_delimiter
 from soak.callers import THINK_TIME_S, CallerResult, Observations
-from soak.endless_answers import FILLER
 from soak.long_answer_checks import find_long_problem
-from soak.long_answers import received_text
-from soak.long_routes import FILE_KINDS, FILE_TIMEOUT_S, LONG_KINDS, LONG_MAX_BODY_BYTES
+from soak.long_routes import (
+    FILE_KINDS,
+    FILE_TIMEOUT_S,
+    LONG_KINDS,
+    LONG_MAX_BODY_BYTES,
+    UPLOAD_KINDS,
+    UPLOAD_RANGE_BYTES,
+)
 from soak.observed_streams import ObservedStream
 from soak.processes import GatewayProcess
 from soak.resuming_callers import GatewayLinks
 from soak.site import SoakSite
 from soak.targets import GATEWAY_HEADER
+from soak.upload_checks import find_upload_problem
 from tests.fixtures.gateways import Answer, request_bytes
 from tests.fixtures.stub_targets import chunk
 
 LONG_CALLER_COUNT = 16
 FILE_CALLER_COUNT = 40
+UPLOAD_CALLER_COUNT = 12
 PATIENCE_S = 1.5
 # Those that may be sent to a second target more often.
 ASKED_KINDS = ("long-safe", *LONG_KINDS)
@@ -38,7 +45,7 @@
 BODY_RANGE_BYTES = (200_000, LONG_MAX_BODY_BYTES)
 NEW_CONNECTION_SHARE = 0.3
 _USUAL_DEADLINE = b"Deadline-Ms: 2000"
-_BODY = b"x" * LONG_MAX_BODY_BYTES
+_BODY = b"x" * max(UPLOAD_RANGE_BYTES)
 
 
 async def ask_for_long_answers(
@@ -79,14 +86,47 @@
         data = _file_bytes(gateway, rng, kind, request_id, length)
         link = await _take(links, gateway, rng)
         if link is not None:
-            limits_s = (FILE_TIMEOUT_S, FILE_TIMEOUT_S + PATIENCE_S)
-            result = await _ask(link, gateway, kind, request_id, data, limits_s)
-            await _give_back(links, link, result)
-            problem = _find_file_problem(result.answer, length)
+            result = await _send_file(links, link, gateway, kind, request_id, data)
+            problem = find_upload_problem(site, result, length)
+            _record(site, observations, result, problem)
+        await trio.sleep(THINK_TIME_S)
+
+
+async def send_early_answered_uploads(
+    site: SoakSite, observations: Observations, number: int
+) -> None:
+    """Send long uploads on each kind of route while targets answer them early."""
+    rng = random.Random(site.rng.random())
+    links = GatewayLinks()
+    for iteration in range(1_000_000):
+        await site.neighbours.uploads.wait()
+        gateway, kind = rng.choice(site.gateways), rng.choice(UPLOAD_KINDS)
+        request_id = f"early-{kind}-{number}-{iteration}"
+        length = rng.randrange(*UPLOAD_RANGE_BYTES)
+        data = _file_bytes(gateway, rng, kind, request_id, length)
+        link = await _take(links, gateway, rng)
+        if link is not None:
+            result = await _send_file(links, link, gateway, kind, request_id, data)
+            problem = find_upload_problem(site, result, length)
             _record(site, observations, result, problem)
         await trio.sleep(THINK_TIME_S)
 
 
+async def _send_file(
+    links: GatewayLinks,
+    link: trio.SocketStream,
+    gateway: GatewayProcess,
+    kind: str,
+    request_id: str,
+    data: bytes,
+) -> CallerResult:
+    """Send one request with a long body, and return what came of it."""
+    limits_s = (FILE_TIMEOUT_S, FILE_TIMEOUT_S + PATIENCE_S)
+    result = await _ask(link, gateway, kind, request_id, data, limits_s)
+    await _give_back(links, link, result)
+    return result
+
+
 async def _take(
     links: GatewayLinks, gateway: GatewayProcess, rng: random.Random
 ) -> trio.SocketStream | None:
@@ -108,14 +148,6 @@
         await links.give_back(result.gateway, link, result.answer)
 
 
-def _find_file_problem(answer: Answer, length: int) -> str | None:
-    """Return what is wrong with the answer to a body of `length` bytes, or None."""
-    is_success = answer.status == 200 and answer.is_framed_as_complete
-    if not is_success or answer.body in (received_text(length), FILLER):
-        return None
-    return f"{answer.body[:KEPT_BYTES]!r} where {length} bytes were sent"
-
-
 def _record(
     site: SoakSite,
     observations: Observations,
@@ -160,7 +192,7 @@
     deadline_s, patience_s = limits_s
     was_stopping, incarnation = gateway.is_stopping, gateway.incarnation
     answer, observed = Answer(None), ObservedStream(link)
-    method = "POST" if kind in FILE_KINDS else "GET"
+    method = "POST" if kind in UPLOAD_KINDS else "GET"
     started_s = trio.current_time()
     with trio.move_on_after(patience_s) as scope:
         await _exchange(observed, data, method, answer)
@@ -177,7 +209,7 @@
         deadline_s=deadline_s,
         sent_s=observed.sent_s,
         is_reset=observed.is_reset,
-        is_large=kind in FILE_KINDS,
+        is_large=kind in UPLOAD_KINDS,
     )
 
 
--- a/soak/neighbours.py
+++ b/soak/neighbours.py
@@ -70,6 +70,8 @@
         Set while many callers send long bodies.
     surge_to : GatewayProcess or None
         The gateway that they send them to; None for all.
+    uploads : trio.Event
+        Set while callers send the uploads that targets answer early.
     are_answers_long : bool
         Whether callers ask for answers longer than what a gateway holds back.
     memory_peaks : dict of tuple to MemoryPeak
@@ -83,6 +85,7 @@
     busy: set[str] = field(default_factory=set)
     surge: trio.Event = field(default_factory=trio.Event)
     surge_to: GatewayProcess | None = None
+    uploads: trio.Event = field(default_factory=trio.Event)
     are_answers_long: bool = False
     endless_periods: list[EndlessPeriod] = field(default_factory=list)
     start_troubles: list[StartTrouble] = field(default_factory=list)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -23,7 +23,7 @@
     was_gateway_undisturbed,
     was_path_undisturbed,
 )
-from soak.long_routes import FILE_KINDS, LONG, LONG_AT_MOST_ONCE_KINDS, LONG_KINDS
+from soak.long_routes import LONG, LONG_AT_MOST_ONCE_KINDS, LONG_KINDS, UPLOAD_KINDS
 from soak.mixed_streams import MIXED
 from soak.neighbour_checks import (
     check_beside_endless,
@@ -52,7 +52,7 @@
 SERVICES_BY_KIND = {
     "chat": ENGINE,
     MIXED: MIXED,
-    **dict.fromkeys((*LONG_KINDS, *FILE_KINDS), LONG),
+    **dict.fromkeys((*LONG_KINDS, *UPLOAD_KINDS), LONG),
 }
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAX_CONFIG_DELAY_S = 2.5
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -109,7 +109,7 @@
                 await self._wait_for_mode(is_answer)
                 if not is_answer:
                     await self._stillness.wait_until_going_on()
-                await destination.send_all(data)
+                await self._send(data, source, destination)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         while self.mode is RelayMode.WITHHELD:
@@ -126,6 +126,16 @@
             reset(destination)
             raise
 
+    async def _send(
+        self, data: bytes, source: trio.SocketStream, destination: trio.SocketStream
+    ) -> None:
+        """Send `data` to `destination`; a reset there resets `source`."""
+        try:
+            await destination.send_all(data)
+        except trio.BrokenResourceError:
+            reset(source)
+            raise
+
     async def _wait_for_mode(self, is_answer: bool) -> None:
         """Wait for as long as the mode delays or withholds bytes."""
         if self.mode is RelayMode.DELAY:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -16,6 +16,7 @@
     probe_config_versions,
     send_requests,
 )
+from soak.early_answers import answer_uploads_early
 from soak.faults import (
     FAULT_SEQUENCE_COUNT,
     Fault,
@@ -26,8 +27,10 @@
 from soak.long_callers import (
     FILE_CALLER_COUNT,
     LONG_CALLER_COUNT,
+    UPLOAD_CALLER_COUNT,
     ask_for_long_answers,
     send_bodies_in_surges,
+    send_early_answered_uploads,
 )
 from soak.neighbour_checks import describe_neighbours
 from soak.neighbour_faults import NEIGHBOUR_FAULTS
@@ -117,7 +120,8 @@
     mixing = (change_versions, *VERSION_FAULTS)
     has_mixed_service = any(kind in kinds for kind in mixing)
     has_slow_routes = any(kind in SILENCES for kind in kinds)
-    has_neighbours = any(kind in NEIGHBOUR_FAULTS for kind in kinds)
+    taking = (answer_uploads_early, *NEIGHBOUR_FAULTS)
+    has_neighbours = any(kind in taking for kind in kinds)
     services = (has_mixed_service, has_slow_routes)
     neighbours = NeighbourRecord() if has_neighbours else None
     arguments = (seed, directory, gateway_count, disabled_mechanism)
@@ -154,6 +158,8 @@
         nursery.start_soon(ask_for_long_answers, site, observations, number)
     for number in range(FILE_CALLER_COUNT):
         nursery.start_soon(send_bodies_in_surges, site, observations, number)
+    for number in range(UPLOAD_CALLER_COUNT):
+        nursery.start_soon(send_early_answered_uploads, site, observations, number)
     for gateway in site.gateways:
         nursery.start_soon(probe_readiness, site, gateway)
     nursery.start_soon(watch_memory, site)
--- a/soak/site.py
+++ b/soak/site.py
@@ -10,7 +10,7 @@
 
 from scaleloom_standins.ports import free_port
 from soak.long_answers import LongAnswers
-from soak.long_routes import LONG, LONG_MAX_BODY_BYTES, long_routes
+from soak.long_routes import LONG, UPLOAD_RANGE_BYTES, long_routes
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.neighbours import NeighbourRecord
 from soak.processes import GatewayProcess
@@ -124,7 +124,7 @@
         if self.neighbours is not None:
             document["services"].append({"name": LONG})
             document["routes"] += long_routes()
-            document["limits"]["max-body-bytes"] = LONG_MAX_BODY_BYTES
+            document["limits"]["max-body-bytes"] = max(UPLOAD_RANGE_BYTES)
         self.store.put(CONFIG_TOPIC, "config", document)
         self.config_written_s[version] = trio.current_time()
 
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -26,7 +26,7 @@
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
-from scaleloom_fleet.http1 import binding, links, requesting
+from scaleloom_fleet.http1 import binding, connections, links, requesting
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
@@ -59,6 +59,11 @@
     exchanges._read_matching_head = read_any_head
 
 
+def _forget_losses() -> None:
+    """Take what is read behind a reset that another call met for a normal end."""
+    connections.Connection.is_lost = property(lambda self: False)
+
+
 def _accept_broken_answers() -> None:
     """Treat an answer that breaks off as complete."""
     read_data = links.Link.read_data
@@ -235,6 +240,7 @@
     "proof-of-not-run": _claim_not_run_always,
     "own-answer": _accept_any_answer,
     "whole-answer": _accept_broken_answers,
+    "kept-loss": _forget_losses,
     "unknown-end": _trust_unknown_ends,
     "stream-version": _go_on_at_any_version,
     "never-back": _apply_older_configs,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -216,6 +216,15 @@
             request.target, recent / RATE_WINDOW_S, now_s
         )
 
+    async def answer_head(self, request: ReceivedRequest) -> bool:
+        """Answer a request at its head, or return False."""
+        long_answers = self.long_answers
+        if long_answers is None or not long_answers.is_early(request):
+            return False
+        self.reached_ids.add(request_id(request))
+        await long_answers.answer_early(self.stub, request)
+        return True
+
     async def answer(self, stub: StubTarget, request: ReceivedRequest) -> bool:
         """Process one request for a while, and answer it normally or badly."""
         self.reached_ids.add(request_id(request))
@@ -370,6 +379,6 @@
     target = SoakTarget(stub, relay, service, rng, version=version, nursery=nursery)
     target.stillness = stillness
     stub.behaviour = target.answer
-    nursery.start_soon(serve_http, listener, stub.answer, True)
+    nursery.start_soon(serve_http, listener, stub.answer, True, target.answer_head)
     nursery.start_soon(target.relay.run)
     return target
--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -50,6 +50,7 @@
     "tests.test_drawn_rollouts",
     "tests.test_proofs",
     "tests.test_soak",
+    "tests.test_soak_peer_seeds",
     "tests.test_soak_seeds",
 )
 REAL_CLOCK_WORKERS = 2
--- a/tests/test_soak_neighbours.py
+++ b/tests/test_soak_neighbours.py
@@ -32,6 +32,7 @@
     ReadinessProbe,
     StartTrouble,
 )
+from soak.peer_faults import PEER_FAULTS
 from soak.processes import GRACE_S, GatewayProcess, ProcessEnd
 from soak.promise_checks import check_exits
 from soak.site import SoakSite
@@ -361,8 +362,9 @@
 
 
 def test_seeds_of_the_earlier_kinds_draw_no_fault_of_neighbours():
-    earlier = faults.FAULTS[: -len(VERSION_FAULTS)]
-    assert faults.FAULTS[len(earlier) :] == VERSION_FAULTS
+    later = (*VERSION_FAULTS, *PEER_FAULTS)
+    earlier = faults.FAULTS[: -len(later)]
+    assert faults.FAULTS[len(earlier) :] == later
     kind_count = len(earlier) - len(NEIGHBOUR_FAULTS)
     assert earlier[kind_count:] == NEIGHBOUR_FAULTS
     assert faults.FAULTS[kind_count - len(silences.SILENCES) : kind_count] == (
--- /dev/null
+++ b/tests/test_soak_peer_seeds.py
@@ -0,0 +1,33 @@
+"""
+Tests that seeds with one bad peer of the gateways hold, and that failures are seen.
+
+Guards against a soak that no longer draws these faults, or doesn't notice when the
+mechanism against one of them is switched off.
+"""
+
+import tempfile
+from pathlib import Path
+
+import trio
+
+from soak import peer_faults
+from soak.seed_run import SoakResult, run_seed
+
+LENGTH_S = 8.0
+ONE_RUN = "an answer consists of one run's bytes"
+
+
+def _run(seed: int, kinds, disabled_mechanism: str | None = None) -> SoakResult:
+    with tempfile.TemporaryDirectory() as directory:
+        arguments = (seed, LENGTH_S, Path(directory), 3, disabled_mechanism, kinds)
+        return trio.run(run_seed, *arguments)
+
+
+def test_resets_beside_uploads_are_no_ends_of_answers():
+    result = _run(66102, [peer_faults.answer_uploads_early])
+    assert result.broken == {}, result.describe()
+
+
+def test_a_forgotten_reset_beside_an_upload_is_detected():
+    result = _run(66102, [peer_faults.answer_uploads_early], "kept-loss")
+    assert ONE_RUN in result.broken, result.describe()
--- /dev/null
+++ b/tests/test_soak_peers.py
@@ -0,0 +1,74 @@
+"""
+Tests that the soak judges gateways beside one bad peer.
+
+Guards against judges that pass a part of an answer, or report what the soak itself cut.
+"""
+
+import random
+
+from nose2.tools import params
+
+from scaleloom_fleet.http1.links import BodyDelimiter
+from soak.callers import CallerResult
+from soak.long_routes import LONG
+from soak.processes import GatewayProcess
+from soak.site import SoakSite
+from soak.targets import SoakTarget
+from soak.upload_answers import whole_upload_body
+from soak.upload_checks import find_upload_problem
+from tests.fixtures.gateways import Answer
+from tests.fixtures.stub_targets import StubTarget
+
+AT_S = 100.0
+CLOSE, LENGTH = BodyDelimiter.CONNECTION, BodyDelimiter.LENGTH
+
+
+def _gateway(**fields: object) -> GatewayProcess:
+    """Return a gateway that doesn't run."""
+    return GatewayProcess("g-1", "127.0.0.1", 1, 2, None, **fields)
+
+
+def _result(kind: str, answer: Answer, **fields: object) -> CallerResult:
+    """Return what came of a request that was sent at `AT_S`."""
+    gateway = _gateway(**fields)
+    times_s = (AT_S, AT_S + 1.0)
+    return CallerResult(kind, "r-1", gateway, 1, *times_s, answer, False, False)
+
+
+def _site(service: str, **fields: object) -> SoakSite:
+    """Return a site with one target."""
+    fields = {"added_s": 0.0, **fields}
+    target = SoakTarget(StubTarget("i-1"), None, service, random.Random(1), **fields)
+    return SoakSite(random.Random(1), None, None, 0, targets=[target])
+
+
+@params(
+    ("file-once", b"", CLOSE, True),
+    ("file-safe", b"early", CLOSE, True),
+    ("file-safe", b"early", LENGTH, True),
+    ("file-safe", b"9 bytes", CLOSE, False),
+    ("file-stream", b"id: 1\ndata: r-1\n\n", CLOSE, True),
+    ("file-stream", whole_upload_body("file-stream", "r-1", 9), CLOSE, False),
+)
+def test_a_part_that_ends_normally_is_no_answer_to_an_upload(
+    kind, body, delimiter, is_broken
+):
+    answer = Answer(200, {}, body, True, delimiter)
+    problem = find_upload_problem(_site(LONG), _result(kind, answer), 9)
+    assert (problem is not None) is is_broken
+
+
+@params(
+    (Answer(502, {}, b"", True, LENGTH), {}, {}, False),
+    (Answer(200, {}, b"early", False, CLOSE), {}, {}, False),
+    (Answer(200, {}, b"early", True, CLOSE), {"disturbances_s": [AT_S]}, {}, False),
+    (Answer(200, {}, b"early", True, LENGTH), {"disturbances_s": [AT_S]}, {}, True),
+    (Answer(200, {}, b"", True, CLOSE), {}, {"path_disturbances_s": [AT_S]}, False),
+    (Answer(200, {}, b"", True, CLOSE), {}, {"path_disturbances_s": [AT_S - 1]}, True),
+)
+def test_what_the_soak_cut_or_saw_broken_off_is_no_fault(
+    answer, gateway, target, is_broken
+):
+    result = _result("file-once", answer, **gateway)
+    problem = find_upload_problem(_site(LONG, **target), result, 9)
+    assert (problem is not None) is is_broken
