Draw targets that crash behind parts of answers without a length

Change: the kind crash_in_answers, and a judge: a part must not end as complete if every target that sent one has crashed while it was listed.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -108,14 +108,33 @@
         return None
     if result.kind in EVENT_KINDS and not _ends_between_events(answer.body):
         return "ends inside an event, and not visibly"
-    if any(each.ending is Ending.CLOSED for each in sent):
+    if any(each.ending is Ending.CLOSED and not each.is_crash for each in sent):
         return None
+    if any(each.is_crash for each in sent):
+        return _find_crash_problem(site, result)
     if not ran_undisturbed(site, result):
         # The connection to the target may have ended otherwise than it ended it.
         return None
     return "a connection that was reset was passed on as closed"
 
 
+def _find_crash_problem(site: SoakSite, result: CallerResult) -> str | None:
+    """
+    Return what is wrong with the normal end of a part, if its targets crashed, or None.
+
+    A gateway may find a target ready that has crashed, but not one to which no
+    connection can be opened.
+    """
+    targets = [t for t in site.all_targets() if t.unframed_answers[result.request_id]]
+    since_s = result.started_s - RECOVERY_S
+    has_known_fate = all(
+        target.has_crashed
+        and is_undisturbed(target.path_disturbances_s, since_s, result.ended_s)
+        for target in targets
+    )
+    return "ends as complete, and its target crashed" if has_known_fate else None
+
+
 def _ends_between_events(body: bytes) -> bool:
     """Return whether the body of a stream ends where an event ends or may begin."""
     return not body or body.endswith(EVENT_END)
--- a/soak/crash_checks.py
+++ b/soak/crash_checks.py
@@ -5,10 +5,10 @@
 from soak.arrival_records import Arrival
 from soak.arrivals import ready_count, sorted_arrivals
 from soak.callers import CHAT, CallerResult, Observations
+from soak.crash_causes import CRASHING_BODY
 from soak.disturbances import RECOVERY_S, is_undisturbed, was_gateway_undisturbed
 from soak.processes import GatewayProcess
 from soak.site import PLAIN, TARGETS_PER_SERVICE, SoakSite
-from soak.targets import CRASHING_BODY
 
 CRASHES_TO_QUARANTINE = 3
 CRASHES_TO_QUARANTINE_PART = 5
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,13 +8,14 @@
 import trio
 
 from soak.callers import CHAT, PROMPT_COUNT
+from soak.crash_causes import CRASHING_BODY, CRASHING_PART
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.neighbour_faults import NEIGHBOUR_FAULTS
 from soak.peer_faults import PEER_FAULTS
 from soak.relays import Relay, RelayMode
 from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
-from soak.targets import CRASHING_BODY, CRASHING_PART, GATEWAY_HEADER, SoakTarget
+from soak.targets import GATEWAY_HEADER, SoakTarget
 from soak.version_faults import VERSION_FAULTS
 from tests.fixtures.gateways import ask_raw, request_bytes
 from tests.fixtures.platform_store import StoreFault
--- a/soak/peer_faults.py
+++ b/soak/peer_faults.py
@@ -1,5 +1,6 @@
 """Faults in which one peer of the gateways behaves badly, or a stop is planned."""
 
+from soak.crashes_in_answers import crash_in_answers
 from soak.early_answers import answer_uploads_early
 
-PEER_FAULTS = (answer_uploads_early,)
+PEER_FAULTS = (answer_uploads_early, crash_in_answers)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -82,6 +82,15 @@
     links.AnswerHead.has_known_end = property(lambda self: True)
 
 
+def _pass_on_every_close() -> None:
+    """Pass on the close of a target without asking whether it still runs."""
+
+    async def check_nothing(state, context, exchange):
+        return None
+
+    exchanges.check_target_runs = forwarding.check_target_runs = check_nothing
+
+
 def _go_on_at_any_version() -> None:
     """Go on with a stream at targets of any version."""
 
@@ -242,6 +251,7 @@
     "whole-answer": _accept_broken_answers,
     "kept-loss": _forget_losses,
     "unknown-end": _trust_unknown_ends,
+    "crash-asked": _pass_on_every_close,
     "stream-version": _go_on_at_any_version,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -8,6 +8,7 @@
 import trio
 
 from soak.arrival_records import Arrival
+from soak.crash_causes import crash_cause
 from soak.long_answers import LongAnswers
 from soak.mixed_streams import (
     EVENT_PAUSE_RANGE_S,
@@ -28,7 +29,9 @@
 from tests.fixtures.cut_answers import (
     PlannedAnswer,
     draw_answer,
+    draw_crash,
     pieces_of,
+    send_begun,
     send_pieces,
 )
 from tests.fixtures.stub_server import (
@@ -46,10 +49,6 @@
 # Short, so that a target that was idle shows a defect under load without delay.
 RATE_WINDOW_S = 0.25
 GATEWAY_HEADER = "soak-gateway"
-# A target crashes while it runs a request whose body begins with this.
-CRASHING_BODY = b"ends whatever runs it, number "
-# A target crashes while it runs a request with a prompt part whose id begins so.
-CRASHING_PART = "dead"
 CRASH_DELAY_S = 0.04
 BROKEN_UNFRAMED_SHARE = 0.5
 BROKEN_MIXED_SHARE = 0.15
@@ -123,6 +122,8 @@
         How the target answers, if it is of the service with long messages.
     is_direct : bool
         Whether gateways connect to the target itself; it can't be cut off then.
+    crashes_behind_parts : trio.Event or None
+        Set once the target has crashed behind parts of answers, if it is to.
     """
 
     stub: StubTarget
@@ -158,11 +159,17 @@
     reached_ids: set[str] = field(default_factory=set)
     long_answers: LongAnswers | None = None
     is_direct: bool = False
+    crashes_behind_parts: trio.Event | None = None
 
     def record_disturbance(self) -> None:
         """Record that a fault begins or ends now."""
         self.disturbances_s.append(trio.current_time())
 
+    @property
+    def has_crashed(self) -> bool:
+        """Return whether the target crashed while it was listed as ready."""
+        return self.removed_s == self.ended_s < float("inf")
+
     @property
     def port(self) -> int:
         """Return the port that gateways connect to."""
@@ -266,6 +273,8 @@
                 behave = self.rng.choice(BAD_MIXED if is_judged_apart else BAD_ANSWERS)
             elif not is_judged_apart and self.rng.random() < self.unframed_share:
                 behave = self._answer_unframed
+            if self.crashes_behind_parts is not None and not is_judged_apart:
+                behave = self._answer_before_crash
             if is_slow or is_failing:
                 self.bad_answers_s.append(trio.current_time())
             behave = stub_targets.fail if is_failing else behave
@@ -317,6 +326,18 @@
         self._record_planned(request_id(request), answer, is_unframed=True)
         return await send_pieces(stub, request, answer, self.rng)
 
+    async def _answer_before_crash(
+        self, stub: StubTarget, request: ReceivedRequest
+    ) -> bool:
+        """Run the request, send a part without a length, and wait for the crash."""
+        crashed = self.crashes_behind_parts
+        stub.runs[request_id(request)] += 1
+        answer = draw_crash(pieces_of(request), self.rng)
+        self._record_planned(request_id(request), answer, is_unframed=True)
+        await send_begun(stub, request, answer, self.rng)
+        await crashed.wait()
+        return False
+
     async def _answer_mixed(self, stub: StubTarget, request: ReceivedRequest) -> bool:
         """Run the request and send its events, which tell the target's version."""
         stub.runs[request_id(request)] += 1
@@ -354,16 +375,6 @@
         return True
 
 
-def crash_cause(request: ReceivedRequest) -> bytes | None:
-    """Return what crashes a target that runs `request`, or None if nothing does."""
-    if request.body.startswith(CRASHING_BODY):
-        return request.body
-    for part in request.headers.get("prompt-prefix", "").split(","):
-        if part.startswith(CRASHING_PART):
-            return part.partition(":")[0].encode()
-    return None
-
-
 def start_target(
     name: str,
     service: str,
--- a/tests/test_soak_answers.py
+++ b/tests/test_soak_answers.py
@@ -28,6 +28,7 @@
 BODY = b"body of r-1"
 CLOSED, RESET = Ending.CLOSED, Ending.RESET
 FALSE_END = "a connection that was reset was passed on as closed"
+CRASH_END = "ends as complete, and its target crashed"
 HALF_EVENT = "ends inside an event, and not visibly"
 
 
@@ -94,6 +95,27 @@
     assert _problem(_site(sent, []), _observe(kind, body, CLOSE)) == problem
 
 
+@params(
+    ({"removed_s": 10.1, "ended_s": 10.1}, CRASH_END),
+    ({"removed_s": 9.0, "ended_s": 10.1}, None),
+    ({}, None),
+    ({"removed_s": 10.1, "ended_s": 10.1, "path_disturbances_s": [9.0]}, None),
+)
+def test_a_part_whose_target_crashed_must_not_end_normally(fields, problem):
+    sent = [PlannedAnswer((BODY[:-2],), Cut.INSIDE_PIECE, is_crash=True)]
+    site = _site(sent, [])
+    for name, value in fields.items():
+        setattr(site.targets[0], name, value)
+    assert _problem(site, _observe("safe", BODY[:-2], CLOSE)) == problem
+
+
+def test_a_part_that_another_target_ended_normally_may_be_passed_on():
+    crash = PlannedAnswer((BODY[:-2],), Cut.INSIDE_PIECE, is_crash=True)
+    site = _site([crash, PlannedAnswer((BODY[:-2],), Cut.INSIDE_PIECE)], [])
+    site.targets[0].removed_s = site.targets[0].ended_s = 10.1
+    assert _problem(site, _observe("safe", BODY[:-2], CLOSE)) is None
+
+
 def test_an_end_that_cannot_be_known_needs_a_target_that_did_not_tell_its_own():
     observed = _observe("safe", BODY[:-2], CLOSE)
     assert "targets that told theirs" in _problem(_site([], []), observed)
--- a/tests/test_soak_peer_seeds.py
+++ b/tests/test_soak_peer_seeds.py
@@ -14,6 +14,7 @@
 from soak.seed_run import SoakResult, run_seed
 
 LENGTH_S = 8.0
+COMPLETE = "answers are complete and belong to their request"
 ONE_RUN = "an answer consists of one run's bytes"
 
 
@@ -23,6 +24,16 @@
         return trio.run(run_seed, *arguments)
 
 
+def test_the_ends_of_crashed_targets_are_no_ends_of_answers():
+    result = _run(66202, [peer_faults.crash_in_answers])
+    assert result.broken == {}, result.describe()
+
+
+def test_an_end_that_is_passed_on_unasked_is_detected():
+    result = _run(66202, [peer_faults.crash_in_answers], "crash-asked")
+    assert COMPLETE in result.broken, result.describe()
+
+
 def test_resets_beside_uploads_are_no_ends_of_answers():
     result = _run(66102, [peer_faults.answer_uploads_early])
     assert result.broken == {}, result.describe()
