--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -26,7 +26,7 @@
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
-from scaleloom_fleet.http1 import binding, links, requesting
+from scaleloom_fleet.http1 import binding, connections, links, requesting
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
@@ -59,6 +59,11 @@
     exchanges._read_matching_head = read_any_head
 
 
+def _forget_losses() -> None:
+    """Take what is read behind a reset that another call met for a normal end."""
+    connections.Connection.is_lost = property(lambda self: False)
+
+
 def _accept_broken_answers() -> None:
     """Treat an answer that breaks off as complete."""
     read_data = links.Link.read_data
@@ -77,6 +82,15 @@
     links.AnswerHead.has_known_end = property(lambda self: True)
 
 
+def _pass_on_every_close() -> None:
+    """Pass on the close of a target without asking whether it still runs."""
+
+    async def check_nothing(state, context, exchange):
+        return None
+
+    exchanges.check_target_runs = forwarding.check_target_runs = check_nothing
+
+
 def _go_on_at_any_version() -> None:
     """Go on with a stream at targets of any version."""
 
@@ -235,7 +249,9 @@
     "proof-of-not-run": _claim_not_run_always,
     "own-answer": _accept_any_answer,
     "whole-answer": _accept_broken_answers,
+    "kept-loss": _forget_losses,
     "unknown-end": _trust_unknown_ends,
+    "crash-asked": _pass_on_every_close,
     "stream-version": _go_on_at_any_version,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
