Refuse answers whose head is none, by one module

What callers saw: as answers of targets, status 600 and 999, versions HTTP/0.9, 1.2, 2.0 and 3.1, control bytes in a value (BEL, DEL, escape) or in the reason, folded lines (joined), bare LF, a length beside chunks, chunks in version 1.0, and a head of 66 kB.

Cause: h11 decided what is a head. It takes any version of the form N.N and any status over 99, joins folded lines, takes bare LF, and lets most control bytes through.

Change: http1/answer_heads.py decides by RFC 9110 and 9112, by the raw bytes before h11 gets them, for all that is read over http1/ links: answers of targets, surplus and informational ones, the store. A refused head raises HeadRefused, an AnswerProtocolError: another try, or 502.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
@@ -12,6 +12,7 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_fleet.gateway import metric_definitions
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.http1.answer_heads import fault_counts
 from scaleloom_fleet.http1.input_pace import process_budget
 from scaleloom_fleet.utils import process_info
 from scaleloom_fleet.utils.logs import find_line_handler
@@ -132,11 +133,13 @@
 
 
 def _set_input(state: GatewayState) -> None:
-    """Set the counters of input that was slowed or broken off."""
+    """Set the counters of input that was slowed, broken off or refused."""
     registry, budget = state.metrics_registry, process_budget()
     registry.set(metric_definitions.INPUTS_SLOWED, budget.slowed_count)
     for bound, count in budget.exceeded_counts.items():
         registry.set(metric_definitions.INPUT_BOUNDS_EXCEEDED, count, bound.value)
+    for fault, count in fault_counts().items():
+        registry.set(metric_definitions.ANSWERS_REFUSED, count, fault.value)
 
 
 def _set_logs(state: GatewayState) -> None:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -232,6 +232,12 @@
     "Messages that exceeded a bound on input, and were broken off.",
     ("bound",),
 )
+ANSWERS_REFUSED = MetricDefinition(
+    "scaleloom_answers_refused_total",
+    _COUNTER,
+    "Answers of targets, peers and the store whose head is not valid, by the fault.",
+    ("fault",),
+)
 STALLS = MetricDefinition(
     "scaleloom_stalls_total",
     _COUNTER,
@@ -337,6 +343,7 @@
     LOG_WAITING_BYTES,
     INPUTS_SLOWED,
     INPUT_BOUNDS_EXCEEDED,
+    ANSWERS_REFUSED,
     STALLS,
     STALLED_SECONDS,
     LABEL_SETS_FOLDED,
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/links.py
@@ -7,6 +7,7 @@
 
 from scaleloom_core.memory_account import MessageReservation
 from scaleloom_fleet.http1 import input_pace, sockets
+from scaleloom_fleet.http1.answer_heads import MAX_HEAD_BYTES, HeadChecker
 from scaleloom_fleet.http1.answers import (
     AnswerHead,
     AnswerProtocolError,
@@ -34,7 +35,6 @@
     "open_link",
 ]
 DEFAULT_KEEP_ALIVE_S = 1.0
-MAX_HEAD_BYTES = 65536
 
 
 class Link:
@@ -61,6 +61,7 @@
         )
         self._unsent: list[memoryview] = []
         self._pace = input_pace.InputPace(self._connection.peer_name)
+        self._heads = HeadChecker(self._pace.peer)
         self._interim_heads = 0
         # An event that the parser has returned ahead of its reader.
         self._next: object | None = None
@@ -87,6 +88,7 @@
         self.head = None
         self._interim_heads = 0
         self._pace.begin_message()
+        self._heads.begin()
         self._unsent = serialise(self._protocol, request)
         while self._unsent and self._send_nowait():
             pass
@@ -254,6 +256,7 @@
         serialise(self._protocol, request)
         self.head = None
         self._interim_heads = 0
+        self._heads.begin()
         # h11 takes empty data for the end of the connection.
         if surplus:
             self._feed(surplus)
@@ -280,6 +283,7 @@
     def _feed(self, data: bytes) -> None:
         """Pass received bytes to the parser."""
         self.received_s = trio.current_time()
+        self._heads.check(data)
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
