Check the heads that the own path and the command line read

What callers saw: the own path (router, sidecar, engine calls) passed on status 600 and 999, versions 0.9 to 3.1, control bytes in values and in the reason, a length beside chunks, chunks in version 1.0 and a head of 66 kB, and stored them for idempotency keys; the command line took such answers for those of a router or of the store.

Cause: httpcore reads heads by h11 and checks nothing further.

Change: HttpClient.stream, through which all calls of the own path go, and the two clients of the command line check the head that httpcore returns by the function that the gateway uses.

--- a/packages/scaleloom-cli/scaleloom_cli/api.py
+++ b/packages/scaleloom-cli/scaleloom_cli/api.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_fleet.http.answer_ends import is_end_known, is_json
+from scaleloom_fleet.http.received_heads import check_head
 
 HTTP_OK = 200
 TIMEOUT_S = 30.0
@@ -51,6 +52,7 @@
                 content=body,
                 extensions={"timeout": _TIMEOUTS},
             )
+            check_head(response)
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             return Failure(f"{self.url} cannot be reached: {error}")
         except httpcore.RemoteProtocolError as error:
--- a/packages/scaleloom-cli/scaleloom_cli/crash_log.py
+++ b/packages/scaleloom-cli/scaleloom_cli/crash_log.py
@@ -16,6 +16,7 @@
 )
 from scaleloom_fleet.gateway.interfaces import KeyedValue, PlatformAdapter, Topic
 from scaleloom_fleet.http1.links import OutgoingRequest
+from scaleloom_fleet.http.received_heads import check_head
 
 HTTP_OK = 200
 MAX_PAGES = 100
@@ -119,6 +120,7 @@
                 content=request.body,
                 extensions={"timeout": _TIMEOUTS},
             )
+            check_head(response)
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             return Failure(f"The store at {self.store} cannot be reached: {error}")
         except httpcore.RemoteProtocolError as error:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from scaleloom_fleet.http.answer_ends import Proof, is_labelled_json, read_complete
+from scaleloom_fleet.http.received_heads import check_head
 
 IDLE_CONNECTION_TIMEOUT_S = 50.0
 NEVER_SENT_ERRORS = (
@@ -110,6 +111,7 @@
             content=body,
             extensions={"timeout": self._timeouts},
         ) as response:
+            check_head(response)
             yield response
 
     async def request(
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/answer_heads.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/answer_heads.py
@@ -69,6 +69,8 @@
 
 def find_fault(head: bytes) -> HeadFault | None:
     """Return what is wrong with a head, given with its empty line, or None."""
+    if len(head) > MAX_HEAD_BYTES:
+        return HeadFault.SIZE
     if _HEAD.fullmatch(head) is None:
         return _find_syntax_fault(head)
     framing = _FRAMING.findall(head.lower())
@@ -239,8 +241,7 @@
 
     def _check_head(self, head: bytes) -> None:
         """Check a head; no other follows it unless it is informational."""
-        is_too_long = len(head) > MAX_HEAD_BYTES
-        fault = HeadFault.SIZE if is_too_long else find_fault(head)
+        fault = find_fault(head)
         if fault is not None:
             raise self._refuse(fault)
         self._interim_heads += 1
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -67,6 +67,21 @@
     assert (result.exit_code, "broke off" in result.output) == (1, True)
 
 
+@params(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nOdd: va\x07lue\r\n\r\n[]",
+    b"HTTP/3.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+)
+def test_an_answer_with_an_odd_head_is_reported(raw):
+    # It was taken for the answer of a router or of the store.
+    with _answering(raw) as url:
+        result = _run("--router", url, "--token", OPERATOR_TOKEN, "history")
+    assert (result.exit_code, "not valid" in result.output) == (1, True)
+    with _answering(raw) as url:
+        store = url.removeprefix("http://")
+        result = _run("quarantine", "--store", store, "list")
+    assert (result.exit_code, "not valid" in result.output) == (1, True)
+
+
 def test_a_whole_answer_needs_no_length():
     with _answering(b"HTTP/1.1 200 OK\r\n\r\n[]") as url:
         assert (
