--- a/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http/clients.py
@@ -11,6 +11,7 @@
 
 from scaleloom_fleet.http.answer_ends import Proof, is_labelled_json, read_complete
 from scaleloom_fleet.http.network import LossKeepingBackend
+from scaleloom_fleet.http.received_heads import check_head
 
 IDLE_CONNECTION_TIMEOUT_S = 50.0
 NEVER_SENT_ERRORS = (
@@ -112,6 +113,7 @@
             content=body,
             extensions={"timeout": self._timeouts},
         ) as response:
+            check_head(response)
             yield response
 
     async def request(
