--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 READY := $(VENV)/.ready
 PACKAGES := core wire fleet cli standins
 
-.PHONY: demo test lint format proofs soak rollouts bench ablation placement capacity clean
+.PHONY: demo test lint format fuzz proofs soak rollouts bench ablation placement capacity clean
 
 demo: $(READY)
 	$(PYTHON) -m scaleloom_standins.demo
@@ -21,6 +21,9 @@
 	$(PYTHON) -m isort --quiet .
 	$(PYTHON) -m black --quiet .
 
+fuzz: $(READY)
+	$(PYTHON) -m tests.fixtures.play_drawn answers $(FUZZ)
+
 proofs: $(READY)
 	$(PYTHON) -m proofs
 
