Pass on only events whose ids rise where a stream goes on

What callers saw: a target that ignores Last-Event-Id and begins again gave them ids 1, 2, 1, 2 in one stream.

Cause: a run that goes on was trusted to go on behind the last event sent; nothing compared what it sent with that.

Change: the events of such a run are compared with the last one sent. One that begins again at the version of the stream is skipped up to that one; any other id that does not rise, or is no number, breaks the stream off, as its target would. A stream goes on only behind ids that are numbers and have risen. What a first run sends is passed on as it came. A log line names the run and why.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/event_splitter.py
@@ -10,9 +10,27 @@
 # What may precede the last byte of `_EVENT_END`.
 _UNDECIDED_BYTES = 3
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
-# Another id can't be sent in a header, or tells a target nothing to go on behind.
-_HEADER_VALUE = re.compile(rb"[\x21-\x7e\x80-\xff]+(?:[ \t]+[\x21-\x7e\x80-\xff]+)*")
 _DATA_LINE = re.compile(rb"^data[:\r\n]", re.MULTILINE)
+# Ids rise, so they are numbers; of another one nobody can tell whether it does.
+_NUMBER = re.compile(rb"[0-9]{1,20}")
+
+
+def event_id(event: bytes) -> bytes | None:
+    """Return the id of an event, or None if it has none."""
+    identifier = None
+    for line in _ID_LINE.finditer(event):
+        identifier = line[1]
+    return identifier
+
+
+def event_number(identifier: bytes) -> int | None:
+    """Return the number that an id is, or None if it is none."""
+    return int(identifier) if _NUMBER.fullmatch(identifier) else None
+
+
+def has_data(event: bytes) -> bool:
+    """Return whether an event is more than a comment."""
+    return _DATA_LINE.search(event) is not None
 
 
 class EventBoundary:
@@ -54,42 +72,51 @@
     ----------
     last_id : bytes or None
         The id of the last complete event that has one.
+    last_number : int or None
+        The number that this id is; None if it is none.
     ends_with_id : bool
-        Whether a header can name that id and no complete event without one came after
-        it, so that a stream that is resumed behind it repeats none.
+        Whether a stream that is resumed behind that id repeats nothing: all ids were
+        numbers that rose, and no complete event without an id came after the last.
     """
 
     def __init__(self) -> None:
         self._partial = bytearray()
+        self._has_risen = True
         self.last_id: bytes | None = None
+        self.last_number: int | None = None
         self.ends_with_id = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events that `data` finishes."""
+        events = self.split(data)
+        for event in events:
+            self.record(event)
+        return b"".join(events)
+
+    def split(self, data: bytes) -> list[bytes]:
+        """Return the complete events that `data` finishes, without recording them."""
         searched_bytes = max(0, len(self._partial) - _UNDECIDED_BYTES)
         self._partial += data
-        end = 0
+        events, begin = [], 0
         for boundary in _EVENT_END.finditer(self._partial, searched_bytes):
-            end = boundary.end()
-        if not end:
-            return b""
-        complete = bytes(self._partial[:end])
-        del self._partial[:end]
-        self._record_ids(complete)
-        return complete
-
-    def _record_ids(self, events: bytes) -> None:
-        """Remember the last id, and whether an event without an id follows it."""
-        unnumbered_from = 0
-        last_line = None
-        for line in _ID_LINE.finditer(events):
-            last_line = line
-        if last_line is not None:
-            self.last_id = last_line[1]
-            self.ends_with_id = _HEADER_VALUE.fullmatch(self.last_id) is not None
-            unnumbered_from = _EVENT_END.search(events, last_line.end()).end()
-        if _DATA_LINE.search(events, unnumbered_from):
-            self.ends_with_id = False
+            events.append(bytes(self._partial[begin : boundary.end()]))
+            begin = boundary.end()
+        del self._partial[:begin]
+        return events
+
+    def record(self, event: bytes) -> None:
+        """Remember the id of an event that is passed on, or that it has none."""
+        identifier = event_id(event)
+        if identifier is None:
+            self.ends_with_id = self.ends_with_id and not has_data(event)
+            return
+        number, last = event_number(identifier), self.last_number
+        is_first = self.last_id is None
+        self._has_risen &= number is not None and (
+            is_first or (last is not None and number > last)
+        )
+        self.last_id, self.last_number = identifier, number
+        self.ends_with_id = self._has_risen
 
     def drop_partial(self) -> None:
         """Discard an event that its target never finished."""
@@ -99,6 +126,8 @@
         """Discard what came after the event `last_id`, the last that was passed on."""
         self.drop_partial()
         self.last_id = last_id
+        self.last_number = None if last_id is None else event_number(last_id)
+        self._has_risen = True
         self.ends_with_id = last_id is not None
 
     @property
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
@@ -20,6 +20,7 @@
 from scaleloom_fleet.gateway.request_metrics import record_answer_end
 from scaleloom_fleet.gateway.rollout_observations import record_end, record_timeout
 from scaleloom_fleet.gateway.state import GatewayState
+from scaleloom_fleet.gateway.stream_origins import record_repeated_events
 
 _UNCOUNTED_RESULTS = frozenset({AttemptResult.BACKING_OFF, AttemptResult.WRONG_TARGET})
 _logger = logging.getLogger("scaleloom.gateway")
@@ -43,6 +44,7 @@
         record_answer_end(state, context, target, exchange.link, end)
     if end is AnswerEnd.BROKEN and result is not AttemptResult.SILENT:
         _forget_cached_prompt(state, exchange)
+    record_repeated_events(context, exchange)
     _clear_answering(context, exchange)
     _record_outcome(state, exchange, result)
     _probe_after_break(state, context, exchange, result)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
@@ -8,6 +8,7 @@
 from scaleloom_core.target_records import TargetRecord
 from scaleloom_core.target_signals import AnswerSignals
 from scaleloom_fleet.gateway.attempt_results import AnswerEnd
+from scaleloom_fleet.gateway.resumed_events import ResumedEvents
 from scaleloom_fleet.gateway.target_probes import TargetProbe
 from scaleloom_fleet.http1.links import Link, OutgoingRequest
 
@@ -38,6 +39,9 @@
         Whether the caller got a part of the body from this target.
     splits_events : bool
         Whether the body is split into events, so that another run may go on with it.
+    resumed_events : ResumedEvents or None
+        Selects the events of the body, if it goes on with a stream that another run
+        began.
     has_new_holder : bool
         Whether the answer is the first to show that its target caches the shared
         prompt part.
@@ -64,6 +68,7 @@
     has_claimed: bool = False
     has_sent_events: bool = False
     splits_events: bool = False
+    resumed_events: ResumedEvents | None = None
     has_new_holder: bool = False
     has_succeeded: bool = False
     answer_end: AnswerEnd | None = None
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of a target's answer to the caller."""
 
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -21,10 +22,14 @@
 from scaleloom_fleet.gateway.hedging import claim_answer
 from scaleloom_fleet.gateway.metric_definitions import FIRST_BYTE_SECONDS
 from scaleloom_fleet.gateway.request_context import RequestContext
+from scaleloom_fleet.gateway.resumed_events import ResumedEvents
 from scaleloom_fleet.gateway.rollout_observations import record_body_part
 from scaleloom_fleet.gateway.silences import event_timeout_s, has_fallen_silent
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.gateway.stream_origins import record_first_event
+from scaleloom_fleet.gateway.stream_origins import (
+    is_of_same_version,
+    record_first_event,
+)
 from scaleloom_fleet.gateway.unknown_ends import check_target_runs
 from scaleloom_fleet.http1.input_pace import InputBound
 from scaleloom_fleet.http1.links import (
@@ -162,7 +167,7 @@
     """
     link = exchange.link
     is_events = _is_event_stream(link.head)
-    events = _choose_splitter(context, exchange, is_events)
+    events = _choose_splitter(state, context, exchange, is_events)
     while True:
         with trio.move_on_after(event_timeout_s(context, exchange)) as scope:
             part = await link.read_data()
@@ -183,17 +188,24 @@
             raise link.exceed(InputBound.EVENT)
         if events.partial_bytes > SHORT_MESSAGE_BYTES:
             context.kept_reservation.hold(events.partial_bytes)
-        if not ready:
-            continue
-        if context.answering is not exchange:
-            await claim_answer(state, context, exchange)
-        await _send_part(state, context, exchange, ready, keeps_length=not is_events)
+        if ready:
+            if context.answering is not exchange:
+                await claim_answer(state, context, exchange)
+            keeps_length = not is_events
+            await _send_part(state, context, exchange, ready, keeps_length)
+        if exchange.resumed_events is not None:
+            exchange.resumed_events.check()
     if events.has_partial:
         raise AnswerProtocolError("stream ended in the middle of an event")
+    rest = b""
+    if exchange.resumed_events is not None:
+        rest = exchange.resumed_events.finish()
     _check_unknown_end(context, link)
     await check_target_runs(state, context, exchange)
     if context.answering is not exchange:
         await claim_answer(state, context, exchange)
+    if rest:
+        await _send_part(state, context, exchange, rest, keeps_length=False)
     if not context.answer.is_begun:
         await _begin_answer(state, context, exchange, keeps_length=False)
     await context.answer.end(exchange)
@@ -201,8 +213,8 @@
 
 
 def _choose_splitter(
-    context: RequestContext, exchange: Exchange, is_events: bool
-) -> EventSplitter | EventBoundary | UnsplitBody:
+    state: GatewayState, context: RequestContext, exchange: Exchange, is_events: bool
+) -> EventSplitter | ResumedEvents | EventBoundary | UnsplitBody:
     """
     Return what splits the body of an answer on a stream route.
 
@@ -211,12 +223,22 @@
     AnswerProtocolError
         If a stream has begun that this answer is no part of.
     """
+    answer = context.answer
+    is_resumed = answer.is_begun and answer.run is not exchange
     if not is_events:
-        if context.answer.is_begun and context.answer.run is not exchange:
+        if is_resumed:
             raise AnswerProtocolError("answer to a resumed stream is no stream")
         return UnsplitBody()
-    exchange.splits_events = context.answer.splitter is not None
-    return context.answer.splitter or EventBoundary()
+    if answer.splitter is None:
+        return EventBoundary()
+    exchange.splits_events = True
+    if is_resumed and exchange.resumed_events is None:
+        exchange.resumed_events = ResumedEvents(
+            answer.splitter,
+            answer.last_event_id or b"",
+            partial(is_of_same_version, state, context, exchange),
+        )
+    return exchange.resumed_events or answer.splitter
 
 
 def _is_event_stream(head: AnswerHead) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/stream_origins.py
@@ -64,6 +64,29 @@
     return not any(bound.allows(record.listed) for record in ready)
 
 
+def is_of_same_version(
+    state: GatewayState, context: RequestContext, exchange: Exchange
+) -> bool:
+    """Return whether a run is known to be of the version that began the stream."""
+    newest = state.view.records.get(exchange.target.id)
+    listed = [exchange.target] if newest is None else [exchange.target, newest.listed]
+    return context.bound is not None and all(map(context.bound.allows, listed))
+
+
+def record_repeated_events(context: RequestContext, exchange: Exchange) -> None:
+    """Log that a run repeats or breaks the order of a stream that has begun."""
+    resumed = exchange.resumed_events
+    if resumed is None or not (resumed.has_repeated or resumed.fault):
+        return
+    fields = {
+        "request": context.match.request_id,
+        "service": context.match.service,
+        "target": exchange.target.id,
+        "why": resumed.fault or "a run began again",
+    }
+    _logger.info("events of resumed stream not passed on", extra=fields)
+
+
 def is_narrowed(state: GatewayState, context: RequestContext) -> bool:
     """Return whether the stream may not go on at some of the ready targets."""
     bound = context.bound
--- a/tests/gateway/test_event_splitter.py
+++ b/tests/gateway/test_event_splitter.py
@@ -67,6 +67,13 @@
     (b"data: a\nid: 1\n\n", True),
     (b"id: 1\r\ndata: a\r\n\r\n: comment\r\n\r\n", True),
     (b"data: a\n\n", False),
+    (b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", True),
+    (b"id: 2\ndata: a\n\nid: 1\ndata: b\n\n", False),
+    (b"id: 1\ndata: a\n\nid: 1\ndata: b\n\n", False),
+    (b"id: 2\ndata: a\n\nid: 1\ndata: b\n\nid: 3\ndata: c\n\n", False),
+    (b"id: 9\ndata: a\n\nid: 10\ndata: b\n\n", True),
+    (b"id: x\ndata: a\n\n", False),
+    (b"id: x\ndata: a\n\nid: 1\ndata: b\n\n", False),
 )
 def test_a_stream_that_may_go_on_ends_with_a_numbered_event(stream, ends_with_id):
     splitter = EventSplitter()
