Draw malformed entries in the list of targets

Change: the kind list_malformed_entries, and a judge: a sound target that joins beside such entries gets requests of each gateway in touch.

--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from msgspec.structs import replace
+from returns.result import Success
 
 from scaleloom_core.crash_history import CrashHistory, SendDecision, SendPermission
 from scaleloom_core.crash_table import CrashTable
@@ -142,6 +143,22 @@
     list_watch.apply_target_documents = apply_as_ready
 
 
+def _trust_entries() -> None:
+    """Take every entry of the list of targets for a sound one."""
+    load_adapter = process.load_adapter
+
+    def load_trusting(name):
+        adapter = load_adapter(name)
+        decode = adapter.decode_target
+
+        def decode_trusting(key, document):
+            return Success(decode(key, document).unwrap())
+
+        return replace(adapter, decode_target=decode_trusting)
+
+    process.load_adapter = load_trusting
+
+
 def _stop_without_draining() -> None:
     """Stop without draining."""
 
@@ -255,6 +272,7 @@
     "stream-version": _go_on_at_any_version,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
+    "entries-checked": _trust_entries,
     "leaving": _ignore_draining_entries,
     "draining": _stop_without_draining,
     "load-bound": _remove_load_bound,
--- a/tests/test_soak_peer_seeds.py
+++ b/tests/test_soak_peer_seeds.py
@@ -15,6 +15,7 @@
 
 LENGTH_S = 8.0
 COMPLETE = "answers are complete and belong to their request"
+SOUND_USED = "a sound target beside malformed entries is used"
 ONE_RUN = "an answer consists of one run's bytes"
 
 
@@ -34,6 +35,17 @@
     assert COMPLETE in result.broken, result.describe()
 
 
+def test_malformed_entries_keep_no_gateway_from_sound_ones():
+    result = _run(66401, [peer_faults.list_malformed_entries])
+    assert result.broken == {}, result.describe()
+
+
+def test_malformed_entries_that_end_the_reading_of_the_list_are_detected():
+    kinds = [peer_faults.list_malformed_entries]
+    result = _run(66401, kinds, "entries-checked")
+    assert SOUND_USED in result.broken, result.describe()
+
+
 def test_resets_beside_uploads_are_no_ends_of_answers():
     result = _run(66102, [peer_faults.answer_uploads_early])
     assert result.broken == {}, result.describe()
--- a/tests/test_soak_peers.py
+++ b/tests/test_soak_peers.py
@@ -7,12 +7,18 @@
 import random
 
 from nose2.tools import params
+from returns.result import Success
 
+from scaleloom_core.target_entries import EntryKey, ListedState
 from scaleloom_fleet.http1.links import BodyDelimiter
-from soak.callers import CallerResult
+from scaleloom_platform.documents import decode_target
+from soak.arrival_records import Arrival
+from soak.callers import CallerResult, Observations
+from soak.entry_checks import MIN_REQUESTS, check_sound_entries
 from soak.long_routes import LONG
+from soak.malformed_entries import malformed_entries
 from soak.processes import GatewayProcess
-from soak.site import SoakSite
+from soak.site import PLAIN, SoakSite
 from soak.targets import SoakTarget
 from soak.upload_answers import whole_upload_body
 from soak.upload_checks import find_upload_problem
@@ -72,3 +78,40 @@
     result = _result("file-once", answer, **gateway)
     problem = find_upload_problem(_site(LONG, **target), result, 9)
     assert (problem is not None) is is_broken
+
+
+def test_a_malformed_entry_is_refused_or_gets_no_requests():
+    rng = random.Random(2)
+    drawn = [
+        document for _ in range(60) for document in malformed_entries(rng, 8).values()
+    ]
+    decoded = [decode_target(EntryKey("wrong"), document) for document in drawn]
+    accepted = [each.unwrap() for each in decoded if isinstance(each, Success)]
+    assert len(accepted) < len(drawn) / 4
+    assert {target.state for target in accepted} <= {ListedState.DRAINING}
+
+
+def _site_with_joined(is_used: bool, **struck: object) -> SoakSite:
+    """Return a site whose second target was listed beside malformed entries."""
+    site = _site(PLAIN)
+    site.gateways = [_gateway(**struck)]
+    joined = SoakTarget(StubTarget("i-2"), None, PLAIN, random.Random(1), added_s=AT_S)
+    joined.disturbances_s.append(AT_S)
+    site.targets.append(joined)
+    site.joined_beside_malformed.append(joined)
+    times_s = (AT_S + 1.0, AT_S + 1.1)
+    arrival = Arrival("r-1", "g-1", "i-1", PLAIN, *times_s, True)
+    site.targets[0].arrivals += [arrival] * MIN_REQUESTS
+    joined.arrivals += [arrival] * is_used
+    return site
+
+
+@params(
+    (True, {}, 0),
+    (False, {}, 1),
+    (False, {"disturbances_s": [AT_S + 1.0]}, 0),
+    (False, {"stopping_s": [AT_S - 1.0]}, 0),
+)
+def test_a_sound_target_beside_malformed_entries_must_be_used(is_used, struck, count):
+    site = _site_with_joined(is_used, **struck)
+    assert len(check_sound_entries(site, Observations())) == count
