Test every end of an unframed answer that is the router's own

What callers saw: an answer that ends with its connection looked complete. One hypothesis was that the router ends it for a reason of its own and closes normally.

The tests refute it: a deadline, a pause until the deadline, the limits of link and memory, a stop, a kill, a reload, a configuration without the route, a list without the targets, a failed task of the connection, a failed request and a caller that reads slowly each break the answer visibly, for HTTP/1.1 and HTTP/1.0. So do SIGTERM, a second stop signal, SIGHUP with changed settings, SIGKILL and their sequences, with real processes.

--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -38,6 +38,7 @@
     "tests.fleet.test_http",
     "tests.fleet.test_signals",
     "tests.gateway.test_bodies_read_late",
+    "tests.gateway.test_ended_by_signals",
     "tests.gateway.test_input_without_end",
     "tests.gateway.test_memory_of_processes",
     "tests.gateway.test_odd_starts",
