--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.mixed_streams import MIXED, VERSIONS
 from soak.neighbour_faults import NEIGHBOUR_FAULTS
 from soak.relays import Relay, RelayMode
+from soak.repeated_streams import begin_streams_again
 from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
 from soak.targets import CRASHING_BODY, CRASHING_PART, GATEWAY_HEADER, SoakTarget
@@ -353,4 +354,5 @@
     *SILENCES,
     *NEIGHBOUR_FAULTS,
     *VERSION_FAULTS,
+    begin_streams_again,
 )
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -36,6 +36,7 @@
 from soak.patient_callers import PATIENT_CALLER_COUNT, send_slow_requests
 from soak.processes import GatewayProcess
 from soak.promise_checks import PROMISES
+from soak.repeated_streams import begin_streams_again
 from soak.resuming_callers import RESUMING_CALLER_COUNT, take_streams_up
 from soak.resumption_checks import describe_outcomes
 from soak.silence_checks import describe_failures, describe_second_runs
@@ -114,7 +115,7 @@
     """
     kinds = faults or draw_faults(random.Random(seed))
     observations = Observations()
-    mixing = (change_versions, *VERSION_FAULTS)
+    mixing = (change_versions, begin_streams_again, *VERSION_FAULTS)
     has_mixed_service = any(kind in kinds for kind in mixing)
     has_slow_routes = any(kind in SILENCES for kind in kinds)
     has_neighbours = any(kind in NEIGHBOUR_FAULTS for kind in kinds)
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -26,6 +26,7 @@
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
+from scaleloom_fleet.gateway.resumed_events import ResumedEvents
 from scaleloom_fleet.http1 import binding, links, requesting
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
@@ -87,6 +88,11 @@
     forwarding.record_first_event = lambda state, context, exchange: None
 
 
+def _trust_resumed_ids() -> None:
+    """Pass on whatever a target sends that is to go on with a stream."""
+    ResumedEvents.feed = lambda self, data: self._splitter.feed(data)
+
+
 def _apply_older_configs() -> None:
     """Apply every configuration, also an older one."""
 
@@ -237,6 +243,7 @@
     "whole-answer": _accept_broken_answers,
     "unknown-end": _trust_unknown_ends,
     "stream-version": _go_on_at_any_version,
+    "rising-ids": _trust_resumed_ids,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
     "leaving": _ignore_draining_entries,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -46,6 +46,8 @@
 # Short, so that a target that was idle shows a defect under load without delay.
 RATE_WINDOW_S = 0.25
 GATEWAY_HEADER = "soak-gateway"
+# A caller that goes on with a stream itself names the request that began it.
+RESUMES_HEADER = "resumes"
 # A target crashes while it runs a request whose body begins with this.
 CRASHING_BODY = b"ends whatever runs it, number "
 # A target crashes while it runs a request with a prompt part whose id begins so.
@@ -79,6 +81,9 @@
         Share of answers that are bad.
     unframed_share : float
         Share of answers with neither length nor chunks, of which some are broken off.
+    repeating_faults : int
+        How many faults let the target begin streams again that a gateway goes on with
+        by itself.
     unframed_answers : dict of str to list of PlannedAnswer
         Those answers, by request id.
     whole_ids, broken_off_ids : set of str
@@ -131,6 +136,7 @@
     rng: random.Random
     bad_answer_share: float = 0.0
     unframed_share: float = 0.0
+    repeating_faults: int = 0
     unframed_answers: dict[str, list[PlannedAnswer]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -311,6 +317,8 @@
     async def _answer_mixed(self, stub: StubTarget, request: ReceivedRequest) -> bool:
         """Run the request and send its events, which tell the target's version."""
         stub.runs[request_id(request)] += 1
+        if self.repeating_faults and RESUMES_HEADER not in request.headers:
+            request.headers.pop("last-event-id", None)
         is_unframed = self.rng.random() < self.unframed_share
         answer = plan_mixed_answer(request, self.version, BROKEN_MIXED_SHARE, self.rng)
         self._record_planned(request_id(request), answer, is_unframed)
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -16,6 +16,8 @@
 SIGNAL_LENGTH_S = 7.0
 # Long enough for the usual share that is served, and for most of a time beside that.
 ENDLESS_LENGTH_S = 9.0
+# Long enough for some streams to go on at targets that begin them again.
+REPEATED_LENGTH_S = 12.0
 # Long enough for the time in which a configuration must come into force after a loss.
 LOSS_LENGTH_S = 10.0
 FAULT_COUNT = 10
@@ -78,6 +80,18 @@
     assert promise in result.broken, result.describe()
 
 
+@params(7902)
+def test_a_stream_has_each_event_once_at_targets_that_begin_again(seed):
+    _assert_kept(_run(seed, REPEATED_LENGTH_S, kinds=[faults.begin_streams_again]))
+
+
+def test_events_that_are_passed_on_twice_are_detected():
+    kinds = [faults.begin_streams_again]
+    result = _run(7902, REPEATED_LENGTH_S, "rising-ids", kinds)
+    promise = "the events of a stream arrive in order"
+    assert promise in result.broken, result.describe()
+
+
 def test_an_ignored_retry_after_is_detected():
     result = _run(7102, SIGNAL_LENGTH_S, "rests", [faults.ask_for_rest])
     assert "gateways back off as Retry-After asks" in result.broken, result.describe()
