--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.neighbour_faults import NEIGHBOUR_FAULTS
 from soak.peer_faults import PEER_FAULTS
 from soak.relays import Relay, RelayMode
+from soak.repeated_streams import begin_streams_again
 from soak.silences import SILENCES
 from soak.site import PLAIN, SoakSite, SteeredPeriod
 from soak.targets import GATEWAY_HEADER, SoakTarget
@@ -356,4 +357,5 @@
     *NEIGHBOUR_FAULTS,
     *VERSION_FAULTS,
     *PEER_FAULTS,
+    begin_streams_again,
 )
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -27,6 +27,7 @@
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
+from scaleloom_fleet.gateway.resumed_events import ResumedEvents
 from scaleloom_fleet.http1 import binding, connections, links, requesting
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
@@ -102,6 +103,11 @@
     forwarding.record_first_event = lambda state, context, exchange: None
 
 
+def _trust_resumed_ids() -> None:
+    """Pass on whatever a target sends that is to go on with a stream."""
+    ResumedEvents.feed = lambda self, data: self._splitter.feed(data)
+
+
 def _apply_older_configs() -> None:
     """Apply every configuration, also an older one."""
 
@@ -270,6 +276,7 @@
     "unknown-end": _trust_unknown_ends,
     "crash-asked": _pass_on_every_close,
     "stream-version": _go_on_at_any_version,
+    "rising-ids": _trust_resumed_ids,
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
     "entries-checked": _trust_entries,
