Draw requests throughout planned stops

Change: the kind stop_beside_requests, and a judge of its requests: answered or refused once read, also late in a stop. check_planned_stops knows the shorter deadlines that these requests state; for all others its limit is as before. A stream that has begun and outlasts the stop isn't judged: it can be neither answered nor refused any more.

--- a/soak/peer_faults.py
+++ b/soak/peer_faults.py
@@ -3,5 +3,11 @@
 from soak.crashes_in_answers import crash_in_answers
 from soak.early_answers import answer_uploads_early
 from soak.entry_faults import list_malformed_entries
+from soak.late_requests import stop_beside_requests
 
-PEER_FAULTS = (answer_uploads_early, crash_in_answers, list_malformed_entries)
+PEER_FAULTS = (
+    answer_uploads_early,
+    crash_in_answers,
+    list_malformed_entries,
+    stop_beside_requests,
+)
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -44,6 +44,7 @@
     check_answered,
     check_broken_off_events,
     check_ended_in_time,
+    check_late_requests,
     check_second_runs,
 )
 from soak.site import ENGINE, PLAIN, SoakSite
@@ -176,7 +177,8 @@
             result.gateway.disturbances_s, since_s, result.ended_s
         )
         was_cut = not result.answer.is_complete and not result.is_disconnected
-        has_time_left = result.ended_s - result.started_s < REQUEST_DEADLINE_S
+        limit_s = min(REQUEST_DEADLINE_S, result.deadline_s)
+        has_time_left = result.ended_s - result.started_s < limit_s
         if (
             is_stop_under_way
             and has_time_left
@@ -351,6 +353,7 @@
     "a draining target gets no new requests": check_draining,
     "a planned stop cuts no request": check_planned_stops,
     "a request that was read is answered or refused": check_answered,
+    "a request beside a planned stop is answered or refused": check_late_requests,
     "requests end with their deadlines": check_ended_in_time,
     "a request runs at one target at a time": check_second_runs,
     "answers that break off hold the first events": check_broken_off_events,
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -24,6 +24,7 @@
     draw_faults,
     inject_faults,
 )
+from soak.late_requests import stop_beside_requests
 from soak.long_callers import (
     FILE_CALLER_COUNT,
     LONG_CALLER_COUNT,
@@ -119,7 +120,8 @@
     observations = Observations()
     mixing = (change_versions, *VERSION_FAULTS)
     has_mixed_service = any(kind in kinds for kind in mixing)
-    has_slow_routes = any(kind in SILENCES for kind in kinds)
+    slow = (stop_beside_requests, *SILENCES)
+    has_slow_routes = any(kind in slow for kind in kinds)
     taking = (answer_uploads_early, *NEIGHBOUR_FAULTS)
     has_neighbours = any(kind in taking for kind in kinds)
     services = (has_mixed_service, has_slow_routes)
@@ -167,6 +169,7 @@
 
 def _evaluate(seed: int, site: SoakSite, observations: Observations) -> SoakResult:
     """Return the result, with the promises that were broken."""
+    observations.results += site.late_results
     cases_by_promise = {
         promise: check(site, observations) for promise, check in PROMISES.items()
     }
--- a/soak/silence_checks.py
+++ b/soak/silence_checks.py
@@ -40,6 +40,26 @@
     ]
 
 
+def check_late_requests(site: SoakSite, observations: Observations) -> list[str]:
+    """
+    Return the requests beside planned stops that were cut once they were read.
+
+    A stream that has begun can neither be answered nor refused any more as the stop
+    ends.
+    """
+    targets = _targets_by_request(site)
+    return [
+        _describe(targets[result.request_id], result)
+        for result in site.late_results
+        if _ended_unanswered(result)
+        and _was_read(site, targets[result.request_id], result)
+        and not _was_gateway_struck(result)
+        and not _has_reached_deadline(result)
+        and not _is_stream_at_stop_end(result)
+        and not any(_broke_off(each, result) for each in targets[result.request_id])
+    ]
+
+
 def _targets_by_request(site: SoakSite) -> dict[str, list[SoakTarget]]:
     """Return the targets that each request reached."""
     targets: dict[str, list[SoakTarget]] = defaultdict(list)
@@ -129,6 +149,16 @@
     )
 
 
+def _is_stream_at_stop_end(result: CallerResult) -> bool:
+    """Return whether a stream had begun that went on as a planned stop ended."""
+    has_begun = result.kind in EVENT_KINDS and result.answer.status is not None
+    cut_after_s = GRACE_S * (1 - STOP_END_SHARE)
+    return has_begun and any(
+        stop_s + cut_after_s < result.ended_s <= stop_s + GRACE_S + LOSS_SLACK_S
+        for stop_s in result.gateway.stops_s
+    )
+
+
 def _broke_off(target: SoakTarget, result: CallerResult) -> bool:
     """Return whether a target, or the path to it, broke off a request."""
     has_ended = target.ended_s <= result.ended_s
--- a/soak/site.py
+++ b/soak/site.py
@@ -73,6 +73,8 @@
         Whether there are routes whose answers take long, with time for silences.
     neighbours : NeighbourRecord or None
         What neighbours of gateways do that takes much of them, if such kinds are drawn.
+    late_results : list of CallerResult
+        What came of requests that were sent beside planned stops.
     joined_beside_malformed : list of SoakTarget
         Sound targets that were listed while there were malformed entries.
     pauses : list of tuple of float
@@ -100,6 +102,7 @@
     neighbours: NeighbourRecord | None = None
     pauses: list[tuple[float, float]] = field(default_factory=list)
     judged_until_s: float = float("inf")
+    late_results: list = field(default_factory=list)
     joined_beside_malformed: list[SoakTarget] = field(default_factory=list)
     _started_count: int = 0
 
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -27,7 +27,7 @@
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
-from scaleloom_fleet.http1 import binding, connections, links, requesting
+from scaleloom_fleet.http1 import binding, callers, connections, links, requesting
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
@@ -168,6 +168,11 @@
     process._drain = drain_nothing
 
 
+def _cut_at_the_end_of_a_stop() -> None:
+    """Answer nothing that is still in flight at the end of a stop."""
+    callers.CallerConnection.end_request = lambda self: None
+
+
 def _remove_load_bound() -> None:
     """Remove the load bound of targets."""
     TargetChooser._load_bound = lambda self, pool: float("inf")
@@ -275,6 +280,7 @@
     "entries-checked": _trust_entries,
     "leaving": _ignore_draining_entries,
     "draining": _stop_without_draining,
+    "last-answers": _cut_at_the_end_of_a_stop,
     "load-bound": _remove_load_bound,
     "retry-budget": _remove_retry_budget,
     "rests": _ignore_retry_after,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -49,6 +49,8 @@
 # Short, so that a target that was idle shows a defect under load without delay.
 RATE_WINDOW_S = 0.25
 GATEWAY_HEADER = "soak-gateway"
+# How long a target works on a request besides, in milliseconds.
+WORK_HEADER = "soak-work-ms"
 CRASH_DELAY_S = 0.04
 BROKEN_UNFRAMED_SHARE = 0.5
 BROKEN_MIXED_SHARE = 0.15
@@ -262,6 +264,7 @@
             await trio.sleep(
                 self.rng.uniform(*work_s) * (SLOWDOWN_FACTOR if is_slow else 1)
             )
+            await trio.sleep(int(request.headers.get(WORK_HEADER, "0")) / 1000)
             is_mixed = self.service == MIXED
             behave = self._answer_mixed if is_mixed else self._answer_normally
             if is_slow_path(request.target):
--- a/tests/test_soak_peer_seeds.py
+++ b/tests/test_soak_peer_seeds.py
@@ -16,6 +16,7 @@
 LENGTH_S = 8.0
 COMPLETE = "answers are complete and belong to their request"
 SOUND_USED = "a sound target beside malformed entries is used"
+BESIDE_STOP = "a request beside a planned stop is answered or refused"
 ONE_RUN = "an answer consists of one run's bytes"
 
 
@@ -46,6 +47,17 @@
     assert SOUND_USED in result.broken, result.describe()
 
 
+def test_requests_beside_planned_stops_are_answered_or_refused():
+    result = _run(66501, [peer_faults.stop_beside_requests])
+    assert result.broken == {}, result.describe()
+
+
+def test_requests_that_the_end_of_a_stop_cuts_are_detected():
+    kinds = [peer_faults.stop_beside_requests]
+    result = _run(66501, kinds, "last-answers")
+    assert BESIDE_STOP in result.broken, result.describe()
+
+
 def test_resets_beside_uploads_are_no_ends_of_answers():
     result = _run(66102, [peer_faults.answer_uploads_early])
     assert result.broken == {}, result.describe()
--- a/tests/test_soak_silences.py
+++ b/tests/test_soak_silences.py
@@ -17,6 +17,7 @@
     check_answered,
     check_broken_off_events,
     check_ended_in_time,
+    check_late_requests,
     check_second_runs,
 )
 from soak.site import SoakSite
@@ -125,6 +126,33 @@
     assert _count_unanswered(_result(BEGUN), target) == count
 
 
+def _count_late(kind: str, answer: Answer, length_s: float, **fields: object) -> int:
+    """Return how many requests beside a stop at `AT_S` count as cut."""
+    gateway = fields.pop("gateway", None) or _gateway(stops_s=[AT_S])
+    result = replace(_result(answer, length_s, gateway=gateway, **fields), kind=kind)
+    site = SoakSite(random.Random(1), None, None, 0, targets=[_target()])
+    site.late_results.append(result)
+    return len(check_late_requests(site, Observations([result])))
+
+
+@params(
+    ("once", NOTHING, 3.9, {}, 1),
+    ("once", NOTHING, 3.9, {"is_reset": True}, 1),
+    ("stream", NOTHING, 3.9, {}, 1),
+    ("stream", BEGUN, 2.0, {}, 1),
+    ("once", BEGUN, 3.9, {}, 1),
+    ("stream", BEGUN, 3.9, {}, 0),
+    ("once", REFUSAL, 3.9, {}, 0),
+    ("once", NOTHING, 1.5, {"deadline_s": 1.5}, 0),
+    ("once", NOTHING, 3.9, {"sent_s": None}, 0),
+    ("once", NOTHING, 3.9, {"gateway": _gateway(disturbances_s=[AT_S + 1.0])}, 0),
+)
+def test_a_request_beside_a_stop_is_not_cut_once_it_is_read(
+    kind, answer, length_s, fields, count
+):
+    assert _count_late(kind, answer, length_s, **fields) == count
+
+
 @params(
     (6.0, 8, 16, (), 8),
     (6.0, 7, 0, (), 0),
