Refuse requests of other versions, and codings in version 1.0

What callers saw: a request line with HTTP/0.9, 1.2, 2.0 or 3.1 was served, its body framed as in version 1.1, and so were chunks in version 1.0, which has none: a proxy before the router that goes by the version sees another end, and the rest of the body as a request of its own.

Cause: h11 takes any version of the form N.N, and codings in each.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/error_responses.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/error_responses.py
@@ -23,6 +23,7 @@
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
 }
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -20,6 +20,7 @@
     RequestRejected,
     check_framing,
     check_line_ends,
+    check_version,
     first_values,
 )
 from scaleloom_fleet.http1.connections import (
@@ -203,6 +204,7 @@
         self._answer_may_have_body = head.method != HEAD_METHOD
         headers = head.headers.raw_items()
         values = first_values(head)
+        check_version(head, values)
         check_framing(head, values, limits)
         reservation = MessageReservation(self._memory, MemoryUse.REQUESTS)
         try:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
@@ -6,6 +6,9 @@
 from scaleloom_core.memory_account import MessageReservation
 from scaleloom_fleet.http1.answers import HeaderList
 
+VERSION_WITHOUT_CODINGS = b"1.0"
+VERSIONS = frozenset({VERSION_WITHOUT_CODINGS, b"1.1"})
+
 
 class CallerDisconnected(Exception):
     """Raised when the caller disconnected or sent no complete request."""
@@ -79,6 +82,14 @@
     return values
 
 
+def check_version(head: h11.Request, values: dict[bytes, bytes]) -> None:
+    """Reject a version that is not spoken here, and codings where there are none."""
+    if head.http_version not in VERSIONS:
+        raise RequestRejected(505)
+    if head.http_version == VERSION_WITHOUT_CODINGS and b"transfer-encoding" in values:
+        raise RequestRejected(400)
+
+
 def check_line_ends(head: bytes) -> None:
     """Reject a head with bare CR or LF characters or with folded header lines."""
     line_ends = head.count(b"\r\n")
