Refuse bodies in chunks that end in a bare LF

What a target could receive: a request that the caller has not sent. A proxy before the router that needs CRLF takes what follows "0 CRLF LF", or a trailer that ends in LF LF, for further trailers of one request; the router took it for the next request and ran it.

Cause: h11 takes LF for the end of lines in trailers, and what it has read can't be seen behind it. The check of line ends looked at heads only.

Change: the gateway keeps the last bytes that it gave to the parser, and answers 400 unless a body in chunks ends in CRLF CRLF. Trailers that end so, also odd ones, are dropped as before.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -13,10 +13,12 @@
     MessageReservation,
 )
 from scaleloom_fleet.http1.caller_requests import (
+    HEAD_TERMINATOR,
     CallerDisconnected,
     CallerLimits,
     CallerRequest,
     MemoryExhausted,
+    ParsedBytes,
     RequestRejected,
     check_framing,
     check_line_ends,
@@ -30,7 +32,6 @@
 )
 from scaleloom_fleet.http1.input_pace import InputBoundExceeded, InputPace
 
-HEAD_TERMINATOR = b"\r\n\r\n"
 # What a caller sends before its turn, beside the request that is served.
 MAX_EARLY_INPUT_BYTES = SHORT_MESSAGE_BYTES
 # An answer to HEAD has no body, whatever its Content-Length.
@@ -68,6 +69,7 @@
         # One for each task: the one that receives, and the one that parses.
         self._receiving_pace = InputPace(peer)
         self._parsing_pace = InputPace(peer)
+        self._parsed = ParsedBytes()
         self._inbox = bytearray()
         self._input_changed = trio.Event()
         self._inbox_has_room = trio.Event()
@@ -210,10 +212,14 @@
         try:
             _reserve(reservation, int(values.get(b"content-length", 0)))
             body = await self._read_body(limits, reservation)
+            if b"transfer-encoding" in values:
+                surplus, _ = self._protocol.trailing_data
+                self._parsed.check_chunks_end(len(surplus))
         except BaseException:
             reservation.release()
             raise
         finally:
+            self._parsed.clear()
             self._limit_early_input()
         return CallerRequest(
             head.method, head.target, headers, values, body, received_s, reservation
@@ -270,7 +276,9 @@
         try:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA and self._inbox:
-                self._protocol.receive_data(bytes(self._inbox))
+                data = bytes(self._inbox)
+                self._parsed.add(data)
+                self._protocol.receive_data(data)
                 self._inbox.clear()
                 self._inbox_has_room.set()
                 event = self._protocol.next_event()
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_requests.py
@@ -6,6 +6,7 @@
 from scaleloom_core.memory_account import MessageReservation
 from scaleloom_fleet.http1.answers import HeaderList
 
+HEAD_TERMINATOR = b"\r\n\r\n"
 VERSION_WITHOUT_CODINGS = b"1.0"
 VERSIONS = frozenset({VERSION_WITHOUT_CODINGS, b"1.1"})
 
@@ -74,6 +75,38 @@
             self.reservation.release()
 
 
+class ParsedBytes:
+    """The bytes that a parser was given last, to see where a message ended."""
+
+    __slots__ = ("_data", "_tail")
+
+    def __init__(self) -> None:
+        self._tail = b""
+        self._data = b""
+
+    def add(self, data: bytes) -> None:
+        """Record that the parser was given `data`, having used all before it."""
+        kept = len(HEAD_TERMINATOR) - 1
+        self._tail = (self._tail + self._data[-kept:])[-kept:]
+        self._data = data
+
+    def check_chunks_end(self, surplus_bytes: int) -> None:
+        """
+        Reject a body in chunks whose last line ends in a bare LF.
+
+        Recipients that need CRLF take what follows for trailers, and others, like the
+        parser, for the next request.
+        """
+        end = len(self._data) - surplus_bytes
+        begin = max(0, end - len(HEAD_TERMINATOR))
+        if not (self._tail + self._data[begin:end]).endswith(HEAD_TERMINATOR):
+            raise RequestRejected(400)
+
+    def clear(self) -> None:
+        """Drop the bytes, as a message has ended."""
+        self._tail = self._data = b""
+
+
 def first_values(head: h11.Request) -> dict[bytes, bytes]:
     """Return the first value of each header, by name."""
     values: dict[bytes, bytes] = {}
