Play drawn connections of callers on a gateway, and judge what targets receive

The strict reader says what the caller sent by its own framing; the target, which reads strictly too, must receive a part of that, in order and unchanged, and no answer may go to another request. Requests of unchanged connections must be served.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 fuzz: $(READY)
 	$(PYTHON) -m tests.fixtures.play_drawn answers $(FUZZ)
+	$(PYTHON) -m tests.fixtures.play_drawn requests $(FUZZ)
 
 proofs: $(READY)
 	$(PYTHON) -m proofs
