Close the port of a stop though each turn brings another caller

What callers saw: requests that came last in a stop of a busy process had their connections accepted, and were cut with no answer when the process ended.

Cause: before it closed the port the stop looked again, after all other tasks had had their turn, until no caller waited. While each turn brought one, the port stayed open until the end.

Change: the port is closed in the step that finds nobody waiting. Only a full batch of connections lets others have their turn before the next.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -71,14 +71,16 @@
     arrived.
     """
     while listener.fileno() >= 0:
-        if _accept_waiting(state, listener, nursery):
+        if _accept_waiting(state, listener, nursery) == ACCEPT_BATCH:
             # More may come as fast; the stop has to end in time all the same.
             await trio.lowlevel.checkpoint()
-            continue
-        if may_accept(state):
+        elif may_accept(state):
+            # None waits at this moment. Looking again after others had their turn would
+            # leave the port open for as long as each turn brings another caller.
             sockets.close(listener)
             return
-        await trio.sleep(sockets.ACCEPT_RETRY_S)
+        else:
+            await trio.sleep(sockets.ACCEPT_RETRY_S)
 
 
 def _accept_waiting(
