Draw targets whose heads are none, listed red

Change: the kind malform_heads with 16 defects, and a judge: none of these heads reaches a caller. Those with status 600 or 999, HTTP/3.1, BEL in a value or a folded line still do, so its test is listed. start_target has a module of its own.

--- a/soak/peer_faults.py
+++ b/soak/peer_faults.py
@@ -3,6 +3,7 @@
 from soak.crashes_in_answers import crash_in_answers
 from soak.early_answers import answer_uploads_early
 from soak.entry_faults import list_malformed_entries
+from soak.head_faults import malform_heads
 from soak.late_requests import stop_beside_requests
 
 PEER_FAULTS = (
@@ -10,4 +11,5 @@
     crash_in_answers,
     list_malformed_entries,
     stop_beside_requests,
+    malform_heads,
 )
--- a/soak/promise_checks.py
+++ b/soak/promise_checks.py
@@ -24,6 +24,7 @@
     was_path_undisturbed,
 )
 from soak.entry_checks import check_sound_entries
+from soak.head_checks import check_heads
 from soak.long_routes import LONG, LONG_AT_MOST_ONCE_KINDS, LONG_KINDS, UPLOAD_KINDS
 from soak.mixed_streams import MIXED
 from soak.neighbour_checks import (
@@ -376,5 +377,6 @@
     "no gateway exceeds its memory": check_memory,
     "a start succeeds soon after its trouble": check_starts,
     "a sound target beside malformed entries is used": check_sound_entries,
+    "a head that is none is passed on to nobody": check_heads,
     "an answer consists of one run's bytes": check_long_answers,
 }
--- a/soak/site.py
+++ b/soak/site.py
@@ -16,7 +16,8 @@
 from soak.processes import GatewayProcess
 from soak.relays import Relay
 from soak.slow_routes import MAX_BODY_BYTES, slow_routes
-from soak.targets import SoakTarget, start_target
+from soak.target_starts import start_target
+from soak.targets import SoakTarget
 from tests.fixtures.gateways import CONFIG_TOPIC, TARGETS_TOPIC, config, route
 from tests.fixtures.platform_store import StoreFault, StoreStandin
 from tests.fixtures.stub_server import free_listener, port_of, serve_http
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -10,6 +10,7 @@
 from soak.arrival_records import Arrival
 from soak.crash_causes import crash_cause
 from soak.long_answers import LongAnswers
+from soak.malformed_heads import answer_malformed
 from soak.mixed_streams import (
     EVENT_PAUSE_RANGE_S,
     MIXED,
@@ -34,13 +35,7 @@
     send_begun,
     send_pieces,
 )
-from tests.fixtures.stub_server import (
-    ReceivedRequest,
-    free_listener,
-    port_of,
-    raw_answer,
-    serve_http,
-)
+from tests.fixtures.stub_server import ReceivedRequest, raw_answer
 from tests.fixtures.stub_targets import StubTarget, request_id
 
 WORK_S = (0.005, 0.04)
@@ -126,6 +121,8 @@
         Whether gateways connect to the target itself; it can't be cut off then.
     crashes_behind_parts : trio.Event or None
         Set once the target has crashed behind parts of answers, if it is to.
+    malformed_head_share : float
+        Share of answers with defective heads.
     """
 
     stub: StubTarget
@@ -162,6 +159,7 @@
     long_answers: LongAnswers | None = None
     is_direct: bool = False
     crashes_behind_parts: trio.Event | None = None
+    malformed_head_share: float = 0.0
 
     def record_disturbance(self) -> None:
         """Record that a fault begins or ends now."""
@@ -276,6 +274,8 @@
                 behave = self.rng.choice(BAD_MIXED if is_judged_apart else BAD_ANSWERS)
             elif not is_judged_apart and self.rng.random() < self.unframed_share:
                 behave = self._answer_unframed
+            if not is_judged_apart and self._is_head_malformed():
+                behave = answer_malformed
             if self.crashes_behind_parts is not None and not is_judged_apart:
                 behave = self._answer_before_crash
             if is_slow or is_failing:
@@ -304,6 +304,11 @@
                 )
             )
 
+    def _is_head_malformed(self) -> bool:
+        """Return whether the next answer has a defective head."""
+        share = self.malformed_head_share
+        return share > 0.0 and self.rng.random() < share
+
     async def _answer_normally(
         self, stub: StubTarget, request: ReceivedRequest
     ) -> bool:
@@ -376,23 +381,3 @@
         }
         await request.stream.send_all(raw_answer(503, headers))
         return True
-
-
-def start_target(
-    name: str,
-    service: str,
-    rng: random.Random,
-    nursery: trio.Nursery,
-    version: str,
-) -> SoakTarget:
-    """Start a target behind a relay of its own."""
-    listener = free_listener()
-    stub = StubTarget(name, port_of(listener))
-    stillness = Stillness()
-    relay = Relay(stub.port, stillness)
-    target = SoakTarget(stub, relay, service, rng, version=version, nursery=nursery)
-    target.stillness = stillness
-    stub.behaviour = target.answer
-    nursery.start_soon(serve_http, listener, stub.answer, True, target.answer_head)
-    nursery.start_soon(target.relay.run)
-    return target
--- a/tests/test_soak_peers.py
+++ b/tests/test_soak_peers.py
@@ -15,14 +15,17 @@
 from soak.arrival_records import Arrival
 from soak.callers import CallerResult, Observations
 from soak.entry_checks import MIN_REQUESTS, check_sound_entries
+from soak.head_checks import check_heads
 from soak.long_routes import LONG
 from soak.malformed_entries import malformed_entries
+from soak.malformed_heads import MARK, HeadDefect, malformed_answer
 from soak.processes import GatewayProcess
 from soak.site import PLAIN, SoakSite
 from soak.targets import SoakTarget
 from soak.upload_answers import whole_upload_body
 from soak.upload_checks import find_upload_problem
 from tests.fixtures.gateways import Answer
+from tests.fixtures.stub_server import ReceivedRequest
 from tests.fixtures.stub_targets import StubTarget
 
 AT_S = 100.0
@@ -115,3 +118,30 @@
 def test_a_sound_target_beside_malformed_entries_must_be_used(is_used, struck, count):
     site = _site_with_joined(is_used, **struck)
     assert len(check_sound_entries(site, Observations())) == count
+
+
+@params(
+    (Answer(502, {}, b"", True), 0),
+    (Answer(None), 0),
+    (Answer(200, {}, b"", True), 0),
+    (Answer(200, {MARK: "folded-line"}, b"", True), 1),
+    (Answer(600, {}, b"", True), 1),
+    (Answer(99, {}, b"", True), 1),
+)
+def test_a_head_that_is_none_must_not_reach_a_caller(answer, count):
+    observations = Observations([_result("safe", answer)])
+    assert len(check_heads(_site(PLAIN), observations)) == count
+
+
+@params(*HeadDefect)
+def test_a_defective_head_has_a_mark_and_one_defect(defect):
+    request = ReceivedRequest("GET", "/safe/1", {"request-id": "r-1"}, b"", None)
+    head, _, body = malformed_answer(StubTarget("i-1"), request, defect).partition(
+        b"\r\n\r\n"
+    )
+    lines = head.split(b"\r\n")
+    sound = (b"HTTP/1.1 200 OK", b"Request-Id: r-1", b"Response-Seal: seal-i-1")
+    mark = f"{MARK}: {defect.value}".encode()
+    usual = (*sound, mark, b"Content-Length: %d" % len(body))
+    assert mark in lines
+    assert len([line for line in lines if line not in usual]) in (1, 2)
