Crash no target behind parts soon after another crash

Cause: requests of a service share digests. Two targets of crash_targets, two more and, during the isolated trial of a suspected stream, the target of that trial crashed within 4 s; three kinds of crashes were drawn. The router did what it should.

--- a/tests/test_soak_peers.py
+++ b/tests/test_soak_peers.py
@@ -6,6 +6,7 @@
 
 import random
 
+import trio
 from nose2.tools import params
 from returns.result import Success
 
@@ -14,16 +15,18 @@
 from scaleloom_platform.documents import decode_target
 from soak.arrival_records import Arrival
 from soak.callers import CallerResult, Observations
+from soak.crashes_in_answers import SINCE_CRASH_S, crash_in_answers
 from soak.entry_checks import MIN_REQUESTS, check_sound_entries
 from soak.head_checks import check_heads
 from soak.long_routes import LONG
 from soak.malformed_entries import malformed_entries
 from soak.malformed_heads import MARK, HeadDefect, malformed_answer
 from soak.processes import GatewayProcess
-from soak.site import PLAIN, SoakSite
+from soak.site import ENGINE, PLAIN, SoakSite
 from soak.targets import SoakTarget
 from soak.upload_answers import whole_upload_body
 from soak.upload_checks import find_upload_problem
+from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer
 from tests.fixtures.stub_server import ReceivedRequest
 from tests.fixtures.stub_targets import StubTarget
@@ -145,3 +148,19 @@
     usual = (*sound, mark, b"Content-Length: %d" % len(body))
     assert mark in lines
     assert len([line for line in lines if line not in usual]) in (1, 2)
+
+
+@params((SINCE_CRASH_S - 1.0, 0), (SINCE_CRASH_S + 1.0, 1))
+@runs_on_paused_clock
+async def test_no_target_crashes_behind_parts_soon_after_another(since_s, count):
+    site = SoakSite(random.Random(1), None, None, 0)
+    crashed_s = trio.current_time() - since_s
+    for service in (PLAIN, ENGINE):
+        site.targets += [_site(service).targets[0] for _ in range(3)]
+        site.removed_targets += _site(
+            service, removed_s=crashed_s, ended_s=crashed_s
+        ).targets
+    crashed: list[SoakTarget] = []
+    site.crash_target = crashed.append
+    await crash_in_answers(site, random.Random(1))
+    assert len(crashed) == count
