Read one long message at a step of the scheduler

Callers saw: beside 10 callers for each of two gateways whose answers on a resumable stream route were one event without end, other requests on that route took 210 ms at the median and 438 ms at most, 160 of 160 served.

Cause: a turn of a reader is 256 KiB, and each connection has its own, so that a step of the scheduler is as long as there are connections that send without end.

Change: beyond 64 KiB of a message, each further 64 KiB waits for a turn that all long messages share, one at a step. Messages up to 64 KiB are read as before.

The test counts 20 readers in 50 steps; with the shared turn off it fails.

--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/input_pace.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/input_pace.py
@@ -8,6 +8,8 @@
 # A piece, an event of the parser, takes 10 to 50 us; a turn takes 3 ms at most.
 TURN_PIECES = 64
 TURN_BYTES = 1 << 18
+# So much of a long message is processed in a turn among all long ones.
+LONG_TURN_BYTES = 1 << 16
 # Pieces of this size on average cost no more than their bytes do.
 LARGE_PIECE_BYTES = 512
 # An engine sends some hundred events a second, and after a pause those of a second.
@@ -69,6 +71,7 @@
 
     def __init__(self) -> None:
         self._turn = trio.Lock()
+        self._long_turn = trio.Lock()
         self._free_s = 0.0
         self.slowed_count = 0
         self.exceeded_counts = dict.fromkeys(InputBound, 0)
@@ -81,6 +84,11 @@
             begun_s = max(self._free_s, earliest_s)
             self._free_s = begun_s + pieces / SHARED_PIECES_PER_S
 
+    async def take_long_turn(self) -> None:
+        """Wait for a turn among long messages: one at a step of the scheduler."""
+        async with self._long_turn:
+            return
+
     def record_slowed(self, peer: str) -> None:
         """Count and log that a message of `peer` is slowed."""
         self.slowed_count += 1
@@ -125,6 +133,8 @@
         "_credit_pieces",
         "_drawn_bytes",
         "_drawn_pieces",
+        "_long_bytes",
+        "_owes_long_turn",
         "_refilled_s",
         "_small_pieces",
         "_turn_bytes",
@@ -139,6 +149,8 @@
         self._turn_pieces = 0
         self._turn_bytes = 0
         self._small_pieces = 0
+        self._long_bytes = 0
+        self._owes_long_turn = False
         self._credit_pieces = float(BURST_PIECES)
         self._refilled_s: float | None = None
         self._drawn_pieces = 0.0
@@ -154,11 +166,17 @@
         self._credit_pieces = max(self._credit_pieces, float(MESSAGE_PIECES))
         self._drawn_pieces = 0.0
         self._drawn_bytes = 0
+        self._long_bytes = 0
+        self._owes_long_turn = False
 
     def record_step(self, size_bytes: int = 0) -> None:
         """Count a step that is bounded in a turn, and not in its rate."""
         self._turn_pieces += 1
         self._turn_bytes += size_bytes
+        self._long_bytes += size_bytes
+        if self._long_bytes >= LONG_TURN_BYTES:
+            self._long_bytes = 0
+            self._owes_long_turn = self.is_turn_over = True
         is_full = self._turn_pieces >= TURN_PIECES or self._turn_bytes >= TURN_BYTES
         if is_full or self._credit_pieces < 0.0:
             self._settle()
@@ -182,7 +200,7 @@
         """Begin a new turn, since all input was processed and more is waited for."""
         if self._turn_pieces:
             self._settle()
-        self.is_turn_over = False
+        self.is_turn_over = self._owes_long_turn
         if self._credit_pieces < BURST_PIECES:
             self._refill()
         else:
@@ -205,7 +223,11 @@
         InputBoundExceeded
             If the pieces are too many for their size.
         """
-        await trio.lowlevel.checkpoint()
+        if self._owes_long_turn:
+            await process_budget().take_long_turn()
+            self._owes_long_turn = False
+        else:
+            await trio.lowlevel.checkpoint()
         if self._credit_pieces < 0.0:
             await self._draw()
         self.is_turn_over = False
--- a/tests/http1/test_input_pace.py
+++ b/tests/http1/test_input_pace.py
@@ -47,6 +47,8 @@
 SMALL_PIECE_BYTES = 100
 SETTLE_S = 0.2
 DEADLINE_S = 2.0
+LONG_MESSAGES = 20
+STEPS = 50
 
 
 async def _beside_others(connection: EndlessSocket, read, limit_s: float) -> int:
@@ -318,3 +320,26 @@
         waited_s = trio.current_time() - begun_s
         nursery.cancel_scope.cancel()
     assert waited_s < DEADLINE_S, waited_s
+
+
+@runs_in_trio
+async def test_one_long_message_is_read_at_a_step():
+    turns = [0] * LONG_MESSAGES
+
+    async def read(number: int) -> None:
+        pace = InputPace()
+        while True:
+            pace.record_step(input_pace.LONG_TURN_BYTES)
+            turns[number] += 1
+            if pace.is_turn_over:
+                # All that has arrived was read, which ends no long message.
+                pace.rest()
+                await pace.give_way()
+
+    async with trio.open_nursery() as nursery:
+        for number in range(LONG_MESSAGES):
+            nursery.start_soon(read, number)
+        for _ in range(STEPS):
+            await trio.lowlevel.checkpoint()
+        nursery.cancel_scope.cancel()
+    assert sum(turns) <= LONG_MESSAGES + STEPS + 1
