Let long answers and uploads take what short ones leave of a link

Callers saw: with two of six targets that answer without end, two gateways with link_mbps 1000 and 40 requests a second for 5 s, 158 of 194 others got "503 router_full", "The router is at the limit of its link" (aarch64, real processes, once).

Cause: bytes of any transfer count against the link until requests are refused, and nothing slows a transfer that has more to send than the link takes. One connection over loopback sends several times 1000 Mbit/s.

Change: beyond its first 64 KiB, a transfer sends one quantum of 5 ms of the link (64 KiB at most) at a turn. Turns are first come, first served, one at a step, and come only while at most 5 ms of bytes wait for the link. Each keeps an even part of long_transfer_share (0.05) of the link in any case, so that a slow stream needs no turn. Uploads beyond 64 KiB wait and count as they are read, and no longer at once when their request is sent on. Refusals are decided as before.

--- a/packages/scaleloom-core/scaleloom_core/process_limits.py
+++ b/packages/scaleloom-core/scaleloom_core/process_limits.py
@@ -66,6 +66,8 @@
         Maximum time that sent bytes may wait for the link, in seconds.
     lateness_s : float
         Maximum lateness of the process's timers, in seconds.
+    long_transfer_share : float
+        The share of the link that long transfers keep, from 0 to 1.
     """
 
     descriptors: int = 0
@@ -73,6 +75,7 @@
     link_mbps: float = 0.0
     link_queue_s: float = 0.0
     lateness_s: float = 0.0
+    long_transfer_share: float = 0.0
 
     @property
     def free_descriptors(self) -> int:
@@ -145,30 +148,40 @@
     """
 
     def __init__(self, link_mbps: float, limit_s: float) -> None:
-        self._bytes_per_s = link_mbps * 1e6 / BITS_PER_BYTE
-        self._limit_s = limit_s
+        self.bytes_per_s = link_mbps * 1e6 / BITS_PER_BYTE
+        self.limit_s = limit_s
         self._queued_bytes = 0.0
         self._updated_s = NEVER_S
         self._was_over = False
 
     def record_sent(self, sent_bytes: int, now_s: float) -> None:
         """Record that `sent_bytes` bytes were handed to the kernel."""
-        if self._limit_s and self._bytes_per_s:
+        if self.is_limited:
             self._queued_bytes = self._remaining_bytes(now_s) + sent_bytes
             self._updated_s = now_s
 
     def is_over(self, now_s: float) -> bool:
         """Return whether bytes sent now would wait longer than the limit."""
-        if not self._limit_s or not self._bytes_per_s:
+        if not self.is_limited:
             return False
-        wait_s = self._remaining_bytes(now_s) / self._bytes_per_s
-        bound_s = self._limit_s * (RECOVERY_SHARE if self._was_over else 1.0)
-        self._was_over = wait_s > bound_s
+        bound_s = self.limit_s * (RECOVERY_SHARE if self._was_over else 1.0)
+        self._was_over = self.wait_s(now_s) > bound_s
         return self._was_over
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether the link has a finite rate and a limit."""
+        return self.limit_s > 0.0 and 0.0 < self.bytes_per_s < float("inf")
+
+    def wait_s(self, now_s: float) -> float:
+        """Return how long bytes sent now wait, in seconds; 0 without a limit."""
+        if not self.is_limited:
+            return 0.0
+        return self._remaining_bytes(now_s) / self.bytes_per_s
+
     def _remaining_bytes(self, now_s: float) -> float:
         """Return the number of bytes that still wait for the link."""
-        sent_bytes = (now_s - self._updated_s) * self._bytes_per_s
+        sent_bytes = (now_s - self._updated_s) * self.bytes_per_s
         return max(0.0, self._queued_bytes - sent_bytes)
 
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/conf/gateway_schema.py
@@ -194,6 +194,13 @@
             " link, in seconds."
         ),
     ] = 0.0
+    long_transfer_share: Annotated[
+        Ratio,
+        Meta(
+            description="Share of the link that long answers and uploads keep while"
+            " short ones fill it, from 0 to 1."
+        ),
+    ] = 0.05
     lateness_s: Annotated[
         Seconds,
         Meta(
@@ -235,6 +242,7 @@
             memory_mb=limits.memory_mb,
             link_mbps=self.instance.link_mbps,
             link_queue_s=limits.link_queue_s,
+            long_transfer_share=limits.long_transfer_share,
             lateness_s=limits.lateness_s,
         )
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/accepting.py
@@ -6,6 +6,7 @@
 import trio
 
 from scaleloom_core.errors import ErrorKind, FleetError
+from scaleloom_core.link_share import SHORT_TRANSFER_BYTES
 from scaleloom_core.memory_account import MemoryUse
 from scaleloom_core.process_limits import CALLER_MEMORY_BYTES, Resource
 from scaleloom_fleet.gateway.attempts import serve
@@ -120,7 +121,9 @@
     It is counted before its task runs: a stop must not take the process for idle in
     between.
     """
-    caller = CallerConnection(connection, state.record_sent_bytes, state.memory)
+    caller = CallerConnection(
+        connection, state.record_sent_bytes, state.memory, state.link_gate
+    )
     state.connections.add(caller)
     state.memory.reserve(MemoryUse.CALLERS, CALLER_MEMORY_BYTES)
     return caller
@@ -173,7 +176,8 @@
     if limit is not None:
         await refuse(state, caller, limit)
         return True
-    state.record_sent_bytes(len(request.body))
+    # The rest of a long body was recorded as it was read.
+    state.record_sent_bytes(min(len(request.body), SHORT_TRANSFER_BYTES))
     state.requests_in_progress += 1
     try:
         await _serve_one(state, caller, request)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_collectors.py
@@ -13,6 +13,7 @@
 from scaleloom_fleet.gateway import metric_definitions
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.http1.input_pace import process_budget
+from scaleloom_fleet.http1.link_gate import Direction
 from scaleloom_fleet.utils import process_info
 from scaleloom_fleet.utils.logs import find_line_handler
 
@@ -32,6 +33,7 @@
     async def collect_process() -> None:
         _set_process(state)
         _set_input(state)
+        _set_link(state, trio.current_time())
         _set_logs(state)
 
     async def collect_targets() -> None:
@@ -139,6 +141,23 @@
         registry.set(metric_definitions.INPUT_BOUNDS_EXCEEDED, count, bound.value)
 
 
+def _set_link(state: GatewayState, now_s: float) -> None:
+    """Set the metrics of the network link and of long transfers."""
+    registry, gate = state.metrics_registry, state.link_gate
+    for direction in Direction:
+        slowed_count = gate.slowed_counts[direction]
+        registry.set(metric_definitions.TRANSFERS_SLOWED, slowed_count, direction.value)
+        registry.set(
+            metric_definitions.TRANSFER_WAIT_SECONDS,
+            gate.waited_s[direction],
+            direction.value,
+        )
+    registry.set(metric_definitions.LONG_TRANSFERS, gate.share.long_count)
+    registry.set(
+        metric_definitions.LINK_WAIT_SECONDS, state.process_limits.link.wait_s(now_s)
+    )
+
+
 def _set_logs(state: GatewayState) -> None:
     """Set the metrics of log lines and of dropped label sets."""
     registry = state.metrics_registry
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/metric_definitions.py
@@ -232,6 +232,29 @@
     "Messages that exceeded a bound on input, and were broken off.",
     ("bound",),
 )
+TRANSFERS_SLOWED = MetricDefinition(
+    "scaleloom_transfers_slowed_total",
+    _COUNTER,
+    "Long answers and uploads that waited for the link for 0.1 s or more in total,"
+    " counted at their ends.",
+    ("direction",),
+)
+TRANSFER_WAIT_SECONDS = MetricDefinition(
+    "scaleloom_transfer_wait_seconds_total",
+    _COUNTER,
+    "Time that long answers and uploads waited for their turns on the link.",
+    ("direction",),
+)
+LONG_TRANSFERS = MetricDefinition(
+    "scaleloom_long_transfers",
+    _GAUGE,
+    "Long answers and uploads in progress.",
+)
+LINK_WAIT_SECONDS = MetricDefinition(
+    "scaleloom_link_wait_seconds",
+    _GAUGE,
+    "Estimated time that bytes sent now wait for the link; 0 without link_queue_s.",
+)
 STALLS = MetricDefinition(
     "scaleloom_stalls_total",
     _COUNTER,
@@ -337,6 +360,10 @@
     LOG_WAITING_BYTES,
     INPUTS_SLOWED,
     INPUT_BOUNDS_EXCEEDED,
+    TRANSFERS_SLOWED,
+    TRANSFER_WAIT_SECONDS,
+    LONG_TRANSFERS,
+    LINK_WAIT_SECONDS,
     STALLS,
     STALLED_SECONDS,
     LABEL_SETS_FOLDED,
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/state.py
@@ -39,6 +39,7 @@
 from scaleloom_fleet.gateway.rollout_controller import RolloutController
 from scaleloom_fleet.gateway.wait_queue import WaitQueue
 from scaleloom_fleet.http1.callers import CallerConnection, CallerLimits
+from scaleloom_fleet.http1.link_gate import LinkGate
 from scaleloom_fleet.utils import process_info
 from scaleloom_fleet.utils.exposition import MetricRegistry
 from scaleloom_fleet.utils.statsd_metrics import StatsdMetrics
@@ -134,6 +135,8 @@
         Announces streams to other routers, and queries them; None until connected.
     outcomes : OutcomeCounts
         Outcomes of this router's requests, to be reported to peers.
+    link_gate : LinkGate
+        Where long answers and uploads wait for their turns on the network link.
     memory : MemoryAccount
         The memory that is reserved for callers and long messages.
     unreadable_entry_count : int
@@ -167,6 +170,7 @@
     statsd: StatsdMetrics
     freshness: ListFreshness
     process_limits: ProcessLimits
+    link_gate: LinkGate = msgspec.field(default_factory=LinkGate)
     memory: MemoryAccount = msgspec.field(default_factory=MemoryAccount)
     stream_origins: OriginTables = msgspec.field(default_factory=OriginTables)
     origin_exchange: OriginExchange | None = None
@@ -210,7 +214,7 @@
 
     def __post_init__(self) -> None:
         """Configure the parts, and connect them to the view and to reports."""
-        self.memory.limit_bytes = self.settings.process_resources.free_memory_bytes
+        self._apply_resources(self.settings)
         self.rollouts.configure(self.settings.rollouts)
         own = str(self.settings.peer_address)
         self.rollouts.connect(own, self.view, self.request_report)
@@ -244,7 +248,7 @@
         """Apply changed settings, except the addresses at which the process listens."""
         if settings.process_resources != self.settings.process_resources:
             self.process_limits = make_process_limits(settings)
-            self.memory.limit_bytes = settings.process_resources.free_memory_bytes
+            self._apply_resources(settings)
         self.settings = settings
         bounds = settings.bounds
         self.chooser.bound_multiple = bounds.load_multiple
@@ -256,6 +260,14 @@
         self.freshness.poll_s = settings.platform.list_poll_s
         self.rollouts.configure(settings.rollouts)
 
+    def _apply_resources(self, settings: GatewaySettings) -> None:
+        """Limit the memory and the link by `settings`."""
+        resources = settings.process_resources
+        self.memory.limit_bytes = resources.free_memory_bytes
+        self.link_gate.share.configure(
+            self.process_limits.link, resources.long_transfer_share
+        )
+
     @property
     def has_low_bandwidth_link(self) -> bool:
         """Return whether a large configuration occupies the network link too long."""
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/caller_input.py
@@ -6,6 +6,7 @@
 import h11
 import trio
 
+from scaleloom_core.link_share import SHORT_TRANSFER_BYTES, Transfer
 from scaleloom_core.memory_account import (
     SHORT_MESSAGE_BYTES,
     MemoryAccount,
@@ -28,6 +29,7 @@
     ConnectionLost,
 )
 from scaleloom_fleet.http1.input_pace import InputBoundExceeded, InputPace
+from scaleloom_fleet.http1.link_gate import Direction, LinkGate
 
 HEAD_TERMINATOR = b"\r\n\r\n"
 # What a caller sends before its turn, beside the request that is served.
@@ -51,6 +53,8 @@
         Called with the number of bytes sent after each write.
     memory : MemoryAccount or None
         Where the memory for the bodies of requests is reserved.
+    gate : LinkGate or None
+        Where long uploads and answers wait for their turns.
     """
 
     def __init__(
@@ -58,12 +62,16 @@
         connection: socket.socket,
         on_sent: Callable[[int], None] | None = None,
         memory: MemoryAccount | None = None,
+        gate: LinkGate | None = None,
     ) -> None:
         self._memory = memory or MemoryAccount()
+        self._gate = gate or LinkGate()
+        self._upload = Transfer(free_bytes=0.0)
+        self._sending = Transfer()
         self._connection = Connection(connection)
         self._on_sent = on_sent
         self._protocol = h11.Connection(h11.SERVER)
-        peer = self._connection.peer_name
+        peer = self._peer = self._connection.peer_name
         # One for each task: the one that receives, and the one that parses.
         self._receiving_pace = InputPace(peer)
         self._parsing_pace = InputPace(peer)
@@ -92,6 +100,7 @@
                     break
                 self._receiving_pace.record_step(len(data))
                 if self._is_discarding:
+                    await self._gate.receive(self._upload, len(data))
                     continue
                 self._inbox += data
                 self._notify_reader()
@@ -186,6 +195,7 @@
         self.is_answer_started = False
         self.is_answer_complete = False
         self._answer_may_have_body = True
+        self._end_transfers()
         if self._parsing_pace.is_turn_over:
             await self._give_way()
         self._parsing_pace.begin_message()
@@ -303,15 +313,48 @@
                 if len(body) > limits.body_bytes:
                     raise RequestRejected(413)
                 _reserve(reservation, len(body))
+                deadline_s += await self._wait_for_link(len(event.data), len(body))
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
                 raise RequestRejected(400)
 
+    async def _wait_for_link(self, size_bytes: int, body_bytes: int) -> float:
+        """
+        Wait until the newest part of a body may be passed on.
+
+        Returns
+        -------
+        float
+            For how long, in seconds: that the caller isn't late by.
+        """
+        if body_bytes <= SHORT_TRANSFER_BYTES:
+            return 0.0
+        long_bytes = min(size_bytes, body_bytes - SHORT_TRANSFER_BYTES)
+        return await self._gate.receive(self._upload, long_bytes)
+
+    def _end_transfers(self) -> None:
+        """Let the next request and its answer be new transfers."""
+        if self._upload.is_long:
+            self._gate.end(self._upload, Direction.UPLOAD, self._peer)
+        if self._sending.is_long:
+            self._gate.end(self._sending, Direction.ANSWER, self._peer)
+        self._upload = Transfer(free_bytes=0.0)
+        self._sending = Transfer()
+
+    async def _wait_turn(self, size_bytes: int) -> int:
+        """Wait until some bytes of a long answer may be sent; return how many."""
+        return await self._gate.wait_turn(self._sending, size_bytes, Direction.ANSWER)
+
     async def _send(self, data: bytes) -> None:
         """Send `data` to the caller, or raise `CallerDisconnected`."""
+        sending, wait_turn = self._sending, None
+        if sending.is_long or len(data) > sending.free_bytes:
+            wait_turn = self._wait_turn
+        else:
+            sending.free_bytes -= len(data)
         try:
-            await self._connection.send_all(data, self._on_sent)
+            await self._connection.send_all(data, self._on_sent, wait_turn)
         except (ConnectionLost, trio.ClosedResourceError) as error:
             raise CallerDisconnected from error
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/callers.py
@@ -235,10 +235,12 @@
         """Close the connection normally."""
         if not self._is_closed:
             self._is_closed = True
+            self._end_transfers()
             self._connection.close()
 
     def reset(self) -> None:
         """Reset the connection, so that a truncated answer does not look complete."""
         if not self._is_closed:
             self._is_closed = True
+            self._end_transfers()
             self._connection.reset()
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/connections.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/connections.py
@@ -3,7 +3,7 @@
 import errno
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 import msgspec
@@ -172,6 +172,7 @@
         self,
         data: bytes | memoryview,
         on_sent: Callable[[int], None] | None = None,
+        wait_turn: Callable[[int], Awaitable[int]] | None = None,
     ) -> None:
         """
         Send all of `data`.
@@ -180,6 +181,9 @@
         ----------
         on_sent : callable or None
             Called with the number of bytes that the kernel accepted at each write.
+        wait_turn : callable or None
+            Called with the number of bytes left before each write; waits, and returns
+            how many may be written.
 
         Raises
         ------
@@ -188,13 +192,15 @@
         """
         remaining = memoryview(data)
         while True:
-            sent = self.send_nowait(remaining)
+            size = await wait_turn(len(remaining)) if wait_turn else len(remaining)
+            sent = self.send_nowait(remaining[:size])
             if on_sent is not None:
                 on_sent(sent)
             remaining = remaining[sent:]
             if not remaining:
                 return
-            await trio.lowlevel.wait_writable(self._socket)
+            if sent < size:
+                await trio.lowlevel.wait_writable(self._socket)
 
     def is_open_and_empty(self) -> bool:
         """Return whether an idle connection is open and has no unread bytes."""
--- a/tests/side_by_side.py
+++ b/tests/side_by_side.py
@@ -44,6 +44,7 @@
     "tests.gateway.test_operations",
     "tests.gateway.test_process_limits",
     "tests.gateway.test_process_starts",
+    "tests.gateway.test_shared_link",
     "tests.gateway.test_signals_at_starts",
     "tests.gateway.test_silent_links",
     "tests.gateway.test_unread_bodies",
