--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/answer_heads.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/answer_heads.py
@@ -24,10 +24,10 @@
     rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: " + _VALUE + rb")?+\r\n"
     rb"(?:" + _NAME + rb":" + _VALUE + rb"\r\n)*+\r\n"
 )
-_VERSION = re.compile(rb"HTTP/1\.[01](?: |$)")
-_STATUS = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)")
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: " + _VALUE + rb")?+")
-_FIELD_NAME = re.compile(_NAME)
+# These are compiled at the first fault, which most processes never see.
+_VERSION = rb"HTTP/1\.[01](?: |$)"
+_STATUS = rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |$)"
+_STATUS_LINE = rb"HTTP/1\.[01] [1-5][0-9]{2}(?: " + _VALUE + rb")?+"
 # A parser that takes bare LF finds the end of a head here.
 _LENIENT_TERMINATOR = re.compile(rb"\n\r?\n")
 _FRAMING = re.compile(rb"\r\n(content-length|transfer-encoding):([^\r]*)")
@@ -119,11 +119,11 @@
 
 def _find_status_fault(line: bytes) -> HeadFault | None:
     """Return which rule a status line breaks, or None."""
-    if _VERSION.match(line) is None:
+    if re.match(_VERSION, line) is None:
         return HeadFault.VERSION
-    if _STATUS.match(line) is None:
+    if re.match(_STATUS, line) is None:
         return HeadFault.STATUS
-    if _STATUS_LINE.fullmatch(line) is None:
+    if re.fullmatch(_STATUS_LINE, line) is None:
         return HeadFault.STATUS_LINE
     return HeadFault.UPGRADE if line[_STATUS_AT:].startswith(b"101") else None
 
@@ -133,7 +133,7 @@
     if line.startswith((b" ", b"\t")):
         return HeadFault.FOLDED_LINE
     name, colon, value = line.partition(b":")
-    if not colon or _FIELD_NAME.fullmatch(name) is None:
+    if not colon or re.fullmatch(_NAME, name) is None:
         return HeadFault.NAME
     return None if re.fullmatch(_VALUE, value) else HeadFault.VALUE
 
