--- a/tests/test_soak_peers.py
+++ b/tests/test_soak_peers.py
@@ -4,6 +4,7 @@
 Guards against judges that pass a part of an answer, or report what the soak itself cut.
 """
 
+import json
 import random
 
 import trio
@@ -28,6 +29,7 @@
 from soak.upload_checks import find_upload_problem
 from tests.fixtures.fleets import runs_on_paused_clock
 from tests.fixtures.gateways import Answer
+from tests.fixtures.platform_store import PAGE_BYTES, StoreStandin
 from tests.fixtures.stub_server import ReceivedRequest
 from tests.fixtures.stub_targets import StubTarget
 
@@ -164,3 +166,18 @@
     site.crash_target = crashed.append
     await crash_in_answers(site, random.Random(1))
     assert len(crashed) == count
+
+
+@params(
+    (1, PAGE_BYTES + 1, 1, False),
+    (3, 300_000, 3, False),
+    (4, 400_000, 2, True),
+    (600, 1, 500, True),
+)
+def test_a_page_of_the_store_has_no_more_than_it_may(stored, size, count, has_more):
+    store, topic = StoreStandin(), "keyed.servers"
+    for number in range(stored):
+        store.topic(topic).append(f"k-{number:03}", b"x" * size)
+    answer = store._newest(store.topic(topic), None)
+    page = json.loads(answer.partition(b"\r\n\r\n")[2])
+    assert (len(page["items"]), page["more"]) == (count, has_more)
