Read no configuration whose numbers are too long to compute with

What callers saw: a configuration with a number of 400 digits among its limits ended every connection of every caller with no answer.

Cause: whole numbers of a configuration had no bound, and one of more than 308 digits can't be converted to seconds.

Change: all of them lie within 62 bits. A configuration with others can't be decoded, is logged, and leaves the former in force.

--- a/packages/scaleloom-core/scaleloom_core/routing.py
+++ b/packages/scaleloom-core/scaleloom_core/routing.py
@@ -1,6 +1,7 @@
 """Routing table of plain HTTP requests: routes, services and customers' keys."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 import xxhash
@@ -9,6 +10,10 @@
 from scaleloom_core.ids import CustomerId, ServiceName
 
 RouteKey = int
+# Far beyond any version, offset or limit; messages between routers hold no longer
+# numbers, and much longer ones can't be converted to seconds.
+MAX_NUMBER = 1 << 62
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 def route_key(name: str) -> RouteKey:
@@ -28,7 +33,7 @@
     """Relative share of a route's requests that a service gets."""
 
     service: ServiceName
-    weight: int = 1
+    weight: Integer = 1
 
 
 class HttpRoute(msgspec.Struct, frozen=True):
@@ -121,7 +126,7 @@
 
     name: CustomerId
     keys: tuple[str, ...]
-    priority: int | None = None
+    priority: Integer | None = None
 
 
 class RoutingTable(msgspec.Struct, frozen=True):
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/interfaces.py
@@ -9,11 +9,12 @@
 from msgspec import Meta
 from returns.result import Result
 
+from scaleloom_core import routing
 from scaleloom_core.evacuations import EvacuationChange
 from scaleloom_core.ids import EntryKey, ServiceName, Version
 from scaleloom_core.rollouts.orders import RolloutChange
 from scaleloom_core.rollouts.stages import Stage
-from scaleloom_core.routing import RoutingTable
+from scaleloom_core.routing import MAX_NUMBER, RoutingTable
 from scaleloom_core.target_entries import ListedTarget
 from scaleloom_fleet.conf.checks import CheckMessage
 from scaleloom_fleet.http1.links import OutgoingRequest
@@ -71,9 +72,8 @@
     reserved: frozenset[bytes]
 
 
-# Far beyond any version or offset; messages between routers hold no longer numbers.
-MAX_NUMBER = 1 << 62
 Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+Integer = routing.Integer
 # What decoding raises; the last one for values nested too deeply.
 UNREADABLE = (msgspec.DecodeError, RecursionError)
 
