--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -28,7 +28,14 @@
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.resumed_events import ResumedEvents
-from scaleloom_fleet.http1 import binding, callers, connections, links, requesting
+from scaleloom_fleet.http1 import (
+    answer_heads,
+    binding,
+    callers,
+    connections,
+    links,
+    requesting,
+)
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
@@ -149,6 +156,11 @@
     list_watch.apply_target_documents = apply_as_ready
 
 
+def _trust_heads() -> None:
+    """Take whatever the parser lets pass for the head of an answer."""
+    answer_heads.HeadChecker.check = lambda checker, data: None
+
+
 def _trust_entries() -> None:
     """Take every entry of the list of targets for a sound one."""
     load_adapter = process.load_adapter
@@ -285,6 +297,7 @@
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
     "entries-checked": _trust_entries,
+    "heads-checked": _trust_heads,
     "leaving": _ignore_draining_entries,
     "draining": _stop_without_draining,
     "last-answers": _cut_at_the_end_of_a_stop,
--- a/tests/test_soak_peer_seeds.py
+++ b/tests/test_soak_peer_seeds.py
@@ -26,6 +26,7 @@
 COMPLETE = "answers are complete and belong to their request"
 SOUND_USED = "a sound target beside malformed entries is used"
 BESIDE_STOP = "a request beside a planned stop is answered or refused"
+HEADS = "a head that is none is passed on to nobody"
 ONE_RUN = "an answer consists of one run's bytes"
 
 
@@ -68,6 +69,11 @@
     assert result.broken == {}, result.describe()
 
 
+def test_heads_that_are_passed_on_unchecked_are_detected():
+    result = _run(66301, [peer_faults.malform_heads], "heads-checked")
+    assert HEADS in result.broken, result.describe()
+
+
 def test_a_forgotten_reset_beside_an_upload_is_detected():
     result = _run(66102, [peer_faults.answer_uploads_early], "kept-loss")
     assert ONE_RUN in result.broken, result.describe()
