Break off only answers whose target refuses connections

Cause: the check went by the probes of the crash records, whose question is another one, and asked leaving targets.

Change: each answer connects once for itself, 5 ms after its end, within 0.25 s and the deadline; only a refusal breaks it off; leaving targets are not asked.

--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_ends.py
@@ -48,7 +48,7 @@
     record_repeated_events(context, exchange)
     _clear_answering(context, exchange)
     _record_outcome(state, exchange, result)
-    _probe_after_break(state, context, exchange, result)
+    _probe_after_end(state, context, exchange, result)
     record_end(exchange, result)
     exchange.is_ended = True
     release_slot(state, context, exchange.record, result.value)
@@ -120,23 +120,19 @@
         state.chooser.forget_cached(exchange.placement, exchange.target.id)
 
 
-def _probe_after_break(
+def _probe_after_end(
     state: GatewayState,
     context: RequestContext,
     exchange: Exchange,
     result: AttemptResult,
 ) -> None:
-    """Have the target probed if the exchange broke, as it may have crashed."""
+    """Have the target probed if it may have crashed at the end of an exchange."""
     target, prober = exchange.target, state.crashes.prober
     if result in BROKEN_RESULTS:
         if result is AttemptResult.SILENT:
             prober.record_abandoned(target, context.causes)
-        if not _has_left(state, exchange):
-            exchange.probe = prober.probe_after_break(target, context.causes)
-
-
-def _has_left(state: GatewayState, exchange: Exchange) -> bool:
-    """Return whether a target may have ended as planned instead of by a crash."""
-    head = exchange.link.head
-    is_unframed = head is not None and not head.has_known_end
-    return is_unframed and is_leaving(state, exchange)
+        exchange.probe = prober.probe_after_break(target, context.causes)
+    elif exchange.answer_end is AnswerEnd.UNKNOWN and not is_leaving(state, exchange):
+        # A failure clears the request, but not the parts that it shares.
+        causes = context.causes if exchange.has_succeeded else (context.digest,)
+        prober.probe_after_unknown_end(target, causes)
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchange_state.py
@@ -50,7 +50,7 @@
     answer_end : AnswerEnd or None
         What is known of the end of the answer, if it began.
     probe : TargetProbe or None
-        Of the target, if the exchange broke or its end is unknown.
+        Of the target, if the exchange broke.
     is_ended : bool
         Whether the link and the slot have been released.
     """
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/exchanges.py
@@ -37,7 +37,7 @@
 )
 from scaleloom_fleet.gateway.state import GatewayState
 from scaleloom_fleet.gateway.target_selection import is_rolled_back
-from scaleloom_fleet.gateway.unknown_ends import check_target_runs
+from scaleloom_fleet.gateway.unknown_ends import check_target_at_end
 from scaleloom_fleet.http1.callers import CallerDisconnected
 from scaleloom_fleet.http1.connections import ConnectionLost
 from scaleloom_fleet.http1.links import (
@@ -267,7 +267,7 @@
     body = await exchange.link.read_body(
         BUFFERED_ANSWER_LIMIT_BYTES, context.kept_reservation
     )
-    await check_target_runs(state, context, exchange)
+    await check_target_at_end(state, context, exchange)
     if head.status >= 500 or context.answer.is_begun:
         context.failure = context.failure or (head, body)
         return AttemptResult.FAILED
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/forwarding.py
@@ -30,7 +30,7 @@
     is_of_same_version,
     record_first_event,
 )
-from scaleloom_fleet.gateway.unknown_ends import check_target_runs
+from scaleloom_fleet.gateway.unknown_ends import check_target_at_end
 from scaleloom_fleet.http1.input_pace import InputBound
 from scaleloom_fleet.http1.links import (
     AnswerHead,
@@ -55,7 +55,7 @@
         if not is_whole:
             reservation.release()
             return await _forward_long(state, context, exchange, body)
-        await check_target_runs(state, context, exchange)
+        await check_target_at_end(state, context, exchange)
         if exchange.observation is not None:
             exchange.observation.record_body_complete(trio.current_time())
         _record_first_byte(state, context)
@@ -117,7 +117,7 @@
     while part is not None:
         await _send_part(state, context, exchange, part, keeps_length=True)
         part = await exchange.link.read_data()
-    await check_target_runs(state, context, exchange)
+    await check_target_at_end(state, context, exchange)
     await context.answer.end(exchange)
     return AttemptResult.ANSWERED
 
@@ -201,7 +201,7 @@
     if exchange.resumed_events is not None:
         rest = exchange.resumed_events.finish()
     _check_unknown_end(context, link)
-    await check_target_runs(state, context, exchange)
+    await check_target_at_end(state, context, exchange)
     if context.answering is not exchange:
         await claim_answer(state, context, exchange)
     if rest:
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/target_probes.py
@@ -140,7 +140,7 @@
 
     def probe_after_unknown_end(
         self, target: ListedTarget, causes: Sequence[CauseDigest]
-    ) -> TargetProbe:
+    ) -> None:
         """Probe `target`, whose answer is complete unless it crashed."""
         probe = self._find_probe(target)
         if probe.has_crashed:
@@ -148,7 +148,6 @@
         else:
             probe.answered += causes
             probe.request_count += 1
-        return probe
 
     def record_abandoned(
         self, target: ListedTarget, causes: Sequence[CauseDigest]
@@ -193,7 +192,7 @@
         """Find out whether a target accepts connections, and report the result."""
         try:
             await trio.sleep_until(probe.begins_s)
-            self._apply_result(probe, await self.is_running(probe.target))
+            self._apply_result(probe, await self._is_running(probe.target))
         finally:
             # Requests wait for the end of the probe, whatever it is.
             probe.is_done.set()
@@ -222,7 +221,7 @@
             for cause in request.causes
         ]
 
-    async def is_running(self, target: ListedTarget) -> bool | None:
+    async def _is_running(self, target: ListedTarget) -> bool | None:
         """
         Return whether `target` accepts connections, or None if it is not known.
 
--- a/packages/scaleloom-fleet/scaleloom_fleet/gateway/unknown_ends.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/gateway/unknown_ends.py
@@ -5,48 +5,56 @@
 from scaleloom_fleet.gateway.exchange_state import Exchange
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.state import GatewayState
-from scaleloom_fleet.http1.links import AnswerProtocolError
+from scaleloom_fleet.http1 import sockets
+from scaleloom_fleet.http1.links import AnswerProtocolError, Link
+from scaleloom_fleet.utils.addresses import Address
 
 # A process that ends may close its listening socket after the connection.
-PROCESS_END_S = 0.01
+PROCESS_END_S = 0.005
+# A target that neither accepts nor refuses a connection may be busy.
+CHECK_LIMIT_S = 0.25
+# What the caller needs to get the end before its deadline.
+END_MARGIN_S = 0.05
 
 
-async def check_target_runs(
+async def check_target_at_end(
     state: GatewayState, context: RequestContext, exchange: Exchange
 ) -> None:
     """
-    Check, before the end of an answer is passed on, that its target still runs.
+    Check whether an answer that ended with its connection may be passed on as it came.
 
-    A process that ends closes its connections as behind a complete answer.
+    A process that ends closes its connections as behind a complete answer. Only a
+    refused connection shows that; one that leaves as planned may have closed its port
+    long before, so it is not asked.
 
     Raises
     ------
     AnswerProtocolError
-        If only the end of the connection marks the end, and the target accepts no
-        connection any more.
+        If only the end of the connection marks the end, and either the target is gone
+        or it has reported a success without having read the request.
     """
     if exchange.link.head.has_known_end:
         return
-    await trio.sleep(PROCESS_END_S)
-    if is_leaving(state, exchange):
-        # Its end is planned, and no crash to be recorded.
-        is_running = await state.crashes.prober.is_running(exchange.target)
-    else:
-        is_running = await _has_not_crashed(state, context, exchange)
-    if is_running is False:
+    if is_unread_success(exchange.link):
+        raise AnswerProtocolError("answer ended before the request was sent")
+    if not is_leaving(state, exchange) and await _is_gone(context, exchange):
         raise AnswerProtocolError("target is gone at the end of its answer")
 
 
-async def _has_not_crashed(
-    state: GatewayState, context: RequestContext, exchange: Exchange
-) -> bool:
-    """Have the target probed, also for the records of crashes; return the result."""
-    # A failure clears the request, but not the parts that it shares.
-    causes = context.causes if exchange.has_succeeded else (context.digest,)
-    probe = state.crashes.prober.probe_after_unknown_end(exchange.target, causes)
-    exchange.probe = probe
-    await probe.is_done.wait()
-    return not probe.has_crashed
+def is_unread_success(link: Link) -> bool:
+    """Return whether a success has come without the server having got the request."""
+    return link.has_unsent and 200 <= link.head.status < 300
+
+
+async def _is_gone(context: RequestContext, exchange: Exchange) -> bool:
+    """Return whether the target refuses connections, as far as there is time to ask."""
+    now_s = trio.current_time()
+    latest_s = context.match.deadline_s - END_MARGIN_S
+    with trio.move_on_at(min(now_s + CHECK_LIMIT_S, latest_s)):
+        await trio.sleep(PROCESS_END_S)
+        target = exchange.target
+        return await sockets.is_refused(Address(target.host, target.port))
+    return False
 
 
 def is_leaving(state: GatewayState, exchange: Exchange) -> bool:
--- a/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
+++ b/packages/scaleloom-fleet/scaleloom_fleet/http1/sockets.py
@@ -75,7 +75,7 @@
     try:
         _set_options(connection, unacked_timeout_ms)
         with trio.move_on_after(timeout_s):
-            if await _finish_connecting(connection, address):
+            if await _connect(connection, address) == 0:
                 return connection
     except BaseException:
         connection.close()
@@ -84,6 +84,16 @@
     return None
 
 
+async def is_refused(address: Address) -> bool:
+    """Return whether a connection to `address` is refused, as nobody listens there."""
+    try:
+        connection = _open_socket()
+    except OutOfDescriptors:
+        return False
+    with connection:
+        return await _connect(connection, address) == errno.ECONNREFUSED
+
+
 def _open_socket() -> socket.socket:
     """
     Return a non-blocking TCP socket.
@@ -101,13 +111,13 @@
     return connection
 
 
-async def _finish_connecting(connection: socket.socket, address: Address) -> bool:
-    """Connect to `address` and return whether that succeeded."""
+async def _connect(connection: socket.socket, address: Address) -> int:
+    """Connect to `address` and return the error number; 0 if that succeeded."""
     code = connection.connect_ex((address.host, address.port))
     if code == errno.EINPROGRESS:
         await trio.lowlevel.wait_writable(connection)
         code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return code == 0
+    return code
 
 
 def _set_options(connection: socket.socket, unacked_timeout_ms: int) -> None:
--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -24,6 +24,7 @@
     list_watch,
     process,
     state,
+    unknown_ends,
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
@@ -69,8 +70,13 @@
 
 
 def _forget_losses() -> None:
-    """Take what is read behind a reset that another call met for a normal end."""
+    """
+    Take what is read behind a reset that another call met for a normal end.
+
+    A request that was not sent shows the same for an upload.
+    """
     connections.Connection.is_lost = property(lambda self: False)
+    unknown_ends.is_unread_success = lambda link: False
 
 
 def _accept_broken_answers() -> None:
@@ -97,7 +103,7 @@
     async def check_nothing(state, context, exchange):
         return None
 
-    exchanges.check_target_runs = forwarding.check_target_runs = check_nothing
+    exchanges.check_target_at_end = forwarding.check_target_at_end = check_nothing
 
 
 def _go_on_at_any_version() -> None:
--- a/tests/test_soak_neighbours.py
+++ b/tests/test_soak_neighbours.py
@@ -35,6 +35,7 @@
 from soak.peer_faults import PEER_FAULTS
 from soak.processes import GRACE_S, GatewayProcess, ProcessEnd
 from soak.promise_checks import check_exits
+from soak.repeated_streams import begin_streams_again
 from soak.site import SoakSite
 from soak.version_faults import VERSION_FAULTS
 from tests.fixtures.cut_answers import EVENT_END
@@ -362,7 +363,7 @@
 
 
 def test_seeds_of_the_earlier_kinds_draw_no_fault_of_neighbours():
-    later = (*VERSION_FAULTS, *PEER_FAULTS)
+    later = (*VERSION_FAULTS, *PEER_FAULTS, begin_streams_again)
     earlier = faults.FAULTS[: -len(later)]
     assert faults.FAULTS[len(earlier) :] == later
     kind_count = len(earlier) - len(NEIGHBOUR_FAULTS)
