--- a/soak/switched_off.py
+++ b/soak/switched_off.py
@@ -24,11 +24,19 @@
     list_watch,
     process,
     state,
+    unknown_ends,
 )
 from scaleloom_fleet.gateway.caller_answer import CallerAnswer
 from scaleloom_fleet.gateway.request_context import RequestContext
 from scaleloom_fleet.gateway.resumed_events import ResumedEvents
-from scaleloom_fleet.http1 import binding, callers, connections, links, requesting
+from scaleloom_fleet.http1 import (
+    answer_heads,
+    binding,
+    callers,
+    connections,
+    links,
+    requesting,
+)
 from scaleloom_fleet.http1.input_pace import InputPace
 from scaleloom_fleet.main import main
 
@@ -62,8 +70,13 @@
 
 
 def _forget_losses() -> None:
-    """Take what is read behind a reset that another call met for a normal end."""
+    """
+    Take what is read behind a reset that another call met for a normal end.
+
+    A request that was not sent shows the same for an upload.
+    """
     connections.Connection.is_lost = property(lambda self: False)
+    unknown_ends.is_unread_success = lambda link: False
 
 
 def _accept_broken_answers() -> None:
@@ -90,7 +103,7 @@
     async def check_nothing(state, context, exchange):
         return None
 
-    exchanges.check_target_runs = forwarding.check_target_runs = check_nothing
+    exchanges.check_target_at_end = forwarding.check_target_at_end = check_nothing
 
 
 def _go_on_at_any_version() -> None:
@@ -149,6 +162,11 @@
     list_watch.apply_target_documents = apply_as_ready
 
 
+def _trust_heads() -> None:
+    """Take whatever the parser lets pass for the head of an answer."""
+    answer_heads.HeadChecker.check = lambda checker, data: None
+
+
 def _trust_entries() -> None:
     """Take every entry of the list of targets for a sound one."""
     load_adapter = process.load_adapter
@@ -285,6 +303,7 @@
     "never-back": _apply_older_configs,
     "in-force": _apply_first_config_only,
     "entries-checked": _trust_entries,
+    "heads-checked": _trust_heads,
     "leaving": _ignore_draining_entries,
     "draining": _stop_without_draining,
     "last-answers": _cut_at_the_end_of_a_stop,
