--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -92,6 +93,8 @@
         self.store_address = ""
         self.processes: list[subprocess.Popen] = []
         self.gateways: list[dict] = []
+        # The metrics page has a fixed port, so that each fleet has addresses of its own.
+        self._network = f"127.{random.randint(16, 250)}.{random.randint(0, 250)}"
         self._lines = self.record.open("a", buffering=1)
         self.doors: list[Door] = []
 
@@ -137,7 +140,7 @@
         """Start a gateway with the command and the template of the deploy file."""
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         role = role["gateway"]
-        host = f"127.0.0.{10 + number}"
+        host = f"{self._network}.{10 + number}"
         ports = {name: free_port(host) for name in ("front", "ready", "control")}
         if not self.gateways:
             self._peer_port = free_port(host)
@@ -146,7 +149,7 @@
             "ip": host,
             "zone": "sala-a",
             "port-range": [self._peer_port, self._peer_port + 15],
-            "seeds": [f"127.0.0.{10 + other}:8229" for other in (1, 2, 3)],
+            "seeds": [f"{self._network}.{10 + other}:8229" for other in (1, 2, 3)],
             "listen": {name: f"{host}:{port}" for name, port in ports.items()},
             "limits": LIMITS,
             "bounds": BOUNDS,
@@ -174,7 +177,6 @@
     def write_settings(self, gateway: dict) -> None:
         """Lay the filled template where the settings of a gateway are."""
         text = fill(gateway["template"], gateway["fields"])
-        # The metrics have a port of their own at each address.
         gateway["settings"].write_text(text)
 
     def run_gateway(self, gateway: dict) -> None:
@@ -248,7 +250,8 @@
             seal=answer.find("Response-Seal"),
             end=answer.end,
             is_complete=answer.is_complete,
-            body=answer.body.decode("latin-1")[-400:],
+            body_bytes=len(answer.body),
+            body_end=answer.body.decode("latin-1")[-60:],
         )
         return answer
 
--- a/review/standins_2/runner.py
+++ b/review/standins_2/runner.py
@@ -138,7 +138,8 @@
             raw = data.encode()
             writer.write(b"%x\r\n%s\r\n" % (len(raw), raw) if is_framed else raw)
             await writer.drain()
-            self.note("sent", id=request_id, part=number, of=parts)
+            if self.settings.get("notes_parts", True):
+                self.note("sent", id=request_id, part=number, of=parts)
             if number < parts:
                 await asyncio.sleep(gap_s)
         if is_framed:
