--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -93,7 +93,7 @@
         self.store_address = ""
         self.processes: list[subprocess.Popen] = []
         self.gateways: list[dict] = []
-        # The metrics page has a fixed port, so that each fleet has addresses of its own.
+        # The metrics page has a fixed port: each fleet has addresses of its own.
         self._network = f"127.{random.randint(16, 250)}.{random.randint(0, 250)}"
         self._lines = self.record.open("a", buffering=1)
         self.doors: list[Door] = []
