--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -5,6 +5,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,6 +24,14 @@
 LIMIT_S = 110.0
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Of the gateways' logs, the record keeps what a case is about.
+KEPT_MESSAGES = (
+    "settings applied",
+    "store unreachable",
+    "configuration applied",
+    "answer not known to be complete",
+    "target crashed",
+)
 BOUNDS = {
     "cap-x": 2,
     "retry-ratio": 0.2,
@@ -260,16 +269,21 @@
         return [json.loads(line) for line in self.runner_record.open()]
 
     async def stop(self) -> None:
-        """End all processes that were started, and add the runners' record."""
+        """End all processes that were started; add the logs and the runners' record."""
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes:
             process.wait()
+        for gateway in self.gateways:
+            for line in gateway["log"].read_text().splitlines():
+                if any(message in line for message in KEPT_MESSAGES):
+                    self._lines.write(line + "\n")
         for line in self.runner_events():
             self._lines.write(json.dumps(line) + "\n")
         self._lines.close()
+        shutil.rmtree(self.scratch, ignore_errors=True)
         for door in self.doors:
             door.server.close()
         # What still serves them has nobody left to answer.
